--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV ?= .venv
+RUN = $(VENV)/bin/python -W ignore
+
+.PHONY: demo test lint format clean
+
+$(VENV)/installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/installed
+	$(RUN) -m standins.demo $(if $(KEEP),--keep)
+
+test: lint
+	$(RUN) -m unittest discover -t . -s . -p '*_test.py'
+
+lint: $(VENV)/installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(VENV)/installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/kumquatspur/__init__.py
@@ -0,0 +1,1 @@
+"""Query tier over many shards."""
--- /dev/null
+++ b/kumquatspur/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of everything that enters or leaves a process."""
--- /dev/null
+++ b/kumquatspur/border/peer_codec.py
@@ -0,0 +1,64 @@
+"""Encoding of messages between entry hosts, with validation on receipt.
+
+A frame is one msgpack array: the message's type name and a map of its fields.
+"""
+
+from typing import Any
+
+import msgpack
+import pydantic
+
+from kumquatspur.core import messages
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+_ADAPTERS = {
+    message_type.__name__: pydantic.TypeAdapter(message_type)
+    for message_type in messages.MESSAGE_TYPES
+}
+
+
+class CodecError(Exception):
+    """A frame that is not a valid message."""
+
+
+def encode(message: Any) -> bytes:
+    """Encodes a message.
+
+    Args:
+        message: One of `kumquatspur.core.messages`.
+
+    Returns:
+        One msgpack frame.
+    """
+    name = type(message).__name__
+    fields = _ADAPTERS[name].dump_python(message, mode="json")
+    return msgpack.packb([name, fields])
+
+
+def decode(frame: Any) -> Any:
+    """Validates an unpacked frame.
+
+    Args:
+        frame: What msgpack unpacked.
+
+    Returns:
+        The message.
+
+    Raises:
+        CodecError: The frame is not a valid message.
+    """
+    if not isinstance(frame, list) or len(frame) != 2:
+        raise CodecError("a frame must be an array of type name and fields")
+    adapter = _ADAPTERS.get(frame[0]) if isinstance(frame[0], str) else None
+    if adapter is None:
+        raise CodecError("unknown message type")
+    try:
+        return adapter.validate_python(frame[1])
+    except pydantic.ValidationError as error:
+        raise CodecError(str(error)) from error
+
+
+def new_unpacker() -> msgpack.Unpacker:
+    """Returns an incremental decoder of frames."""
+    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
--- /dev/null
+++ b/kumquatspur/border/settings.py
@@ -0,0 +1,129 @@
+"""Settings of one daemon, read from a JSON file."""
+
+import json
+import pathlib
+
+import pydantic
+
+from kumquatspur.core.records import Address, Diagnostic
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Endpoint(_Model):
+    """An IP address and a TCP port.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(ge=1, le=65535)
+
+    def address(self) -> Address:
+        """Returns the endpoint as a core record."""
+        return Address(self.host, self.port)
+
+
+class Timing(_Model):
+    """Intervals and time-outs, in the unit of each name.
+
+    Attributes:
+        heartbeat_s: Interval of heartbeats.
+        suspect_s: Silence after which a host is no longer counted on.
+        probe_s: Interval of status probes of searchers.
+        connect_s: Time-out of a new connection.
+        drain_s: How long a stopping daemon still accepts requests.
+        host_list_s: Interval of reading the platform's host list.
+        max_deadline_ms: Longest deadline that a caller may ask for.
+    """
+
+    heartbeat_s: float = pydantic.Field(0.5, gt=0)
+    suspect_s: float = pydantic.Field(2.0, gt=0)
+    probe_s: float = pydantic.Field(0.5, gt=0)
+    connect_s: float = pydantic.Field(0.1, gt=0)
+    drain_s: float = pydantic.Field(1.0, ge=0)
+    host_list_s: float = pydantic.Field(2.0, gt=0)
+    max_deadline_ms: int = pydantic.Field(10_000, gt=0)
+
+
+class Settings(_Model):
+    """Settings of one daemon.
+
+    Attributes:
+        name: Unique name of the daemon.
+        zone: Its availability zone.
+        caller: Where callers connect.
+        peer: Where other entry hosts connect.
+        admin: Where operators connect.
+        store: The platform's configuration store.
+        host_list: The platform's host list.
+        prefix: Key prefix of this system in the store.
+        peer_key: Shared key of the entry hosts.
+        admin_key: Key of the administration API.
+        design: "owner", or a baseline for measurements.
+        max_body_bytes: Longest request body accepted from a caller.
+        timing: Intervals and time-outs.
+    """
+
+    name: str = pydantic.Field(min_length=1, max_length=80)
+    zone: str = pydantic.Field(min_length=1, max_length=80)
+    caller: Endpoint
+    peer: Endpoint
+    admin: Endpoint
+    store: Endpoint
+    host_list: Endpoint
+    prefix: str = "kumquatspur"
+    peer_key: str = pydantic.Field(min_length=8)
+    admin_key: str = pydantic.Field(min_length=8)
+    design: str = pydantic.Field(
+        "owner", pattern="^(owner|direct|two_choices)$"
+    )
+    max_body_bytes: int = pydantic.Field(65536, gt=0)
+    timing: Timing = Timing()
+
+
+def read_settings(path: str) -> tuple[Settings | None, list[Diagnostic]]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: Path of a JSON file.
+
+    Returns:
+        The settings, or None, and the errors found.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [Diagnostic(path, f"cannot be read: {error}")]
+    try:
+        raw = json.loads(text)
+    except json.JSONDecodeError as error:
+        source = f"{path}:{error.lineno}"
+        return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
+    try:
+        return Settings.model_validate(raw), []
+    except pydantic.ValidationError as error:
+        return None, validation_diagnostics(path, error)
+
+
+def validation_diagnostics(
+    source: str, error: pydantic.ValidationError
+) -> list[Diagnostic]:
+    """Converts a validation error.
+
+    Args:
+        source: Name of the input, such as a file name.
+        error: The error raised by a model.
+
+    Returns:
+        One diagnostic a wrong field, with its path.
+    """
+    diagnostics = []
+    for item in error.errors(include_url=False):
+        path = ".".join(str(part) for part in item["loc"])
+        diagnostics.append(Diagnostic(f"{source}: {path}", item["msg"]))
+    return diagnostics
--- /dev/null
+++ b/kumquatspur/border/upstream_api.py
@@ -0,0 +1,137 @@
+"""Models of the protocol spoken to searchers (JSON over HTTP)."""
+
+import json
+
+import pydantic
+
+from kumquatspur.core.actions import Item
+from kumquatspur.core.events import ItemResult
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Hit, ShardResult
+from kumquatspur.core.verdict import Verdict
+
+
+class HitModel(pydantic.BaseModel):
+    """A match."""
+
+    key: str
+    score: float
+    fields: pydantic.JsonValue = None
+
+
+class ItemModel(pydantic.BaseModel):
+    """Result of one item.
+
+    Attributes:
+        item_id: The item answered.
+        status: "ok", "not_run" or "snapshot_not_held"; the last two declare
+            that the item was not executed.
+        shard: The shard searched.
+        snapshot: The snapshot searched.
+        hits: The matches.
+    """
+
+    item_id: str
+    status: str
+    shard: str = ""
+    snapshot: int = 0
+    hits: list[HitModel] = []
+
+
+class SearchReply(pydantic.BaseModel):
+    """Body of a searcher's answer."""
+
+    items: list[ItemModel]
+    load: int = 0
+    draining: bool = False
+    held: list[int] = []
+
+
+class StatusReply(pydantic.BaseModel):
+    """Body of a searcher's status."""
+
+    held: list[int]
+    draining: bool = False
+    load: int = 0
+
+
+_STATUS_REASON = {
+    "not_run": Reason.REFUSED,
+    "snapshot_not_held": Reason.SNAPSHOT_NOT_HELD,
+}
+
+
+def request_body(items: tuple[Item, ...], now: float) -> bytes:
+    """Builds the body of a search request.
+
+    Args:
+        items: The work.
+        now: The current time of the monotonic clock.
+
+    Returns:
+        JSON text.
+    """
+    return json.dumps(
+        {
+            "items": [
+                {
+                    "item_id": item.item_id,
+                    "shard": item.shard,
+                    "snapshot": item.snapshot,
+                    "limit": item.limit,
+                    "deadline_ms": max(0.0, (item.deadline - now) * 1000.0),
+                    "repeatable": item.repeatable,
+                    "query": json.loads(item.content),
+                }
+                for item in items
+            ]
+        }
+    ).encode()
+
+
+def item_results(
+    searcher: str, items: tuple[Item, ...], reply: SearchReply
+) -> tuple[ItemResult, ...]:
+    """Matches a searcher's results to the items asked for.
+
+    Results of items that were not asked for, or that name another shard or
+    snapshot, are dropped.
+
+    Args:
+        searcher: The searcher's name.
+        items: The items sent.
+        reply: The searcher's answer.
+
+    Returns:
+        Results by item.
+    """
+    asked = {item.item_id: item for item in items}
+    found = []
+    for model in reply.items:
+        item = asked.pop(model.item_id, None)
+        if item is None:
+            continue
+        found.append(ItemResult(item.item_id, _result(searcher, item, model)))
+    return tuple(found)
+
+
+def _result(searcher: str, item: Item, model: ItemModel) -> ShardResult:
+    reason = _STATUS_REASON.get(model.status)
+    if reason is not None:
+        return ShardResult(item.shard, searcher, Verdict.NOT_RUN, reason)
+    matches = (
+        model.status == "ok"
+        and model.shard == item.shard
+        and model.snapshot == item.snapshot
+    )
+    if not matches:
+        return ShardResult(
+            item.shard, searcher, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
+        )
+    hits = tuple(
+        Hit(hit.score, item.shard, hit.key, json.dumps(hit.fields))
+        for hit in model.hits
+    )
+    return ShardResult(
+        item.shard, searcher, Verdict.RAN, None, item.snapshot, hits
+    )
--- /dev/null
+++ b/kumquatspur/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: react to events by updating the blackboard."""
--- /dev/null
+++ b/kumquatspur/controllers/blackboard.py
@@ -0,0 +1,177 @@
+"""The state of one node, which its controllers read and write."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from kumquatspur.border.settings import Settings
+from kumquatspur.core.actions import Item
+from kumquatspur.core.messages import SearcherReport, SubQuery
+from kumquatspur.core.records import (
+    Address,
+    Configuration,
+    Query,
+    ShardResult,
+)
+from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.searcher_queue import SearcherQueue
+
+
+@dataclasses.dataclass
+class Member:
+    """What is known of another entry host.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+        address: Where it accepts streams.
+        incarnation: Grows with every start of it.
+        last_heard: Time of its last message; None before the first.
+        revision: The configuration revision in force there.
+        leaving: Whether it is stopping.
+    """
+
+    name: str
+    zone: str
+    address: Address
+    incarnation: int = 0
+    last_heard: float | None = None
+    revision: int = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One attempt to have a shard searched.
+
+    Attributes:
+        sub_id: The sub-query that carries it.
+        owner: The entry host that it was sent to.
+        searcher: The searcher chosen.
+        started: When it was sent.
+        result: How it ended, or None while it is under way.
+    """
+
+    sub_id: str
+    owner: str
+    searcher: str
+    started: float
+    result: ShardResult | None = None
+
+
+@dataclasses.dataclass
+class QueryState:
+    """A query that this node coordinates.
+
+    Attributes:
+        query: The query.
+        snapshot: The snapshot chosen.
+        started: When it arrived.
+        attempts: All attempts, by shard.
+        results: The final result of each shard that has one.
+        rechosen: Whether the snapshot was already chosen again.
+        past_verdicts: Verdicts of attempts at an abandoned snapshot.
+    """
+
+    query: Query
+    snapshot: int
+    started: float
+    attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
+    results: dict[str, ShardResult] = dataclasses.field(default_factory=dict)
+    rechosen: bool = False
+    past_verdicts: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class SubQueryState:
+    """A sub-query that this node executes as owner.
+
+    Attributes:
+        sub_query: The sub-query.
+        sender: The entry host that sent it.
+        pending: Items not finished yet, by shard.
+        ready: Results not sent yet.
+        flushed: Whether the flush time has passed.
+    """
+
+    sub_query: SubQuery
+    sender: str
+    pending: dict[str, Item] = dataclasses.field(default_factory=dict)
+    ready: list[ShardResult] = dataclasses.field(default_factory=list)
+    flushed: bool = False
+
+
+@dataclasses.dataclass
+class KnownReport:
+    """A searcher report and when it was received."""
+
+    report: SearcherReport
+    received: float
+
+
+class Blackboard:
+    """State of one node.
+
+    Attributes:
+        settings: The daemon's settings.
+        rng: Source of randomness, seeded by the caller.
+        incarnation: Grows with every start.
+        configuration: The configuration in force.
+        members: Other entry hosts by name.
+        reports: The latest report of each searcher.
+        queries: Queries under way by request id.
+        queues: Queues of owned searchers by name.
+        sub_queries: Sub-queries under way by id.
+        call_searchers: The searcher of each call under way.
+        budgets: Extra-attempt budgets by service.
+        counters: Event counts by name.
+        stopping: Whether a graceful stop has begun.
+    """
+
+    def __init__(
+        self, settings: Settings, rng: random.Random, incarnation: int
+    ):
+        self.settings = settings
+        self.rng = rng
+        self.incarnation = incarnation
+        self.configuration = Configuration()
+        self.members: dict[str, Member] = {}
+        self.reports: dict[str, KnownReport] = {}
+        self.queries: dict[str, QueryState] = {}
+        self.queues: dict[str, SearcherQueue] = {}
+        self.sub_queries: dict[str, SubQueryState] = {}
+        self.call_searchers: dict[str, str] = {}
+        self.budgets: dict[str, ExtraAttemptBudget] = {}
+        self.counters = collections.Counter()
+        self.changed_reports: set[str] = set()
+        self.stopping = False
+        self._timers = []
+        self._timer_order = itertools.count()
+        self._ids = itertools.count(1)
+
+    def new_id(self) -> str:
+        """Returns an identifier unique over all entry hosts."""
+        return f"{self.settings.name}.{self.incarnation:x}.{next(self._ids):x}"
+
+    def schedule(self, at: float, event: Any) -> None:
+        """Schedules a timer event."""
+        heapq.heappush(self._timers, (at, next(self._timer_order), event))
+
+    def next_wakeup(self) -> float | None:
+        """Returns the time of the next timer, or None if there is none."""
+        return self._timers[0][0] if self._timers else None
+
+    def pop_due(self, now: float) -> Any | None:
+        """Returns the next timer event that is due, or None."""
+        if self._timers and self._timers[0][0] <= now:
+            return heapq.heappop(self._timers)[2]
+        return None
+
+    def alive(self, member: Member, now: float) -> bool:
+        """Returns whether a member counts as live and not leaving."""
+        if member.leaving or member.last_heard is None:
+            return False
+        return now - member.last_heard <= self.settings.timing.suspect_s
--- /dev/null
+++ b/kumquatspur/controllers/node.py
@@ -0,0 +1,119 @@
+"""One node's decisions behind one door: events in, actions out.
+
+The node performs no I/O and reads no clock. The I/O layer hands it events with
+the current time and carries out the actions that it returns; a test can drive
+many nodes in one process the same way.
+"""
+
+import random
+
+from kumquatspur.border.settings import Settings
+from kumquatspur.controllers import coordinator, membership, owner
+from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.core import actions, events, messages
+
+
+def _on_sub_answer(board, peer, message, now):
+    membership.take_reports(board, message.reports, now)
+    return coordinator.on_sub_answer(board, peer, message, now)
+
+
+_CONTROLLERS = {
+    events.QueryReceived: (coordinator.on_query,),
+    events.UpstreamAnswered: (owner.on_upstream_answered,),
+    events.UpstreamFailed: (owner.on_upstream_failed,),
+    events.ProbeAnswered: (owner.on_probe_answered,),
+    events.ProbeFailed: (owner.on_probe_failed,),
+    events.ConfigurationReceived: (membership.on_configuration,),
+    events.HostsListed: (membership.on_hosts_listed,),
+    events.PeerLost: (membership.on_peer_lost, coordinator.on_peer_lost),
+    events.StopRequested: (membership.on_stop,),
+    events.QueryHedgeDue: (coordinator.on_hedge_due,),
+    events.QueryDeadlineDue: (coordinator.on_deadline_due,),
+    events.SubQueryFlushDue: (owner.on_flush_due,),
+    events.SubQueryDeadlineDue: (owner.on_sub_query_deadline,),
+    events.HeartbeatDue: (membership.on_heartbeat_due,),
+    events.ProbeDue: (owner.on_probe_due,),
+}
+
+_MESSAGE_CONTROLLERS = {
+    messages.Heartbeat: membership.on_heartbeat,
+    messages.SubQuery: owner.on_sub_query,
+    messages.SubAnswer: _on_sub_answer,
+    messages.CancelSubQuery: owner.on_cancel,
+}
+
+
+class Node:
+    """Decisions of one entry host.
+
+    Attributes:
+        board: All state.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        incarnation: int,
+        now: float,
+    ):
+        self.board = Blackboard(settings, rng, incarnation)
+        self.board.schedule(now, events.HeartbeatDue())
+        self.board.schedule(now, events.ProbeDue())
+
+    def next_wakeup(self) -> float | None:
+        """Returns when a `TimerFired` event is due, or None."""
+        return self.board.next_wakeup()
+
+    def handle(self, event, now: float) -> list:
+        """Reacts to an event.
+
+        Args:
+            event: One of `kumquatspur.core.events`.
+            now: The current time of the monotonic clock.
+
+        Returns:
+            Actions of `kumquatspur.core.actions`, in order.
+        """
+        if isinstance(event, events.TimerFired):
+            found = self._run_timers(now)
+        else:
+            found = self._dispatch(event, now)
+        return self._deliver_local(found, now)
+
+    def _run_timers(self, now: float) -> list:
+        found = []
+        while (event := self.board.pop_due(now)) is not None:
+            found += self._dispatch(event, now)
+        return found
+
+    def _dispatch(self, event, now: float) -> list:
+        if isinstance(event, events.PeerMessageReceived):
+            controller = _MESSAGE_CONTROLLERS.get(type(event.message))
+            if controller is None:
+                return []
+            return controller(self.board, event.peer, event.message, now)
+        found = []
+        for controller in _CONTROLLERS[type(event)]:
+            found += controller(self.board, event, now)
+        return found
+
+    def _deliver_local(self, found: list, now: float) -> list:
+        """Hands messages that a node sends to itself straight back to it."""
+        remaining = []
+        while found:
+            action = found.pop(0)
+            if self._is_local(action):
+                name = self.board.settings.name
+                event = events.PeerMessageReceived(name, action.message)
+                found = self._dispatch(event, now) + found
+            else:
+                remaining.append(action)
+        return remaining
+
+    def _is_local(self, action) -> bool:
+        return (
+            isinstance(action, actions.SendPeer)
+            and action.peer == self.board.settings.name
+        )
--- /dev/null
+++ b/kumquatspur/controllers/owner.py
@@ -0,0 +1,403 @@
+"""Executes sub-queries on the searchers that this node owns."""
+
+from kumquatspur.controllers import placement
+from kumquatspur.controllers.blackboard import (
+    Blackboard,
+    KnownReport,
+    SubQueryState,
+)
+from kumquatspur.core import actions, events, messages
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import ShardResult
+from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
+from kumquatspur.policy.merge import merge_hits
+from kumquatspur.policy.searcher_queue import SearcherQueue
+
+SLOW_FACTOR = 3.0
+
+_FAILURE_REASON = {
+    Outcome.DECLINED: Reason.REFUSED,
+    Outcome.FAILED: Reason.UPSTREAM_FAILED,
+    Outcome.TIMED_OUT: Reason.TIMED_OUT,
+    Outcome.CANCELLED: Reason.TIMED_OUT,
+}
+
+
+def on_sub_query(board: Blackboard, peer: str, message, now: float):
+    """Queues the items of a sub-query.
+
+    Args:
+        board: The blackboard.
+        peer: The entry host that sent it.
+        message: The `SubQuery`.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = SubQueryState(message, peer)
+    board.sub_queries[message.sub_id] = state
+    deadline = now + message.remaining_ms / 1000.0
+    flush_at = now + message.flush_after_ms / 1000.0
+    board.schedule(deadline, events.SubQueryDeadlineDue(message.sub_id))
+    board.schedule(flush_at, events.SubQueryFlushDue(message.sub_id))
+    touched = []
+    for target in message.targets:
+        queue = _queue(board, target.searcher)
+        item = _build_item(board, message, target, deadline)
+        reason = _admit(board, queue, target, item, now)
+        if reason is None:
+            state.pending[target.shard] = item
+            touched.append(queue)
+        else:
+            state.ready.append(
+                ShardResult(
+                    target.shard, target.searcher, Verdict.NOT_RUN, reason
+                )
+            )
+    found = []
+    for queue in touched:
+        found += _dispatch(board, queue, now)
+    return found + _reply(board, state)
+
+
+def on_upstream_answered(
+    board: Blackboard, event: events.UpstreamAnswered, now: float
+):
+    """Takes the results of a request to a searcher.
+
+    Args:
+        board: The blackboard.
+        event: The searcher's answer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
+    call = queue.finish(event.call_id, now) if queue else None
+    if call is None:
+        board.counters["late_upstream_answers"] += 1
+        return []
+    _note_state(board, queue, event.held, event.draining, now)
+    results = {entry.item_id: entry.result for entry in event.results}
+    found = []
+    for item in call.items:
+        result = results.get(item.item_id)
+        if result is None:
+            result = _failed_result(
+                queue, item, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
+            )
+        found += _complete(board, item, result)
+    return found + _dispatch(board, queue, now)
+
+
+def on_upstream_failed(
+    board: Blackboard, event: events.UpstreamFailed, now: float
+):
+    """Ends the items of a request that failed.
+
+    Args:
+        board: The blackboard.
+        event: The failure.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
+    call = queue.finish(event.call_id, now) if queue else None
+    if call is None:
+        return []
+    if event.phase is Phase.CONNECTING or event.outcome is Outcome.FAILED:
+        queue.reachable = False
+        _publish(board, queue, now)
+    verdict = verdict_of(event.phase, event.outcome)
+    reason = _FAILURE_REASON[event.outcome]
+    found = []
+    for item in call.items:
+        result = _failed_result(queue, item, verdict, reason)
+        found += _complete(board, item, result)
+    return found + _dispatch(board, queue, now)
+
+
+def on_flush_due(board: Blackboard, event: events.SubQueryFlushDue, now):
+    """Sends the results of a sub-query that are there.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = board.sub_queries.get(event.sub_id)
+    if state is None:
+        return []
+    state.flushed = True
+    return _reply(board, state)
+
+
+def on_sub_query_deadline(
+    board: Blackboard, event: events.SubQueryDeadlineDue, now: float
+):
+    """Gives up on what is left of a sub-query.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = board.sub_queries.get(event.sub_id)
+    if state is None:
+        return []
+    state.flushed = True
+    return _abandon(board, state, list(state.pending))
+
+
+def on_cancel(board: Blackboard, peer: str, message, now: float):
+    """Drops items whose results are no longer needed.
+
+    Args:
+        board: The blackboard.
+        peer: The entry host that sent the sub-query.
+        message: The `CancelSubQuery`.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = board.sub_queries.get(message.sub_id)
+    if state is None or state.sender != peer:
+        return []
+    return _abandon(board, state, message.shards)
+
+
+def on_probe_due(board: Blackboard, event: events.ProbeDue, now: float):
+    """Probes the searchers owned, and drops queues of those no longer owned.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    interval = board.settings.timing.probe_s
+    jitter = board.rng.uniform(0.9, 1.1)
+    board.schedule(now + interval * jitter, events.ProbeDue())
+    found = []
+    for searcher in board.configuration.searchers.values():
+        if placement.is_owned(board, searcher, now):
+            _queue(board, searcher.name)
+            found.append(actions.ProbeUpstream(searcher))
+        elif searcher.name in board.queues:
+            queue = board.queues[searcher.name]
+            if not queue.backlog():
+                del board.queues[searcher.name]
+    return found
+
+
+def on_probe_answered(board: Blackboard, event: events.ProbeAnswered, now):
+    """Takes a searcher's status.
+
+    Args:
+        board: The blackboard.
+        event: The status.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    queue = board.queues.get(event.searcher)
+    if queue is not None:
+        _note_state(board, queue, event.held, event.draining, now)
+    return []
+
+
+def on_probe_failed(board: Blackboard, event: events.ProbeFailed, now: float):
+    """Notes that a searcher could not be reached.
+
+    Args:
+        board: The blackboard.
+        event: The failure.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    queue = board.queues.get(event.searcher)
+    if queue is not None:
+        queue.reachable = False
+        _publish(board, queue, now)
+    return []
+
+
+def build_report(queue: SearcherQueue) -> messages.SearcherReport:
+    """Builds the report of an owned searcher.
+
+    Args:
+        queue: The searcher's queue.
+
+    Returns:
+        The report for other entry hosts.
+    """
+    return messages.SearcherReport(
+        searcher=queue.searcher.name,
+        held=queue.held,
+        draining=queue.draining,
+        reachable=queue.reachable,
+        backlog=queue.backlog(),
+        latency_ms=queue.latency_s * 1000.0,
+        slow_ms=queue.latency_s * 1000.0 * SLOW_FACTOR,
+    )
+
+
+def _queue(board: Blackboard, name: str) -> SearcherQueue | None:
+    searcher = board.configuration.searchers.get(name)
+    if searcher is None:
+        return None
+    queue = board.queues.get(name)
+    if queue is None:
+        queue = SearcherQueue(searcher)
+        board.queues[name] = queue
+    queue.searcher = searcher
+    return queue
+
+
+def _build_item(board, message, target, deadline: float) -> actions.Item:
+    return actions.Item(
+        item_id=board.new_id(),
+        shard=target.shard,
+        content=message.content,
+        limit=message.limit,
+        snapshot=message.snapshot,
+        deadline=deadline,
+        repeatable=message.repeatable,
+        hedge=message.hedge,
+        sub_id=message.sub_id,
+    )
+
+
+def _admit(board, queue, target, item, now: float) -> Reason | None:
+    if queue is None:
+        return Reason.NO_REPLICA
+    if target.searcher in board.configuration.drained:
+        return Reason.REFUSED
+    return queue.admit(item, now)
+
+
+def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
+    found = []
+    while items := queue.take_batch():
+        call_id = board.new_id()
+        queue.start(call_id, items, now)
+        board.call_searchers[call_id] = queue.searcher.name
+        deadline = max(item.deadline for item in items)
+        found.append(
+            actions.CallUpstream(call_id, queue.searcher, items, deadline)
+        )
+    return found
+
+
+def _failed_result(queue, item, verdict, reason) -> ShardResult:
+    return ShardResult(item.shard, queue.searcher.name, verdict, reason)
+
+
+def _complete(board: Blackboard, item: actions.Item, result: ShardResult):
+    state = board.sub_queries.get(item.sub_id)
+    if state is None or state.pending.pop(item.shard, None) is None:
+        board.counters["late_item_results"] += 1
+        return []
+    state.ready.append(result)
+    return _reply(board, state)
+
+
+def _reply(board: Blackboard, state: SubQueryState):
+    if state.pending and not (state.flushed and state.ready):
+        return []
+    if not state.pending:
+        del board.sub_queries[state.sub_query.sub_id]
+    if not state.ready:
+        return []
+    results = _trim_hits(state.ready, state.sub_query.limit)
+    names = sorted({result.searcher for result in results})
+    reports = tuple(
+        build_report(board.queues[name])
+        for name in names
+        if name in board.queues
+    )
+    state.ready = []
+    answer = messages.SubAnswer(
+        state.sub_query.sub_id, state.sub_query.request_id, results, reports
+    )
+    return [_send(board, state.sender, answer)]
+
+
+def _trim_hits(results, limit: int) -> tuple[ShardResult, ...]:
+    best = set(merge_hits((result.hits for result in results), limit))
+    return tuple(
+        ShardResult(
+            result.shard,
+            result.searcher,
+            result.verdict,
+            result.reason,
+            result.snapshot,
+            tuple(hit for hit in result.hits if hit in best),
+            result.held,
+        )
+        for result in results
+    )
+
+
+def _send(board: Blackboard, peer: str, message):
+    member = board.members.get(peer)
+    address = member.address if member else board.settings.peer.address()
+    return actions.SendPeer(peer, address, message)
+
+
+def _abandon(board: Blackboard, state: SubQueryState, shards):
+    found = []
+    for shard in shards:
+        item = state.pending.pop(shard, None)
+        if item is None:
+            continue
+        verdict = _withdraw(board, item, found)
+        state.ready.append(ShardResult(shard, "", verdict, Reason.TIMED_OUT))
+    return found + _reply(board, state)
+
+
+def _withdraw(board: Blackboard, item: actions.Item, found: list) -> Verdict:
+    """Removes an item from its queue, or cancels its call if it is the last."""
+    for queue in board.queues.values():
+        if item in queue.waiting:
+            queue.waiting.remove(item)
+            return Verdict.NOT_RUN
+        for call_id, call in queue.calls.items():
+            if item in call.items:
+                if len(call.items) == 1:
+                    found.append(actions.CancelUpstream(call_id))
+                return Verdict.MAY_HAVE_RUN
+    return Verdict.MAY_HAVE_RUN
+
+
+def _note_state(board, queue: SearcherQueue, held, draining: bool, now):
+    changed = (
+        held != queue.held or draining != queue.draining or not queue.reachable
+    )
+    queue.held = held
+    queue.draining = draining
+    queue.reachable = True
+    _publish(board, queue, now, changed)
+
+
+def _publish(board: Blackboard, queue: SearcherQueue, now, changed=True):
+    report = build_report(queue)
+    board.reports[report.searcher] = KnownReport(report, now)
+    if changed:
+        board.changed_reports.add(report.searcher)
--- /dev/null
+++ b/kumquatspur/controllers/placement.py
@@ -0,0 +1,51 @@
+"""Where searchers are owned, given the members known."""
+
+from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.core.records import Searcher
+from kumquatspur.policy.ownership import rank_members
+
+
+def live_members(board: Blackboard, zone: str, now: float) -> list[str]:
+    """Returns the live entry hosts of a zone, this one included.
+
+    Args:
+        board: The blackboard.
+        zone: The availability zone.
+        now: The current time.
+
+    Returns:
+        Names, in no particular order.
+    """
+    names = [
+        member.name
+        for member in board.members.values()
+        if member.zone == zone and board.alive(member, now)
+    ]
+    if board.settings.zone == zone and not board.stopping:
+        names.append(board.settings.name)
+    return names
+
+
+def ranked_owners(
+    board: Blackboard, searcher: Searcher, now: float
+) -> list[str]:
+    """Ranks the entry hosts that may own a searcher.
+
+    Args:
+        board: The blackboard.
+        searcher: The searcher.
+        now: The current time.
+
+    Returns:
+        Names, owner first; empty if no live host of its zone is known.
+    """
+    members = live_members(board, searcher.zone, now)
+    return rank_members(searcher.group, members)
+
+
+def is_owned(board: Blackboard, searcher: Searcher, now: float) -> bool:
+    """Returns whether this node owns a searcher."""
+    if searcher.zone != board.settings.zone:
+        return False
+    owners = ranked_owners(board, searcher, now)
+    return bool(owners) and owners[0] == board.settings.name
--- /dev/null
+++ b/kumquatspur/core/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable records, identifiers and verdicts. No I/O."""
--- /dev/null
+++ b/kumquatspur/core/actions.py
@@ -0,0 +1,92 @@
+"""Actions that a node's decision code asks the I/O layer to carry out."""
+
+from typing import Any
+
+from kumquatspur.core.records import Address, Answer, Refusal, Searcher, record
+
+
+@record
+class AnswerCaller:
+    """Send the final answer to a caller."""
+
+    answer: Answer
+
+
+@record
+class RefuseCaller:
+    """Send a final refusal to a caller, at once."""
+
+    refusal: Refusal
+
+
+@record
+class SendPeer:
+    """Send a message to another entry host."""
+
+    peer: str
+    address: Address
+    message: Any
+
+
+@record
+class Item:
+    """One shard's work in a request to a searcher.
+
+    Attributes:
+        item_id: Unique over all entry hosts.
+        shard: The shard to search.
+        content: The query, opaque JSON text.
+        limit: The number of hits wanted.
+        snapshot: The snapshot to answer from.
+        deadline: When the result is due, in seconds of the local clock.
+        repeatable: Whether it may be executed more than once.
+        hedge: Whether it is a hedge.
+        sub_id: The sub-query that it belongs to.
+    """
+
+    item_id: str
+    shard: str
+    content: str
+    limit: int
+    snapshot: int
+    deadline: float
+    repeatable: bool
+    hedge: bool
+    sub_id: str
+
+
+@record
+class CallUpstream:
+    """Send one request with one or more items to a searcher."""
+
+    call_id: str
+    searcher: Searcher
+    items: tuple[Item, ...]
+    deadline: float
+
+
+@record
+class CancelUpstream:
+    """Abandon a call; its connection must not be used again."""
+
+    call_id: str
+
+
+@record
+class ProbeUpstream:
+    """Ask a searcher for its status."""
+
+    searcher: Searcher
+
+
+@record
+class LogEvent:
+    """Write a log line.
+
+    Attributes:
+        name: The event's name.
+        fields: Its fields as name and value pairs.
+    """
+
+    name: str
+    fields: tuple[tuple[str, Any], ...]
--- /dev/null
+++ b/kumquatspur/core/events.py
@@ -0,0 +1,170 @@
+"""Events that a node's decision code reacts to.
+
+Together with `kumquatspur.core.actions` they are the whole interface between
+decisions and I/O.
+"""
+
+from typing import Any
+
+from kumquatspur.core.records import (
+    Address,
+    Configuration,
+    Host,
+    Query,
+    ShardResult,
+    record,
+)
+from kumquatspur.core.verdict import Outcome, Phase
+
+
+@record
+class QueryReceived:
+    """A caller sent a query."""
+
+    query: Query
+
+
+@record
+class PeerMessageReceived:
+    """A message arrived from another entry host."""
+
+    peer: str
+    message: Any
+
+
+@record
+class PeerLost:
+    """The stream to another entry host broke or could not be opened."""
+
+    peer: str
+
+
+@record
+class UpstreamAnswered:
+    """A searcher answered a request.
+
+    Attributes:
+        call_id: The call that it answers.
+        results: One result an item, in no particular order, by item id.
+        load: Requests that the searcher says are waiting or running.
+        draining: Whether it says that it is leaving.
+        held: The snapshots it says it holds.
+    """
+
+    call_id: str
+    results: tuple["ItemResult", ...]
+    load: int
+    draining: bool
+    held: tuple[int, ...]
+
+
+@record
+class ItemResult:
+    """An item's identifier and its result."""
+
+    item_id: str
+    result: ShardResult
+
+
+@record
+class UpstreamFailed:
+    """A request to a searcher ended without an answer.
+
+    Attributes:
+        call_id: The call that failed.
+        phase: How far it had come.
+        outcome: What ended it.
+        retry_after_s: When the searcher asked to be tried again; 0 if unsaid.
+    """
+
+    call_id: str
+    phase: Phase
+    outcome: Outcome
+    retry_after_s: float = 0.0
+
+
+@record
+class ProbeAnswered:
+    """A searcher answered a status probe."""
+
+    searcher: str
+    held: tuple[int, ...]
+    draining: bool
+    load: int
+
+
+@record
+class ProbeFailed:
+    """A status probe failed."""
+
+    searcher: str
+
+
+@record
+class ConfigurationReceived:
+    """A validated configuration arrived."""
+
+    configuration: Configuration
+
+
+@record
+class HostsListed:
+    """The platform's host list arrived."""
+
+    hosts: tuple[Host, ...]
+
+
+@record
+class StopRequested:
+    """The operator asked for a graceful stop."""
+
+
+@record
+class TimerFired:
+    """The time that `Node.next_wakeup` named has come."""
+
+
+@record
+class QueryHedgeDue:
+    """Timer: look for shards of a query that are late."""
+
+    request_id: str
+
+
+@record
+class QueryDeadlineDue:
+    """Timer: the query must be answered now."""
+
+    request_id: str
+
+
+@record
+class SubQueryFlushDue:
+    """Timer: send the results of a sub-query that are there."""
+
+    sub_id: str
+
+
+@record
+class SubQueryDeadlineDue:
+    """Timer: give up on what is left of a sub-query."""
+
+    sub_id: str
+
+
+@record
+class HeartbeatDue:
+    """Timer: send heartbeats."""
+
+
+@record
+class ProbeDue:
+    """Timer: probe the owned searchers."""
+
+
+@record
+class PeerKnown:
+    """The address of another entry host became known."""
+
+    peer: str
+    address: Address
--- /dev/null
+++ b/kumquatspur/core/messages.py
@@ -0,0 +1,155 @@
+"""Messages between entry hosts.
+
+All of them travel over msgpack streams. Durations are milliseconds, relative
+to the moment of sending, because monotonic clocks differ between hosts.
+"""
+
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Address, ShardResult, record
+
+
+@record
+class Hello:
+    """First message on a stream, from the side that opened it.
+
+    Attributes:
+        name: The sender's name.
+        zone: The sender's availability zone.
+        incarnation: Grows with every start of the sender.
+        key: The shared peer key.
+        address: Where the sender accepts streams.
+    """
+
+    name: str
+    zone: str
+    incarnation: int
+    key: str
+    address: Address
+
+
+@record
+class SearcherReport:
+    """What an owner knows of one of its searchers.
+
+    Attributes:
+        searcher: The searcher's name.
+        held: The snapshots it holds.
+        draining: Whether it is leaving.
+        reachable: Whether its last request or probe succeeded.
+        backlog: Items waiting or running there.
+        latency_ms: Smoothed latency of one request.
+        slow_ms: Latency that one request in twenty exceeds.
+    """
+
+    searcher: str
+    held: tuple[int, ...]
+    draining: bool
+    reachable: bool
+    backlog: int
+    latency_ms: float
+    slow_ms: float
+
+
+@record
+class Heartbeat:
+    """Liveness and state of one entry host.
+
+    Attributes:
+        name: The sender's name.
+        zone: Its availability zone.
+        incarnation: Grows with every start of the sender.
+        address: Where it accepts streams.
+        revision: The configuration revision in force there.
+        leaving: Whether it is stopping.
+        reports: Reports of searchers that it owns and that changed.
+    """
+
+    name: str
+    zone: str
+    incarnation: int
+    address: Address
+    revision: int
+    leaving: bool
+    reports: tuple[SearcherReport, ...]
+
+
+@record
+class Target:
+    """A shard and the searcher chosen for it."""
+
+    shard: str
+    searcher: str
+
+
+@record
+class SubQuery:
+    """The part of a query that goes to one owner.
+
+    Attributes:
+        sub_id: Unique over all entry hosts.
+        request_id: The query it belongs to.
+        service: The service queried.
+        content: The query, opaque JSON text.
+        limit: The number of hits wanted.
+        snapshot: The snapshot to answer from.
+        remaining_ms: Time left until the results are due.
+        flush_after_ms: When to send the results that are there by then.
+        repeatable: Whether the work may be executed more than once.
+        hedge: Whether this is a hedge, to run only in a free slot.
+        targets: The shards wanted.
+    """
+
+    sub_id: str
+    request_id: str
+    service: str
+    content: str
+    limit: int
+    snapshot: int
+    remaining_ms: float
+    flush_after_ms: float
+    repeatable: bool
+    hedge: bool
+    targets: tuple[Target, ...]
+
+
+@record
+class SubAnswer:
+    """Results of a `SubQuery`; each shard's result is sent once.
+
+    Attributes:
+        sub_id: The sub-query answered.
+        request_id: The query it belongs to.
+        results: One result a shard.
+        reports: State of the searchers involved.
+    """
+
+    sub_id: str
+    request_id: str
+    results: tuple[ShardResult, ...]
+    reports: tuple[SearcherReport, ...]
+
+
+@record
+class CancelSubQuery:
+    """The sender no longer needs the results of some shards."""
+
+    sub_id: str
+    shards: tuple[str, ...]
+
+
+@record
+class ProtocolError:
+    """The receiver closes the stream because of a bad message."""
+
+    reason: Reason
+    message: str
+
+
+MESSAGE_TYPES = (
+    Hello,
+    Heartbeat,
+    SubQuery,
+    SubAnswer,
+    CancelSubQuery,
+    ProtocolError,
+)
--- /dev/null
+++ b/kumquatspur/core/records.py
@@ -0,0 +1,286 @@
+"""Immutable records shared by all layers.
+
+Times are seconds of the process's monotonic clock unless a name ends in
+another unit.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.verdict import Verdict
+
+record = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@record
+class Address:
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+
+@record
+class Layout:
+    """The shards of a catalogue from one snapshot on.
+
+    Attributes:
+        first_snapshot: The first snapshot that is partitioned this way.
+        shards: The names of all shards.
+    """
+
+    first_snapshot: int
+    shards: tuple[str, ...]
+
+
+@record
+class Catalogue:
+    """A searchable collection.
+
+    Attributes:
+        name: The unique name.
+        layouts: Its layouts, by ascending first snapshot.
+    """
+
+    name: str
+    layouts: tuple[Layout, ...]
+
+
+@record
+class Profile:
+    """How a service trades coverage against latency.
+
+    Attributes:
+        deadline_ms: Deadline of a query that names none.
+        hedge_share: Extra attempts allowed as a share of first attempts.
+        hedge_quantile: Latency quantile after which a hedge is sent.
+        early_coverage: Coverage that suffices once `early_share` of the
+            deadline has passed.
+        early_share: Share of the deadline to wait for full coverage.
+    """
+
+    deadline_ms: int = 140
+    hedge_share: float = 0.05
+    hedge_quantile: float = 0.95
+    early_coverage: float = 1.0
+    early_share: float = 1.0
+
+
+@record
+class Objectives:
+    """Service-level objectives.
+
+    Attributes:
+        latency_ms: Answers slower than this count as bad.
+        latency_target: Share of answers that must be within `latency_ms`.
+        coverage_target: Share of answers that must have full coverage.
+        availability_target: Share of requests that must be answered.
+    """
+
+    latency_ms: int = 140
+    latency_target: float = 0.99
+    coverage_target: float = 0.999
+    availability_target: float = 0.999
+
+
+@record
+class Service:
+    """A caller-facing service and the catalogues that it may query."""
+
+    name: str
+    catalogues: tuple[str, ...]
+    profile: Profile
+    objectives: Objectives
+
+
+@record
+class Searcher:
+    """An upstream: one server process that answers for some shards.
+
+    Attributes:
+        name: The unique name.
+        address: Where it listens.
+        zone: Its availability zone.
+        slots: Requests that it executes at once.
+        connections: Connections that it accepts.
+        shards: The shards that it may be asked for.
+        group: Placement group; searchers of one group share an owner.
+    """
+
+    name: str
+    address: Address
+    zone: str
+    slots: int
+    connections: int
+    shards: tuple[str, ...]
+    group: str
+
+
+@record
+class Configuration:
+    """The operators' configuration at one revision.
+
+    Attributes:
+        revision: The revision; 0 before any was received.
+        services: Services by name.
+        catalogues: Catalogues by name.
+        searchers: Searchers by name.
+        drained: Names of searchers that must receive no new work.
+        files: The content hash of each file, by file name.
+    """
+
+    revision: int = 0
+    services: Mapping[str, Service] = dataclasses.field(default_factory=dict)
+    catalogues: Mapping[str, Catalogue] = dataclasses.field(
+        default_factory=dict
+    )
+    searchers: Mapping[str, Searcher] = dataclasses.field(default_factory=dict)
+    drained: frozenset[str] = frozenset()
+    files: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+@record
+class Host:
+    """An entry of the platform's host list.
+
+    Attributes:
+        name: The host's name.
+        zone: Its availability zone.
+        address: The address of its peer port; for an upstream, its address.
+        leaving: Whether the platform says that it is leaving.
+        role: "entry" or "upstream".
+    """
+
+    name: str
+    zone: str
+    address: Address
+    leaving: bool
+    role: str
+
+
+@record
+class Query:
+    """A caller's request.
+
+    Attributes:
+        request_id: Unique over all entry hosts.
+        service: The service asked.
+        content: The query itself, opaque JSON text.
+        limit: The number of hits wanted.
+        deadline: When the answer is due.
+        repeatable: Whether it may be executed more than once.
+        idempotency_key: Key under which it runs once, or "".
+        shards: The shards wanted; empty for all of the service.
+    """
+
+    request_id: str
+    service: str
+    content: str
+    limit: int
+    deadline: float
+    repeatable: bool = True
+    idempotency_key: str = ""
+    shards: tuple[str, ...] = ()
+
+
+@record
+class Hit:
+    """One match.
+
+    Attributes:
+        score: Higher is better.
+        shard: The shard that holds it.
+        key: Its identity in the shard.
+        fields: Stored fields, as JSON text.
+    """
+
+    score: float
+    shard: str
+    key: str
+    fields: str
+
+
+@record
+class ShardResult:
+    """What became of one shard of a query.
+
+    Attributes:
+        shard: The shard.
+        searcher: The searcher asked, or "".
+        verdict: Whether the work ran there.
+        reason: Why there are no hits, or None if the shard is covered.
+        snapshot: The snapshot that the hits come from; 0 if not covered.
+        hits: Its best matches, best first.
+        held: The snapshots the searcher holds, if it said so.
+    """
+
+    shard: str
+    searcher: str
+    verdict: Verdict
+    reason: Reason | None
+    snapshot: int = 0
+    hits: tuple[Hit, ...] = ()
+    held: tuple[int, ...] = ()
+
+
+@record
+class MissingShard:
+    """A shard that an answer does not cover, and why."""
+
+    shard: str
+    reason: Reason
+    verdict: Verdict
+
+
+@record
+class Answer:
+    """The answer to a query.
+
+    Attributes:
+        request_id: The query's identifier.
+        snapshot: The one snapshot that all hits come from; 0 if none.
+        hits: The best matches of all covered shards, best first.
+        covered: The shards that the hits were drawn from.
+        missing: All other shards of the snapshot.
+        verdict: Whether any of it ran.
+    """
+
+    request_id: str
+    snapshot: int
+    hits: tuple[Hit, ...]
+    covered: tuple[str, ...]
+    missing: tuple[MissingShard, ...]
+    verdict: Verdict
+
+
+@record
+class Refusal:
+    """A final negative answer.
+
+    Attributes:
+        request_id: The query's identifier.
+        reason: Why it was refused.
+        verdict: Whether it may have run.
+        retry_after_s: When the caller may come back, in seconds.
+        message: A sentence for a person.
+    """
+
+    request_id: str
+    reason: Reason
+    verdict: Verdict
+    retry_after_s: float
+    message: str
+
+
+@record
+class Diagnostic:
+    """An error found in input.
+
+    Attributes:
+        source: File name and, if known, line or path within it.
+        message: What is wrong.
+    """
+
+    source: str
+    message: str
--- /dev/null
+++ b/kumquatspur/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions. Time and randomness are arguments."""
--- /dev/null
+++ b/kumquatspur/policy/merge.py
@@ -0,0 +1,71 @@
+"""Merging partial results into one answer."""
+
+import heapq
+from collections.abc import Iterable
+
+from kumquatspur.core import verdict as verdicts
+from kumquatspur.core.records import (
+    Answer,
+    Hit,
+    MissingShard,
+    ShardResult,
+)
+
+
+def _order(hit: Hit):
+    return (-hit.score, hit.shard, hit.key)
+
+
+def merge_hits(groups: Iterable[Iterable[Hit]], limit: int) -> tuple[Hit, ...]:
+    """Merges hits.
+
+    Args:
+        groups: Hits of several shards.
+        limit: The number of hits wanted.
+
+    Returns:
+        The best hits, best first, ties broken by shard and key.
+    """
+    hits = (hit for group in groups for hit in group)
+    return tuple(heapq.nsmallest(limit, hits, key=_order))
+
+
+def build_answer(
+    request_id: str,
+    snapshot: int,
+    limit: int,
+    results: Iterable[ShardResult],
+) -> Answer:
+    """Builds the answer from the final result of each shard.
+
+    A result from another snapshot is never merged.
+
+    Args:
+        request_id: The query's identifier.
+        snapshot: The snapshot answered from.
+        limit: The number of hits wanted.
+        results: The final result of every shard of the snapshot.
+
+    Returns:
+        The answer with its coverage.
+    """
+    results = sorted(results, key=lambda result: result.shard)
+    covered = [
+        result
+        for result in results
+        if result.reason is None and result.snapshot == snapshot
+    ]
+    covered_names = {result.shard for result in covered}
+    missing = tuple(
+        MissingShard(result.shard, result.reason, result.verdict)
+        for result in results
+        if result.shard not in covered_names
+    )
+    return Answer(
+        request_id=request_id,
+        snapshot=snapshot,
+        hits=merge_hits((result.hits for result in covered), limit),
+        covered=tuple(result.shard for result in covered),
+        missing=missing,
+        verdict=verdicts.join(result.verdict for result in results),
+    )
--- /dev/null
+++ b/kumquatspur/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the daemon and of the command-line tool."""
--- /dev/null
+++ b/kumquatspur/scripts/config_commands.py
@@ -0,0 +1,195 @@
+"""The `config` commands that read and change the configuration."""
+
+import getpass
+import json
+import pathlib
+
+from kumquatspur.border.config_files import content_hash, load_configuration
+from kumquatspur.core.records import Diagnostic
+from kumquatspur.scripts import http_calls
+from kumquatspur.scripts.output import print_errors, print_json
+from kumquatspur.wire.config_store import ConfigStore
+from kumquatspur.wire.store_client import StoreClient, StoreUnavailableError
+
+BASE_FILE = ".kumquatspur-base"
+
+
+def read_folder(path: str) -> tuple[dict[str, str], list[Diagnostic]]:
+    """Reads the files of a configuration folder.
+
+    Args:
+        path: The folder.
+
+    Returns:
+        The content of each file whose name ends in .json, and the errors.
+    """
+    folder = pathlib.Path(path)
+    if not folder.is_dir():
+        return {}, [Diagnostic(path, "is not a folder")]
+    files, errors = {}, []
+    for entry in sorted(folder.glob("*.json")):
+        try:
+            files[entry.name] = entry.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            errors.append(Diagnostic(str(entry), f"cannot be read: {error}"))
+    return files, errors
+
+
+def run_check(arguments) -> int:
+    """Checks a folder.
+
+    Args:
+        arguments: A `CheckCommand`.
+
+    Returns:
+        The exit code.
+    """
+    files, errors = read_folder(arguments.folder)
+    if not errors:
+        _, errors = load_configuration(files)
+    if arguments.json:
+        print_json({"files": sorted(files), "errors": _as_json(errors)})
+    else:
+        print_errors(errors)
+    if errors:
+        return http_calls.EXIT_BAD_INPUT
+    if not arguments.json:
+        print(f"{len(files)} files are correct")
+    return http_calls.EXIT_OK
+
+
+def run_push(arguments) -> int:
+    """Puts a folder in force.
+
+    The folder's base file holds the content hashes that its edits started
+    from, so that edits of other files by other operators are kept.
+
+    Args:
+        arguments: A `PushCommand`.
+
+    Returns:
+        The exit code.
+    """
+    files, errors = read_folder(arguments.folder)
+    if not errors:
+        _, errors = load_configuration(files)
+    store, found = _open_store(arguments)
+    if errors or found:
+        print_errors(errors + found)
+        return http_calls.EXIT_BAD_INPUT
+    author = arguments.author or getpass.getuser()
+    try:
+        result, errors = store.push(files, _read_base(arguments), author)
+    except StoreUnavailableError as error:
+        return _unreachable(arguments, error)
+    if errors:
+        print_errors(errors)
+        return http_calls.EXIT_CONFLICT
+    _write_base(arguments, files)
+    if arguments.json:
+        print_json(
+            {"revision": result.revision, "changed": list(result.changed)}
+        )
+    else:
+        changed = ", ".join(result.changed) or "nothing"
+        print(f"revision {result.revision} accepted; changed: {changed}")
+    return http_calls.EXIT_OK
+
+
+def run_diff(arguments) -> int:
+    """Compares a folder with the store.
+
+    Args:
+        arguments: A `DiffCommand`.
+
+    Returns:
+        The exit code.
+    """
+    files, errors = read_folder(arguments.folder)
+    store, found = _open_store(arguments)
+    if errors or found:
+        print_errors(errors + found)
+        return http_calls.EXIT_BAD_INPUT
+    try:
+        head = store.read_head()
+    except StoreUnavailableError as error:
+        return _unreachable(arguments, error)
+    local = {name: content_hash(text) for name, text in files.items()}
+    rows = [
+        {"file": name, "change": _change(local.get(name), head.files.get(name))}
+        for name in sorted({*local, *head.files})
+        if local.get(name) != head.files.get(name)
+    ]
+    if arguments.json:
+        print_json({"revision": head.revision, "changes": rows})
+    else:
+        for row in rows:
+            print(f"{row['change']} {row['file']}")
+    return http_calls.EXIT_OK
+
+
+def run_history(arguments) -> int:
+    """Lists accepted changes.
+
+    Args:
+        arguments: A `HistoryCommand`.
+
+    Returns:
+        The exit code.
+    """
+    store, errors = _open_store(arguments)
+    if errors:
+        print_errors(errors)
+        return http_calls.EXIT_BAD_INPUT
+    try:
+        head = store.read_head()
+    except StoreUnavailableError as error:
+        return _unreachable(arguments, error)
+    rows = [
+        {
+            "revision": entry.revision,
+            "author": entry.author,
+            "changed": sorted(entry.changed),
+        }
+        for entry in head.history
+    ]
+    if arguments.json:
+        print_json(rows)
+    else:
+        for row in rows:
+            names = ", ".join(row["changed"])
+            print(f"{row['revision']}  {row['author']}  {names}")
+    return http_calls.EXIT_OK
+
+
+def _change(local: str | None, stored: str | None) -> str:
+    if stored is None:
+        return "add"
+    return "remove" if local is None else "replace"
+
+
+def _open_store(arguments):
+    address, errors = http_calls.parse_address(arguments.store)
+    if errors:
+        return None, errors
+    return ConfigStore(StoreClient(address), arguments.prefix), []
+
+
+def _unreachable(arguments, error) -> int:
+    print_errors([Diagnostic(arguments.store, f"store unavailable: {error}")])
+    return http_calls.EXIT_UNREACHABLE
+
+
+def _read_base(arguments) -> dict[str, str]:
+    path = pathlib.Path(arguments.folder) / BASE_FILE
+    return json.loads(path.read_text()) if path.exists() else {}
+
+
+def _write_base(arguments, files: dict[str, str]) -> None:
+    path = pathlib.Path(arguments.folder) / BASE_FILE
+    base = {name: content_hash(text) for name, text in files.items()}
+    path.write_text(json.dumps(base, indent=2) + "\n")
+
+
+def _as_json(errors: list[Diagnostic]) -> list[dict]:
+    return [{"source": e.source, "message": e.message} for e in errors]
--- /dev/null
+++ b/kumquatspur/scripts/http_calls.py
@@ -0,0 +1,76 @@
+"""HTTP calls of the command-line tool."""
+
+import json
+
+import urllib3
+
+from kumquatspur.core.records import Address, Diagnostic, record
+
+TIMEOUT_S = 15.0
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+
+@record
+class HttpReply:
+    """A server's reply.
+
+    Attributes:
+        status: HTTP status.
+        body: The decoded JSON body.
+        headers: The headers.
+    """
+
+    status: int
+    body: dict
+    headers: dict
+
+
+def parse_address(text: str) -> tuple[Address | None, list[Diagnostic]]:
+    """Parses an IP address and port such as 127.0.0.1:21010."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        return None, [Diagnostic(text, "is not an IP address and port")]
+    return Address(host, int(port)), []
+
+
+def call(
+    method: str, address: Address, path: str, body=None, key: str = ""
+) -> tuple[HttpReply | None, list[Diagnostic]]:
+    """Sends a JSON request.
+
+    Args:
+        method: HTTP method.
+        address: The server.
+        path: Path of the resource.
+        body: JSON value to send, or None.
+        key: Key of the administration API, or "".
+
+    Returns:
+        The reply, or None, and the errors found.
+    """
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    data = json.dumps(body) if body is not None else None
+    pool = urllib3.HTTPConnectionPool(address.host, address.port)
+    try:
+        response = pool.urlopen(
+            method,
+            path,
+            body=data,
+            headers=headers,
+            retries=False,
+            timeout=TIMEOUT_S,
+        )
+        reply = HttpReply(
+            response.status, json.loads(response.data), dict(response.headers)
+        )
+        return reply, []
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        source = f"{address.host}:{address.port}"
+        return None, [Diagnostic(source, f"no answer: {error}")]
+    finally:
+        pool.close()
--- /dev/null
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -0,0 +1,229 @@
+"""The command-line tool.
+
+Exit codes: 0 success, 1 the request was refused or the answer is partial where
+`--require-full` was given, 2 bad input, 3 a conflict with another operator,
+4 a server could not be reached.
+"""
+
+import sys
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import cappa
+
+from kumquatspur.scripts import config_commands, query_commands
+from kumquatspur.scripts import status_commands as status
+
+Json = Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
+Store = Annotated[
+    str, cappa.Arg(long=True, help="IP address and port of the store.")
+]
+Prefix = Annotated[str, cappa.Arg(long=True, help="Key prefix in the store.")]
+Folder = Annotated[str, cappa.Arg(help="The configuration folder.")]
+Admin = Annotated[
+    list[str],
+    cappa.Arg(
+        long=True, help="Administration address of a daemon; repeatable."
+    ),
+]
+AdminKey = Annotated[
+    str, cappa.Arg(long=True, help="Key of the administration API.")
+]
+
+
+@cappa.command(name="query")
+@dataclass
+class QueryCommand:
+    """Sends a query to an entry host and prints the answer.
+
+    Example: kumquatspur query --entry 127.0.0.1:21010 shop-counter '{"text":
+    "oak"}'
+    """
+
+    service: Annotated[str, cappa.Arg(help="The service.")]
+    query: Annotated[str, cappa.Arg(help="The query, as JSON.")]
+    entry: Annotated[str, cappa.Arg(long=True, help="IP address and port.")]
+    limit: Annotated[int, cappa.Arg(long=True, help="Hits wanted.")] = 10
+    deadline_ms: Annotated[
+        int | None, cappa.Arg(long=True, help="Deadline in milliseconds.")
+    ] = None
+    once: Annotated[
+        bool, cappa.Arg(long=True, help="Run at most once, never repeat.")
+    ] = False
+    idempotency_key: Annotated[
+        str, cappa.Arg(long=True, help="Key under which it runs once.")
+    ] = ""
+    require_full: Annotated[
+        bool, cappa.Arg(long=True, help="Exit with 1 if a shard is missing.")
+    ] = False
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return query_commands.run_query(self)
+
+
+@cappa.command(name="check")
+@dataclass
+class CheckCommand:
+    """Checks a configuration folder.
+
+    Example: kumquatspur config check examples/oslo
+    """
+
+    folder: Folder
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return config_commands.run_check(self)
+
+
+@cappa.command(name="push")
+@dataclass
+class PushCommand:
+    """Puts a configuration folder in force.
+
+    Example: kumquatspur config push examples/oslo --store 127.0.0.1:21000
+    """
+
+    folder: Folder
+    store: Store
+    prefix: Prefix = "kumquatspur"
+    author: Annotated[str, cappa.Arg(long=True, help="Your name.")] = ""
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return config_commands.run_push(self)
+
+
+@cappa.command(name="diff")
+@dataclass
+class DiffCommand:
+    """Compares a folder with the configuration in the store.
+
+    Example: kumquatspur config diff examples/oslo --store 127.0.0.1:21000
+    """
+
+    folder: Folder
+    store: Store
+    prefix: Prefix = "kumquatspur"
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return config_commands.run_diff(self)
+
+
+@cappa.command(name="history")
+@dataclass
+class HistoryCommand:
+    """Lists the latest accepted changes.
+
+    Example: kumquatspur config history --store 127.0.0.1:21000
+    """
+
+    store: Store
+    prefix: Prefix = "kumquatspur"
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return config_commands.run_history(self)
+
+
+@cappa.command(name="status")
+@dataclass
+class ConfigStatusCommand:
+    """Shows which daemons have which revision in force.
+
+    Example: kumquatspur config status --admin 127.0.0.1:21012 --admin-key KEY
+    """
+
+    admin: Admin
+    admin_key: AdminKey
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return status.run_config_status(self)
+
+
+@cappa.command(name="config")
+@dataclass
+class ConfigCommand:
+    """Reads and changes the configuration."""
+
+    command: cappa.Subcommands[
+        CheckCommand
+        | PushCommand
+        | DiffCommand
+        | HistoryCommand
+        | ConfigStatusCommand
+    ]
+
+
+@cappa.command(name="status")
+@dataclass
+class StatusCommand:
+    """Shows the state of daemons.
+
+    Example: kumquatspur status --admin 127.0.0.1:21012 --admin-key KEY
+    """
+
+    admin: Admin
+    admin_key: AdminKey
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return status.run_status(self)
+
+
+@cappa.command(name="burn")
+@dataclass
+class BurnCommand:
+    """Reports how fast the services burn their error budgets.
+
+    Example: kumquatspur report burn --admin 127.0.0.1:21012 --admin-key KEY
+    """
+
+    admin: Admin
+    admin_key: AdminKey
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return status.run_burn(self)
+
+
+@cappa.command(name="report")
+@dataclass
+class ReportCommand:
+    """Prints reports."""
+
+    command: cappa.Subcommands[BurnCommand]
+
+
+@cappa.command(name="kumquatspur")
+@dataclass
+class Tool:
+    """Queries, configures and observes kumquatspur."""
+
+    command: cappa.Subcommands[
+        QueryCommand | ConfigCommand | StatusCommand | ReportCommand
+    ] = field()
+
+
+def main() -> int:
+    """Runs the tool.
+
+    Returns:
+        The exit code.
+    """
+    return cappa.invoke(Tool)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kumquatspur/scripts/kumquatspurd.py
@@ -0,0 +1,59 @@
+"""The daemon: one process of an entry host."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import signal  # noqa: E402
+import sys  # noqa: E402
+from dataclasses import dataclass  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import cappa  # noqa: E402
+
+from kumquatspur.border.settings import read_settings  # noqa: E402
+from kumquatspur.scripts.logs import configure_logging  # noqa: E402
+from kumquatspur.wire.shell import Shell  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+
+
+@dataclass
+class Daemon:
+    """Serves callers until it is told to stop by SIGTERM.
+
+    Example: kumquatspurd --settings oslo-1-a.json
+    """
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, help="Path of the JSON settings file.")
+    ]
+    log_level: Annotated[
+        str, cappa.Arg(long=True, help="Lowest level that is logged.")
+    ] = "INFO"
+
+
+def main() -> int:
+    """Runs the daemon.
+
+    Returns:
+        The exit code.
+    """
+    arguments = cappa.parse(Daemon)
+    settings, errors = read_settings(arguments.settings)
+    for error in errors:
+        print(f"{error.source}: {error.message}", file=sys.stderr)
+    if settings is None:
+        return EXIT_BAD_SETTINGS
+    configure_logging(arguments.log_level)
+    shell = Shell(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number, lambda *_: eventlet.spawn_after(0, shell.request_stop)
+        )
+    shell.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kumquatspur/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Servers, clients and streams. The only package that performs I/O."""
--- /dev/null
+++ b/kumquatspur/wire/caller_server.py
@@ -0,0 +1,155 @@
+"""HTTP server for callers."""
+
+import logging
+import math
+import time
+from http import HTTPStatus
+
+import eventlet
+
+from kumquatspur.border import caller_api
+from kumquatspur.core import actions, events
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Diagnostic, Refusal
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.wire.json_http import Reply, error_reply, read_body, send
+
+_log = logging.getLogger(__name__)
+
+ANSWER_GRACE_S = 1.0
+DEFAULT_DEADLINE_MS = 140
+
+_REFUSAL_STATUS = {
+    Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_SHARD: HTTPStatus.BAD_REQUEST,
+    Reason.TIMED_OUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.ALREADY_CLAIMED: HTTPStatus.CONFLICT,
+}
+
+
+class CallerServer:
+    """The callers' WSGI application.
+
+    Attributes:
+        shell: The I/O layer that runs the node.
+        waiting: The event that each request in flight waits for.
+    """
+
+    def __init__(self, shell):
+        self.shell = shell
+        self.waiting = {}
+
+    def __call__(self, environ, start_response):
+        """Serves one request."""
+        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        handler = _ROUTES.get(route)
+        if handler is None:
+            reply = _unknown_route(environ)
+        else:
+            reply = handler(self, environ)
+        if self.shell.node.board.stopping:
+            close = (("Connection", "close"),)
+            reply = Reply(reply.status, reply.body, reply.headers + close)
+        return send(reply, start_response)
+
+    def query(self, environ) -> Reply:
+        """Answers a query."""
+        started = time.monotonic()
+        settings = self.shell.settings
+        body, error = read_body(environ, settings.max_body_bytes)
+        if error is not None:
+            return error
+        model, errors = caller_api.parse_query(
+            body, settings.timing.max_deadline_ms
+        )
+        if errors:
+            return error_reply(HTTPStatus.BAD_REQUEST, "bad_request", errors)
+        query = caller_api.build_query(
+            model,
+            self.shell.node.board.new_id(),
+            started,
+            self._default_deadline_ms(model.service),
+        )
+        action = self._run(query)
+        self._record(query, action, time.monotonic() - started)
+        if isinstance(action, actions.AnswerCaller):
+            body = caller_api.answer_body(action.answer)
+            return Reply(HTTPStatus.OK, body)
+        return _refusal_reply(action.refusal)
+
+    def health(self, environ) -> Reply:
+        """Tells the platform's balancer whether to send requests here."""
+        board = self.shell.node.board
+        ready = bool(board.configuration.revision) and not board.stopping
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return Reply(status, {"ready": ready, "leaving": board.stopping})
+
+    def finish(self, request_id: str, action) -> None:
+        """Hands the final answer to the request that waits for it."""
+        waiter = self.waiting.pop(request_id, None)
+        if waiter is not None:
+            waiter.send(action)
+
+    def _run(self, query):
+        waiter = eventlet.event.Event()
+        self.waiting[query.request_id] = waiter
+        self.shell.deliver(events.QueryReceived(query))
+        longest = query.deadline - time.monotonic() + ANSWER_GRACE_S
+        with eventlet.Timeout(longest, False):
+            return waiter.wait()
+        self.waiting.pop(query.request_id, None)
+        refusal = Refusal(
+            query.request_id,
+            Reason.TIMED_OUT,
+            Verdict.MAY_HAVE_RUN,
+            1.0,
+            "no answer by the deadline",
+        )
+        return actions.RefuseCaller(refusal)
+
+    def _default_deadline_ms(self, name: str) -> int:
+        service = self.shell.node.board.configuration.services.get(name)
+        return service.profile.deadline_ms if service else DEFAULT_DEADLINE_MS
+
+    def _record(self, query, action, seconds: float) -> None:
+        known = self.shell.node.board.configuration.services
+        service = query.service if query.service in known else "unknown"
+        metrics = self.shell.metrics
+        fields = {
+            "request_id": query.request_id,
+            "service": service,
+            "revision": self.shell.node.board.configuration.revision,
+            "duration_ms": round(seconds * 1000.0, 3),
+        }
+        if isinstance(action, actions.RefuseCaller):
+            metrics.count("refused", service)
+            fields["verdict"] = str(action.refusal.verdict)
+            fields["reason"] = str(action.refusal.reason)
+            _log.info("query refused", extra=fields)
+            return
+        answer = action.answer
+        metrics.record_latency(service, seconds)
+        metrics.count("answered", service)
+        metrics.count("partial" if answer.missing else "full", service)
+        metrics.count_bad_latency(service, seconds, known[query.service])
+        fields["verdict"] = str(answer.verdict)
+        fields["missing"] = len(answer.missing)
+        _log.info("query answered", extra=fields)
+
+
+def _unknown_route(environ) -> Reply:
+    errors = [Diagnostic(environ["PATH_INFO"], "no such resource")]
+    return error_reply(HTTPStatus.NOT_FOUND, "not_found", errors)
+
+
+def _refusal_reply(refusal: Refusal) -> Reply:
+    status = _REFUSAL_STATUS.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    seconds = max(1, math.ceil(refusal.retry_after_s))
+    headers = (("Retry-After", str(seconds)),)
+    return Reply(status, caller_api.refusal_body(refusal), headers)
+
+
+_ROUTES = {
+    ("POST", "/v1/query"): CallerServer.query,
+    ("GET", "/v1/health"): CallerServer.health,
+}
--- /dev/null
+++ b/kumquatspur/wire/shell.py
@@ -0,0 +1,234 @@
+"""Runs a node: turns I/O into events and actions into I/O."""
+
+import logging
+import random
+import time
+
+import eventlet
+import eventlet.wsgi
+
+from kumquatspur.border.config_files import load_configuration
+from kumquatspur.controllers.node import Node
+from kumquatspur.core import actions, events
+from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.wire.admin_server import AdminServer
+from kumquatspur.wire.caller_server import CallerServer
+from kumquatspur.wire.config_store import ConfigStore, decode_head
+from kumquatspur.wire.metrics import Metrics
+from kumquatspur.wire.peer_stream import PeerStreams
+from kumquatspur.wire.store_client import (
+    StoreClient,
+    StoreUnavailableError,
+    read_host_list,
+)
+from kumquatspur.wire.upstream_client import UpstreamClient
+
+_log = logging.getLogger(__name__)
+
+WATCH_WAIT_S = 10.0
+STORE_RETRY_S = 0.5
+CALLER_IDLE_S = 30.0
+LISTEN_BACKLOG = 1024
+STOP_POLL_S = 0.02
+
+
+class Shell:
+    """The I/O layer of one daemon.
+
+    Attributes:
+        settings: The daemon's settings.
+        node: The decisions.
+        metrics: The daemon's metrics.
+        callers: The callers' server.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.metrics = Metrics()
+        incarnation = int(time.time() * 1000)
+        rng = random.Random()
+        self.node = Node(settings, rng, incarnation, self.now())
+        self.callers = CallerServer(self)
+        self._admin = AdminServer(self)
+        self._upstreams = UpstreamClient(settings.timing.connect_s)
+        self._peers = PeerStreams(settings, incarnation, self.deliver)
+        self._calls = {}
+        self._wakeup_at = None
+        self._wakeup = None
+        self._actions = {
+            actions.AnswerCaller: self._answer_caller,
+            actions.RefuseCaller: self._refuse_caller,
+            actions.SendPeer: self._send_peer,
+            actions.CallUpstream: self._call_upstream,
+            actions.CancelUpstream: self._cancel_upstream,
+            actions.ProbeUpstream: self._probe_upstream,
+            actions.LogEvent: self._log_event,
+        }
+
+    def now(self) -> float:
+        """Returns the time of the monotonic clock, in seconds."""
+        return time.monotonic()
+
+    def deliver(self, event) -> None:
+        """Hands an event to the node and carries out its actions."""
+        try:
+            for action in self.node.handle(event, self.now()):
+                self._actions[type(action)](action)
+        except Exception:
+            # A defect in one decision must not stop the daemon's timers.
+            _log.exception(
+                "event failed", extra={"event": type(event).__name__}
+            )
+        self._set_wakeup()
+
+    def run(self) -> None:
+        """Serves until a graceful stop has finished."""
+        settings = self.settings
+        peer_listener = _listen(settings.peer)
+        caller_listener = _listen(settings.caller)
+        admin_listener = _listen(settings.admin)
+        eventlet.spawn_n(self._peers.serve, peer_listener)
+        eventlet.spawn_n(_serve_http, admin_listener, self._admin)
+        eventlet.spawn_n(self._follow_configuration)
+        eventlet.spawn_n(self._follow_host_list)
+        server = eventlet.spawn(_serve_http, caller_listener, self.callers)
+        self._set_wakeup()
+        _log.info("daemon started", extra={"daemon": settings.name})
+        self._wait_for_stop()
+        eventlet.sleep(settings.timing.drain_s)
+        server.kill()
+        caller_listener.close()
+        self._wait_for_in_flight()
+        _log.info("daemon stopped", extra={"daemon": settings.name})
+
+    def request_stop(self) -> None:
+        """Begins a graceful stop."""
+        if not self.node.board.stopping:
+            self.deliver(events.StopRequested())
+
+    def _wait_for_stop(self) -> None:
+        while not self.node.board.stopping:
+            eventlet.sleep(STOP_POLL_S)
+
+    def _wait_for_in_flight(self) -> None:
+        board = self.node.board
+        end = self.now() + self.settings.timing.max_deadline_ms / 1000.0
+        while self.now() < end:
+            if not (self.callers.waiting or board.sub_queries):
+                # Lets the last answers leave the socket buffers.
+                eventlet.sleep(STOP_POLL_S)
+                return
+            eventlet.sleep(STOP_POLL_S)
+
+    def _set_wakeup(self) -> None:
+        at = self.node.next_wakeup()
+        if at == self._wakeup_at:
+            return
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+        self._wakeup_at = at
+        if at is not None:
+            delay = max(0.0, at - self.now())
+            self._wakeup = eventlet.spawn_after(delay, self._fire_timers)
+
+    def _fire_timers(self) -> None:
+        self._wakeup_at = None
+        self._wakeup = None
+        self.deliver(events.TimerFired())
+
+    def _answer_caller(self, action: actions.AnswerCaller) -> None:
+        self.callers.finish(action.answer.request_id, action)
+
+    def _refuse_caller(self, action: actions.RefuseCaller) -> None:
+        self.callers.finish(action.refusal.request_id, action)
+
+    def _send_peer(self, action: actions.SendPeer) -> None:
+        sent = self._peers.send(
+            action.peer, action.address, action.message, self.now()
+        )
+        if not sent:
+            eventlet.spawn_n(self.deliver, events.PeerLost(action.peer))
+
+    def _call_upstream(self, action: actions.CallUpstream) -> None:
+        thread = eventlet.spawn(self._run_call, action)
+        self._calls[action.call_id] = thread
+
+    def _run_call(self, action: actions.CallUpstream) -> None:
+        event = self._upstreams.search(action)
+        self._calls.pop(action.call_id, None)
+        self.deliver(event)
+
+    def _cancel_upstream(self, action: actions.CancelUpstream) -> None:
+        thread = self._calls.pop(action.call_id, None)
+        if thread is None:
+            return
+        thread.kill()
+        event = events.UpstreamFailed(
+            action.call_id, Phase.SENT, Outcome.CANCELLED
+        )
+        eventlet.spawn_n(self.deliver, event)
+
+    def _probe_upstream(self, action: actions.ProbeUpstream) -> None:
+        eventlet.spawn_n(self._run_probe, action.searcher)
+
+    def _run_probe(self, searcher) -> None:
+        self.deliver(self._upstreams.probe(searcher))
+
+    def _log_event(self, action: actions.LogEvent) -> None:
+        _log.info(action.name, extra=dict(action.fields))
+
+    def _follow_configuration(self) -> None:
+        address = self.settings.store.address()
+        client = StoreClient(address)
+        store = ConfigStore(client, self.settings.prefix)
+        contents = {}
+        version = 0
+        while True:
+            try:
+                stored = client.watch(store.head_key(), version, WATCH_WAIT_S)
+                if stored.version != version:
+                    self._load(store, decode_head(stored.value), contents)
+                version = stored.version
+            except StoreUnavailableError as error:
+                _log.warning("store unavailable", extra={"error": str(error)})
+                eventlet.sleep(STORE_RETRY_S * random.uniform(0.5, 1.5))
+
+    def _load(self, store: ConfigStore, head, contents: dict) -> None:
+        for digest in set(head.files.values()) - contents.keys():
+            contents[digest] = store.read_file(digest)
+        files = {name: contents[d] for name, d in head.files.items()}
+        configuration, errors = load_configuration(files, head.revision)
+        if configuration is None:
+            fields = {"errors": [str(error) for error in errors]}
+            _log.error("configuration rejected", extra=fields)
+            return
+        self.deliver(events.ConfigurationReceived(configuration))
+
+    def _follow_host_list(self) -> None:
+        address = self.settings.host_list.address()
+        while True:
+            try:
+                self.deliver(events.HostsListed(read_host_list(address)))
+            except StoreUnavailableError as error:
+                fields = {"error": str(error)}
+                _log.warning("host list unavailable", extra=fields)
+            interval = self.settings.timing.host_list_s
+            eventlet.sleep(interval * random.uniform(0.8, 1.2))
+
+
+def _listen(endpoint):
+    return eventlet.listen(
+        (endpoint.host, endpoint.port),
+        backlog=LISTEN_BACKLOG,
+        reuse_port=False,
+    )
+
+
+def _serve_http(listener, application) -> None:
+    eventlet.wsgi.server(
+        listener,
+        application,
+        log_output=False,
+        socket_timeout=CALLER_IDLE_S,
+        debug=False,
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, with fault switches."""
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,42 @@
+"""HTTP plumbing that the stand-ins share."""
+
+import json
+
+import eventlet
+import eventlet.wsgi
+
+
+def read_json(environ):
+    """Returns the request's JSON body."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return json.loads(environ["wsgi.input"].read(length) or b"{}")
+
+
+def send_json(start_response, status: str, body) -> list[bytes]:
+    """Sends a JSON reply."""
+    data = json.dumps(body).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(data))),
+    ]
+    start_response(status, headers)
+    return [data]
+
+
+def serve(port: int, application):
+    """Serves a WSGI application on loopback.
+
+    Args:
+        port: The TCP port.
+        application: The application.
+
+    Returns:
+        The listening socket.
+    """
+    listener = eventlet.listen(
+        ("127.0.0.1", port), backlog=1024, reuse_port=False
+    )
+    eventlet.spawn_n(
+        eventlet.wsgi.server, listener, application, log_output=False
+    )
+    return listener
