Store calls as actions and a driver for focused failure tests

Cause: claims and configuration need the platform's store from the decision code, and the promises need nodes driven with an injected clock. Ruled out: calling the store client from controllers, since a lost answer could then not be injected. Before: one end-to-end proof over processes. Conclusion: each promise can be proved at the decision code first.

--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 from typing import Any
 
 from kumquatspur.border.settings import Settings
@@ -128,6 +129,9 @@
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
         counters: Event counts by name.
+        store_calls: What to do when a call to the store ends, by call id: a
+            function of blackboard, `StoreCallEnded` and time that returns
+            actions.
         stopping: Whether a graceful stop has begun.
     """
 
@@ -147,6 +151,7 @@
         self.budgets: dict[str, ExtraAttemptBudget] = {}
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
+        self.store_calls: dict[str, Callable] = {}
         self.stopping = False
         self._timers = []
         self._timer_order = itertools.count()
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -18,7 +18,13 @@
     return coordinator.on_sub_answer(board, peer, message, now)
 
 
+def _on_store_call_ended(board, event, now):
+    controller = board.store_calls.pop(event.call_id, None)
+    return controller(board, event, now) if controller else []
+
+
 _CONTROLLERS = {
+    events.StoreCallEnded: (_on_store_call_ended,),
     events.QueryReceived: (coordinator.on_query,),
     events.UpstreamAnswered: (owner.on_upstream_answered,),
     events.UpstreamFailed: (owner.on_upstream_failed,),
--- a/kumquatspur/core/actions.py
+++ b/kumquatspur/core/actions.py
@@ -79,6 +79,58 @@
     searcher: Searcher
 
 
+@record
+class ReadStoreKey:
+    """Read a key of the platform's store."""
+
+    call_id: str
+    key: str
+
+
+@record
+class WriteStoreKey:
+    """Write a key of the platform's store if it is at a version.
+
+    Attributes:
+        call_id: Names the call in the event that ends it.
+        key: The key.
+        value: The new value; None to delete the key.
+        version: The version expected; 0 to create the key.
+        lease: Lease with which the key is deleted, or "".
+    """
+
+    call_id: str
+    key: str
+    value: str | None
+    version: int
+    lease: str = ""
+
+
+@record
+class WatchStoreKey:
+    """Wait until a key of the platform's store is past a version."""
+
+    call_id: str
+    key: str
+    version: int
+    wait_s: float
+
+
+@record
+class KeepStoreLease:
+    """Obtain a lease from the platform's store, or renew one.
+
+    Attributes:
+        call_id: Names the call in the event that ends it.
+        lease: The lease to renew; "" to obtain a new one.
+        ttl_s: Its time to live, in seconds.
+    """
+
+    call_id: str
+    lease: str
+    ttl_s: float
+
+
 @record
 class LogEvent:
     """Write a log line.
--- a/kumquatspur/core/events.py
+++ b/kumquatspur/core/events.py
@@ -4,6 +4,7 @@
 decisions and I/O.
 """
 
+import enum
 from typing import Any
 
 from kumquatspur.core.records import (
@@ -114,6 +115,34 @@
     hosts: tuple[Host, ...]
 
 
+class StoreStatus(enum.StrEnum):
+    """How a call to the platform's store ended."""
+
+    OK = "ok"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+
+
+@record
+class StoreCallEnded:
+    """A call to the platform's store ended.
+
+    Attributes:
+        call_id: The call.
+        status: How it ended. A write that ended UNAVAILABLE may have taken
+            effect.
+        value: The value read; None if the key does not exist.
+        version: The version read, written or conflicting.
+        lease: The lease obtained or renewed.
+    """
+
+    call_id: str
+    status: StoreStatus
+    value: str | None = None
+    version: int = 0
+    lease: str = ""
+
+
 @record
 class StopRequested:
     """The operator asked for a graceful stop."""
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -16,6 +16,7 @@
 from kumquatspur.wire.config_store import ConfigStore, decode_head
 from kumquatspur.wire.metrics import Metrics
 from kumquatspur.wire.peer_stream import PeerStreams
+from kumquatspur.wire.store_calls import STORE_ACTIONS, run_store_call
 from kumquatspur.wire.store_client import (
     StoreClient,
     StoreUnavailableError,
@@ -52,6 +53,7 @@
         self._admin = AdminServer(self)
         self._upstreams = UpstreamClient(settings.timing.connect_s)
         self._peers = PeerStreams(settings, incarnation, self.deliver)
+        self._store = StoreClient(settings.store.address())
         self._calls = {}
         self._wakeup_at = None
         self._wakeup = None
@@ -63,6 +65,7 @@
             actions.CancelUpstream: self._cancel_upstream,
             actions.ProbeUpstream: self._probe_upstream,
             actions.LogEvent: self._log_event,
+            **dict.fromkeys(STORE_ACTIONS, self._call_store),
         }
 
     def now(self) -> float:
@@ -174,6 +177,12 @@
     def _run_probe(self, searcher) -> None:
         self.deliver(self._upstreams.probe(searcher))
 
+    def _call_store(self, action) -> None:
+        eventlet.spawn_n(self._run_store_call, action)
+
+    def _run_store_call(self, action) -> None:
+        self.deliver(run_store_call(self._store, action))
+
     def _log_event(self, action: actions.LogEvent) -> None:
         _log.info(action.name, extra=dict(action.fields))
 
--- a/kumquatspur/wire/store_client.py
+++ b/kumquatspur/wire/store_client.py
@@ -59,12 +59,14 @@
         reply = self._call("GET", f"/v1/kv/{key}")
         return StoredValue(reply["value"], reply["version"])
 
-    def put(self, key: str, value: str, version: int, lease: str = "") -> int:
+    def put(
+        self, key: str, value: str | None, version: int, lease: str = ""
+    ) -> int:
         """Writes a key if it is at a version.
 
         Args:
             key: The key.
-            value: The new value.
+            value: The new value; None to delete the key.
             version: The version expected; 0 to create it.
             lease: Lease with which the key is deleted.
 
@@ -96,6 +98,22 @@
         reply = self._call("GET", path, timeout=wait_s + CALL_TIMEOUT_S)
         return StoredValue(reply["value"], reply["version"])
 
+    def keep_lease(self, lease: str, ttl_s: float) -> str:
+        """Obtains a lease, or renews one.
+
+        Args:
+            lease: The lease to renew; "" to obtain a new one.
+            ttl_s: Its time to live, in seconds.
+
+        Returns:
+            The lease.
+
+        Raises:
+            StoreUnavailableError: No answer, or the lease has ended.
+        """
+        body = {"ttl_ms": int(ttl_s * 1000)}
+        return self._call("POST", f"/v1/lease/{lease}", body)["lease"]
+
     def _call(self, method, path, body=None, timeout=CALL_TIMEOUT_S) -> dict:
         try:
             response = self._pool.urlopen(
--- /dev/null
+++ b/standins/node_driver.py
@@ -0,0 +1,288 @@
+"""Drives several nodes in one process with an injected clock.
+
+For focused tests of decisions: peers, searchers and the store are small fakes
+whose faults a test sets directly. Everything is deterministic for a seed.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from kumquatspur.border.settings import Settings
+from kumquatspur.controllers.node import Node
+from kumquatspur.core import actions, events
+from kumquatspur.core.events import StoreCallEnded, StoreStatus
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Configuration, Hit, Host, ShardResult
+from kumquatspur.core.verdict import Outcome, Phase, Verdict
+
+PEER_DELAY_S = 0.001
+STORE_DELAY_S = 0.003
+
+
+@dataclasses.dataclass
+class FakeSearcher:
+    """A searcher that answers after a fixed time.
+
+    Attributes:
+        held: The snapshots that it holds.
+        service_s: Time to answer a request, in seconds.
+        down: Refuse connections.
+        frozen: Execute nothing and never answer.
+        lose_answers: Execute, then break the connection.
+        draining: Decline all work and say so.
+        executed: The items executed, in order.
+    """
+
+    held: tuple[int, ...] = (1,)
+    service_s: float = 0.004
+    down: bool = False
+    frozen: bool = False
+    lose_answers: bool = False
+    draining: bool = False
+    executed: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class FakeStore:
+    """The platform's store in memory.
+
+    Attributes:
+        values: Value and version by key.
+        down: Answer nothing.
+        lose_writes: Number of coming writes whose answer is lost.
+        calls: Number of calls by action name.
+    """
+
+    values: dict = dataclasses.field(default_factory=dict)
+    down: bool = False
+    lose_writes: int = 0
+    calls: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class NodeDriver:
+    """Several nodes, fake searchers and a fake store.
+
+    Attributes:
+        now: The injected time, in seconds.
+        nodes: The running nodes by name.
+        searchers: The fake searchers by name.
+        store: The fake store.
+        outcomes: Final actions by request id.
+        cut_links: Pairs of names (sender, receiver) whose messages are lost.
+        frozen_nodes: Nodes that handle nothing until they are removed here.
+        rng: The source of all randomness.
+    """
+
+    def __init__(self, settings: list[Settings], seed: int = 0):
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.settings = {entry.name: entry for entry in settings}
+        self.nodes: dict[str, Node] = {}
+        self.searchers: dict[str, FakeSearcher] = {}
+        self.store = FakeStore()
+        self.outcomes: dict[str, list] = collections.defaultdict(list)
+        self.logs: list[actions.LogEvent] = []
+        self.cut_links: set[tuple[str, str]] = set()
+        self.frozen_nodes: set[str] = set()
+        self.cancelled: set[str] = set()
+        self._queue = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        self._lease_ids = itertools.count(1)
+        self._versions = itertools.count(1)
+
+    def start(self, name: str) -> None:
+        """Starts a node, or starts it again with nothing remembered."""
+        node = Node(
+            self.settings[name],
+            random.Random(self.rng.random()),
+            next(self._incarnations),
+            self.now,
+        )
+        self.nodes[name] = node
+        hosts = tuple(
+            Host(s.name, s.zone, s.peer.address(), False, "entry")
+            for s in self.settings.values()
+        )
+        self.inject(name, events.HostsListed(hosts))
+
+    def kill(self, name: str) -> None:
+        """Ends a node at once; its peers see their streams break."""
+        del self.nodes[name]
+        for other in self.nodes:
+            self.after(PEER_DELAY_S, other, events.PeerLost(name))
+
+    def configure(self, configuration: Configuration) -> None:
+        """Gives a configuration to all nodes and creates its searchers."""
+        for name in configuration.searchers:
+            self.searchers.setdefault(name, FakeSearcher())
+        for name in self.nodes:
+            self.inject(name, events.ConfigurationReceived(configuration))
+
+    def inject(self, name: str, event) -> None:
+        """Hands an event to a node now and carries out its actions."""
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        if name in self.frozen_nodes:
+            self.after(0.01, name, event)
+            return
+        for action in node.handle(event, self.now):
+            self._carry_out(name, action)
+
+    def after(self, seconds: float, name: str, event) -> None:
+        """Hands an event to a node later."""
+        entry = (self.now + seconds, next(self._order), name, event)
+        heapq.heappush(self._queue, entry)
+
+    def run(self, seconds: float) -> None:
+        """Advances the time."""
+        end = self.now + seconds
+        while (at := self._next_time()) <= end:
+            self.now = max(self.now, at)
+            while self._queue and self._queue[0][0] <= self.now:
+                _, _, name, event = heapq.heappop(self._queue)
+                self.inject(name, event)
+            for name in sorted(self.nodes):
+                wakeup = self.nodes[name].next_wakeup()
+                due = wakeup is not None and wakeup <= self.now
+                if due and name not in self.frozen_nodes:
+                    self.inject(name, events.TimerFired())
+        self.now = end
+
+    def _next_time(self) -> float:
+        times = [self._queue[0][0]] if self._queue else []
+        for name, node in self.nodes.items():
+            wakeup = node.next_wakeup()
+            if wakeup is not None and name not in self.frozen_nodes:
+                times.append(wakeup)
+        return min(times, default=float("inf"))
+
+    def _carry_out(self, name: str, action) -> None:
+        handler = getattr(self, f"_on_{type(action).__name__}")
+        handler(name, action)
+
+    def _on_AnswerCaller(self, name, action):  # noqa: N802
+        self.outcomes[action.answer.request_id].append(action)
+
+    def _on_RefuseCaller(self, name, action):  # noqa: N802
+        self.outcomes[action.refusal.request_id].append(action)
+
+    def _on_LogEvent(self, name, action):  # noqa: N802
+        self.logs.append(action)
+
+    def _on_CancelUpstream(self, name, action):  # noqa: N802
+        self.cancelled.add(action.call_id)
+        event = events.UpstreamFailed(
+            action.call_id, Phase.SENT, Outcome.CANCELLED
+        )
+        self.after(0.0, name, event)
+
+    def _on_SendPeer(self, name, action):  # noqa: N802
+        if (name, action.peer) in self.cut_links:
+            return
+        if action.peer not in self.nodes:
+            self.after(PEER_DELAY_S, name, events.PeerLost(action.peer))
+            return
+        event = events.PeerMessageReceived(name, action.message)
+        self.after(PEER_DELAY_S, action.peer, event)
+
+    def _on_ProbeUpstream(self, name, action):  # noqa: N802
+        fake = self.searchers[action.searcher.name]
+        if fake.down or fake.frozen:
+            event = events.ProbeFailed(action.searcher.name)
+        else:
+            event = events.ProbeAnswered(
+                action.searcher.name, fake.held, fake.draining, 0
+            )
+        self.after(PEER_DELAY_S, name, event)
+
+    def _on_CallUpstream(self, name, action):  # noqa: N802
+        fake = self.searchers[action.searcher.name]
+        call_id = action.call_id
+        if fake.down:
+            event = events.UpstreamFailed(
+                call_id, Phase.CONNECTING, Outcome.FAILED
+            )
+            self.after(PEER_DELAY_S, name, event)
+            return
+        if fake.frozen:
+            event = events.UpstreamFailed(
+                call_id, Phase.SENT, Outcome.TIMED_OUT
+            )
+            self.after(max(0.0, action.deadline - self.now), name, event)
+            return
+        results = tuple(self._execute(action, fake, i) for i in action.items)
+        if fake.lose_answers:
+            event = events.UpstreamFailed(call_id, Phase.SENT, Outcome.FAILED)
+        else:
+            event = events.UpstreamAnswered(
+                call_id, results, 0, fake.draining, fake.held
+            )
+        self.after(fake.service_s, name, event)
+
+    def _execute(self, action, fake: FakeSearcher, item: actions.Item):
+        name = action.searcher.name
+        declined = None
+        if fake.draining:
+            declined = Reason.REFUSED
+        elif item.snapshot not in fake.held:
+            declined = Reason.SNAPSHOT_NOT_HELD
+        if declined is not None:
+            result = ShardResult(item.shard, name, Verdict.NOT_RUN, declined)
+            return events.ItemResult(item.item_id, result)
+        fake.executed.append(item)
+        hit = Hit(1.0, item.shard, f"{item.shard}@{item.snapshot}", "null")
+        result = ShardResult(
+            item.shard, name, Verdict.RAN, None, item.snapshot, (hit,)
+        )
+        return events.ItemResult(item.item_id, result)
+
+    def _on_ReadStoreKey(self, name, action):  # noqa: N802
+        value, version = self.store.values.get(action.key, (None, 0))
+        self._end_store_call(name, action, StoreStatus.OK, value, version)
+
+    def _on_WriteStoreKey(self, name, action):  # noqa: N802
+        _, version = self.store.values.get(action.key, (None, 0))
+        if self.store.down or version != action.version:
+            status = StoreStatus.CONFLICT
+            self._end_store_call(name, action, status, None, version)
+            return
+        version = next(self._versions)
+        self.store.values[action.key] = (action.value, version)
+        if self.store.lose_writes:
+            self.store.lose_writes -= 1
+            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
+            self.after(STORE_DELAY_S, name, event)
+            return
+        self._end_store_call(
+            name, action, StoreStatus.OK, action.value, version
+        )
+
+    def _on_WatchStoreKey(self, name, action):  # noqa: N802
+        value, version = self.store.values.get(action.key, (None, 0))
+        delay = action.wait_s if version == action.version else STORE_DELAY_S
+        self._end_store_call(
+            name, action, StoreStatus.OK, value, version, delay
+        )
+
+    def _on_KeepStoreLease(self, name, action):  # noqa: N802
+        lease = action.lease or f"lease-{next(self._lease_ids)}"
+        event = StoreCallEnded(action.call_id, StoreStatus.OK, lease=lease)
+        if self.store.down:
+            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
+        self.after(STORE_DELAY_S, name, event)
+
+    def _end_store_call(
+        self, name, action, status, value, version, delay=STORE_DELAY_S
+    ):
+        self.store.calls[type(action).__name__] += 1
+        if self.store.down:
+            status, value, version = StoreStatus.UNAVAILABLE, None, 0
+        event = StoreCallEnded(action.call_id, status, value, version)
+        self.after(delay, name, event)
