Test runner that passes over just the known failures

Cause: a test of a fault that is not mended must be able to land without hiding new failures. Ruled out: unittest's expectedFailure, which needs a change of the test itself and prints nothing. After: only failures listed in KNOWN-RED.txt are passed over, and printed; a malformed list fails the run.

--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""The test runner."""
--- /dev/null
+++ b/testing/__main__.py
@@ -0,0 +1,64 @@
+"""Runs all tests; only failures listed in KNOWN-RED.txt are passed over."""
+
+import pathlib
+import sys
+import unittest
+
+from testing.known_red import KnownRed, parse_known_red
+
+LIST = pathlib.Path("KNOWN-RED.txt")
+
+
+def read_list() -> dict[str, KnownRed]:
+    """Returns the known failures by test identifier.
+
+    Raises:
+        SystemExit: The list is malformed.
+    """
+    if not LIST.exists():
+        return {}
+    entries, errors = parse_known_red(LIST.read_text(), str(LIST))
+    for error in errors:
+        print(f"{error.source}: {error.message}", file=sys.stderr)
+    if errors:
+        raise SystemExit(2)
+    return {entry.test: entry for entry in entries}
+
+
+def failed_tests(result: unittest.TestResult) -> list[str]:
+    """Returns the identifiers of the tests that failed.
+
+    A subtest counts as its test.
+    """
+    found = []
+    for test, _ in [*result.failures, *result.errors]:
+        found.append(getattr(test, "test_case", test).id())
+    found += [test.id() for test in result.unexpectedSuccesses]
+    return sorted(set(found))
+
+
+def main() -> int:
+    """Runs the tests.
+
+    Returns:
+        The exit code.
+    """
+    known = read_list()
+    suite = unittest.defaultTestLoader.discover(".", "*_test.py", ".")
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = failed_tests(result)
+    for name in failed:
+        if name in known:
+            entry = known[name]
+            print(f"known red: {name}: {entry.seen} (issue {entry.issue})")
+    for name in sorted(known.keys() - set(failed)):
+        print(f"known red, but did not fail in this run: {name}")
+    unknown = [name for name in failed if name not in known]
+    skipped = len(result.skipped)
+    passed = result.testsRun - len(failed) - skipped
+    print(f"{passed} passed, {len(unknown)} failed")
+    return 1 if unknown or not result.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
