Service-level burn over several windows, merged over daemons

Cause: the burn report knew only totals since the start of each daemon and no latency percentiles, and counted callers' own mistakes against availability. Ruled out: counting windows in the reporting tool, which would lose what happened between two reports. Before: one rate a service and objective, no window. Conclusion: burn can be read per window; a daemon's restart loses its own windows, which docs/OPERATING.md has to say.

--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -11,7 +11,11 @@
 
 import cappa
 
-from kumquatspur.scripts import config_commands, query_commands
+from kumquatspur.scripts import (
+    burn_command,
+    config_commands,
+    query_commands,
+)
 from kumquatspur.scripts import status_commands as status
 
 Json = Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
@@ -187,15 +191,19 @@
     """Reports how fast the services burn their error budgets.
 
     Example: kumquatspur report burn --admin 127.0.0.1:21012 --admin-key KEY
+    --html burn.html
     """
 
     admin: Admin
     admin_key: AdminKey
     json: Json = False
+    html: Annotated[
+        str, cappa.Arg(long=True, help="Write an HTML report to this file.")
+    ] = ""
 
     def __call__(self) -> int:
         """Runs the command."""
-        return status.run_burn(self)
+        return burn_command.run_burn(self)
 
 
 @cappa.command(name="report")
--- a/kumquatspur/scripts/status_commands.py
+++ b/kumquatspur/scripts/status_commands.py
@@ -1,4 +1,4 @@
-"""The `status`, `config status` and `report burn` commands."""
+"""The `status` and `config status` commands."""
 
 from kumquatspur.core.records import Diagnostic
 from kumquatspur.scripts import http_calls
@@ -14,9 +14,9 @@
     Returns:
         The exit code.
     """
-    bodies, errors = _ask_all(arguments, "/v1/status")
+    bodies, errors = ask_all(arguments, "/v1/status")
     if arguments.json:
-        print_json({"daemons": bodies, "unreachable": _sources(errors)})
+        print_json({"daemons": bodies, "unreachable": error_sources(errors)})
     else:
         for body in bodies:
             alive = sum(member["alive"] for member in body["members"])
@@ -38,13 +38,15 @@
     Returns:
         The exit code.
     """
-    bodies, errors = _ask_all(arguments, "/v1/status")
+    bodies, errors = ask_all(arguments, "/v1/status")
     revisions = {body["name"]: body["revision"] for body in bodies}
     for body in bodies:
         for member in body["members"]:
             revisions.setdefault(member["name"], member["revision"])
     if arguments.json:
-        print_json({"revisions": revisions, "unreachable": _sources(errors)})
+        print_json(
+            {"revisions": revisions, "unreachable": error_sources(errors)}
+        )
     else:
         for name, revision in sorted(revisions.items()):
             print(f"{name}: revision {revision}")
@@ -52,72 +54,16 @@
     return http_calls.EXIT_UNREACHABLE if errors else http_calls.EXIT_OK
 
 
-def run_burn(arguments) -> int:
-    """Prints the share of each error budget that is spent.
+def ask_all(arguments, path: str):
+    """Asks all daemons named on the command line.
 
     Args:
-        arguments: A `BurnCommand`.
+        arguments: A command with `admin` and `admin_key`.
+        path: Path of the resource.
 
     Returns:
-        The exit code.
-    """
-    bodies, errors = _ask_all(arguments, "/v1/metrics")
-    rows = burn_rows(bodies)
-    if arguments.json:
-        print_json({"burn": rows, "unreachable": _sources(errors)})
-    else:
-        for row in rows:
-            print(
-                f"{row['service']} {row['objective']}: {row['bad']} bad of"
-                f" {row['total']}, burn rate {row['burn_rate']:.2f}"
-            )
-        print_errors(errors)
-    return http_calls.EXIT_UNREACHABLE if errors else http_calls.EXIT_OK
-
-
-# Objective name to the counters of bad events and of all events.
-_OBJECTIVES = {
-    "latency": ("slow", ("answered",)),
-    "coverage": ("partial", ("answered",)),
-    "availability": ("refused", ("answered", "refused")),
-}
-
-
-def burn_rows(bodies: list[dict]) -> list[dict]:
-    """Computes burn rates over several daemons' metrics.
-
-    Args:
-        bodies: The metrics of each daemon.
-
-    Returns:
-        A row a service and objective. A burn rate of 1 spends the error
-        budget exactly at the rate that the objective allows.
+        The bodies of those that answered, and an error a daemon that did not.
     """
-    totals, targets = {}, {}
-    for body in bodies:
-        targets.update(body["objectives"])
-        for counter in body["counters"]:
-            key = (counter["name"], counter["service"])
-            totals[key] = totals.get(key, 0) + counter["value"]
-    rows = []
-    for service, objectives in sorted(targets.items()):
-        for name, (bad_name, total_names) in _OBJECTIVES.items():
-            bad = totals.get((bad_name, service), 0)
-            total = sum(totals.get((n, service), 0) for n in total_names)
-            budget = 1.0 - objectives[f"{name}_target"]
-            rows.append(
-                {
-                    "service": service,
-                    "objective": name,
-                    "bad": bad,
-                    "total": total,
-                    "burn_rate": bad / total / budget if total else 0.0,
-                }
-            )
-    return rows
-
-
-def _ask_all(arguments, path: str):
     bodies, errors = [], []
     for text in arguments.admin:
         address, found = http_calls.parse_address(text)
@@ -139,5 +85,6 @@
     return Diagnostic(text, message)
 
 
-def _sources(errors) -> list[str]:
+def error_sources(errors) -> list[str]:
+    """Returns where errors were found."""
     return [error.source for error in errors]
--- a/kumquatspur/wire/admin_server.py
+++ b/kumquatspur/wire/admin_server.py
@@ -1,5 +1,6 @@
 """HTTP server for operators, on its own port and with its own key."""
 
+import dataclasses
 import hmac
 from http import HTTPStatus
 
@@ -58,18 +59,13 @@
 
     def metrics(self) -> Reply:
         """Returns all metrics of this node."""
-        body = self.shell.metrics.export()
-        counters = self.shell.node.board.counters
-        body["decisions"] = dict(sorted(counters.items()))
-        services = self.shell.node.board.configuration.services
+        board = self.shell.node.board
+        body = self.shell.metrics.export(self.shell.now())
+        body["name"] = board.settings.name
+        body["decisions"] = dict(sorted(board.counters.items()))
         body["objectives"] = {
-            name: {
-                "latency_ms": service.objectives.latency_ms,
-                "latency_target": service.objectives.latency_target,
-                "coverage_target": service.objectives.coverage_target,
-                "availability_target": service.objectives.availability_target,
-            }
-            for name, service in services.items()
+            name: dataclasses.asdict(service.objectives)
+            for name, service in board.configuration.services.items()
         }
         return Reply(HTTPStatus.OK, body)
 
--- a/kumquatspur/wire/caller_server.py
+++ b/kumquatspur/wire/caller_server.py
@@ -112,28 +112,25 @@
         return service.profile.deadline_ms if service else DEFAULT_DEADLINE_MS
 
     def _record(self, query, action, seconds: float) -> None:
-        known = self.shell.node.board.configuration.services
-        service = query.service if query.service in known else "unknown"
-        metrics = self.shell.metrics
+        board = self.shell.node.board
+        service = board.configuration.services.get(query.service)
+        if service is not None:
+            self.shell.metrics.record_query(
+                service, action, seconds, self.shell.now()
+            )
         fields = {
             "request_id": query.request_id,
-            "service": service,
-            "revision": self.shell.node.board.configuration.revision,
+            "service": query.service,
+            "revision": board.configuration.revision,
             "duration_ms": round(seconds * 1000.0, 3),
         }
         if isinstance(action, actions.RefuseCaller):
-            metrics.count("refused", service)
             fields["verdict"] = str(action.refusal.verdict)
             fields["reason"] = str(action.refusal.reason)
             _log.info("query refused", extra=fields)
             return
-        answer = action.answer
-        metrics.record_latency(service, seconds)
-        metrics.count("answered", service)
-        metrics.count("partial" if answer.missing else "full", service)
-        metrics.count_bad_latency(service, seconds, known[query.service])
-        fields["verdict"] = str(answer.verdict)
-        fields["missing"] = len(answer.missing)
+        fields["verdict"] = str(action.answer.verdict)
+        fields["missing"] = len(action.answer.missing)
         _log.info("query answered", extra=fields)
 
 
--- a/kumquatspur/wire/metrics.py
+++ b/kumquatspur/wire/metrics.py
@@ -1,63 +1,118 @@
-"""Metrics of one daemon: counters and mergeable latency histograms."""
+"""Metrics of one daemon: mergeable histograms and windows of events."""
 
-import collections
+import dataclasses
 
 from hdrh.histogram import HdrHistogram
 
+from kumquatspur.core import actions
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Objectives
+from kumquatspur.policy.burn import EventCounts
+from kumquatspur.policy.event_windows import EventWindows
+
 LOWEST_US = 100
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
 
+# Refusals of requests that were wrong themselves; they burn no budget.
+CALLER_FAULTS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.UNKNOWN_SERVICE,
+        Reason.UNKNOWN_SHARD,
+        Reason.ALREADY_CLAIMED,
+        Reason.CRASHES_UPSTREAMS,
+    }
+)
+
 
 def new_histogram() -> HdrHistogram:
     """Returns an empty histogram of microseconds."""
     return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
 
 
+def count_events(action, seconds: float, objectives: Objectives) -> EventCounts:
+    """Classifies the end of a query against the service's objectives.
+
+    Args:
+        action: The `AnswerCaller` or `RefuseCaller` that ended it.
+        seconds: How long it took.
+        objectives: The service's objectives.
+
+    Returns:
+        The events to add; none if the request itself was wrong.
+    """
+    if isinstance(action, actions.RefuseCaller):
+        refused = action.refusal.reason not in CALLER_FAULTS
+        return EventCounts(refused=int(refused))
+    slow = seconds * 1000.0 > objectives.latency_ms
+    partial = bool(action.answer.missing)
+    return EventCounts(answered=1, partial=int(partial), slow=int(slow))
+
+
 class Metrics:
-    """Counters and histograms.
+    """Latency histograms and event windows by service.
 
     Attributes:
-        counters: Counts by name and service.
-        latencies: Latency histograms by service.
+        latencies: Latency histograms by service, since the start.
+        windows: Events by service and minute.
+        totals: Events by service since the start.
     """
 
     def __init__(self):
-        self.counters = collections.Counter()
         self.latencies = {}
+        self.windows = EventWindows()
+        self.totals = {}
 
-    def count(self, name: str, service: str = "") -> None:
-        """Adds one to a counter."""
-        self.counters[(name, service)] += 1
+    def record_query(self, service, action, seconds: float, now: float):
+        """Records the end of a query.
 
-    def record_latency(self, service: str, seconds: float) -> None:
-        """Records how long an answer took."""
-        histogram = self.latencies.get(service)
-        if histogram is None:
-            histogram = new_histogram()
-            self.latencies[service] = histogram
-        histogram.record_value(int(seconds * 1_000_000))
+        Args:
+            service: The `Service` queried.
+            action: The `AnswerCaller` or `RefuseCaller` that ended it.
+            seconds: How long it took.
+            now: The current time in seconds.
+        """
+        counts = count_events(action, seconds, service.objectives)
+        self.windows.add(service.name, counts, now)
+        total = self.totals.get(service.name, EventCounts())
+        self.totals[service.name] = total.plus(counts)
+        if isinstance(action, actions.AnswerCaller):
+            self._record_latency(service.name, seconds)
+
+    def export(self, now: float) -> dict:
+        """Returns all metrics in a form that other hosts' can be added to.
 
-    def count_bad_latency(self, service: str, seconds: float, record) -> None:
-        """Counts an answer that missed the service's latency objective."""
-        if seconds * 1000.0 > record.objectives.latency_ms:
-            self.count("slow", service)
+        Args:
+            now: The current time in seconds.
 
-    def export(self) -> dict:
-        """Returns all metrics in a form that other hosts' can be added to."""
+        Returns:
+            A JSON value; histograms are in HdrHistogram's V2 encoding.
+        """
         return {
-            "counters": [
-                {"name": name, "service": service, "value": value}
-                for (name, service), value in sorted(self.counters.items())
+            "totals": [
+                {"service": service, **dataclasses.asdict(counts)}
+                for service, counts in sorted(self.totals.items())
             ],
-            "latencies": [
+            "windows": [
                 {
                     "service": service,
-                    "histogram": histogram.encode().decode(),
-                    "p50_us": histogram.get_value_at_percentile(50),
-                    "p99_us": histogram.get_value_at_percentile(99),
-                    "p999_us": histogram.get_value_at_percentile(99.9),
+                    "window_s": window_s,
+                    **dataclasses.asdict(counts),
                 }
+                for (service, window_s), counts in sorted(
+                    self.windows.totals(now).items()
+                )
+            ],
+            "latencies": [
+                {"service": service, "histogram": histogram.encode().decode()}
                 for service, histogram in sorted(self.latencies.items())
             ],
         }
+
+    def _record_latency(self, service: str, seconds: float) -> None:
+        histogram = self.latencies.get(service)
+        if histogram is None:
+            histogram = new_histogram()
+            self.latencies[service] = histogram
+        histogram.record_value(int(seconds * 1_000_000))
