--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -15,6 +15,7 @@
     Address,
     Configuration,
     Query,
+    Service,
     ShardResult,
 )
 from kumquatspur.policy.budget import ExtraAttemptBudget
@@ -69,6 +70,8 @@
 
     Attributes:
         query: The query.
+        configuration: The configuration in force when it arrived, which its
+            shards are counted against.
         snapshot: The snapshot chosen.
         started: When it arrived.
         attempts: All attempts, by shard.
@@ -78,6 +81,7 @@
     """
 
     query: Query
+    configuration: Configuration
     snapshot: int
     started: float
     attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
@@ -85,6 +89,11 @@
     rechosen: bool = False
     past_verdicts: list = dataclasses.field(default_factory=list)
 
+    @property
+    def service(self) -> Service:
+        """The service queried."""
+        return self.configuration.services[self.query.service]
+
 
 @dataclasses.dataclass
 class SubQueryState:
