Settle lost answers of a push whatever followed; roll back to a revision

Cause: a push failed when the answer to a content write was lost, a lost head answer was applied twice once the history had rolled over, and two edits that are wrong only together were accepted. Change: content writes are retried, the history continues in archives named by content, and the merged folder is validated before the compare-and-swap. The loader parses only changed files. Ruled out: a claim key a change, which would not be atomic with the head.

--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -5,10 +5,13 @@
 its result and the errors found.
 """
 
+import collections
+import dataclasses
 import hashlib
 import ipaddress
 import json
-from collections.abc import Mapping
+import sys
+from collections.abc import Callable, Mapping
 
 import pydantic
 
@@ -95,11 +98,11 @@
 
 
 def _reject_duplicates(pairs):
-    keys = [key for key, _ in pairs]
-    for key in keys:
-        if keys.count(key) > 1:
-            raise ValueError(f"duplicate key {key!r}")
-    return dict(pairs)
+    result = dict(pairs)
+    if len(result) == len(pairs):
+        return result
+    keys = collections.Counter(key for key, _ in pairs)
+    raise ValueError(f"duplicate key {keys.most_common(1)[0][0]!r}")
 
 
 def parse_file(
@@ -127,33 +130,95 @@
         return None, validation_diagnostics(name, error)
 
 
-def merge_files(
-    models: Mapping[str, FileModel],
-) -> tuple[FileModel, list[Diagnostic]]:
+@dataclasses.dataclass(frozen=True)
+class Definitions:
+    """What one file, or several merged files, define.
+
+    Attributes:
+        services: Services by name.
+        catalogues: Catalogues by name.
+        searchers: Searchers by name.
+        drained: Names of searchers that must receive no new work.
+    """
+
+    services: dict[str, records.Service]
+    catalogues: dict[str, records.Catalogue]
+    searchers: dict[str, records.Searcher]
+    drained: tuple[str, ...]
+
+
+def build_definitions(model: FileModel) -> Definitions:
+    """Converts a parsed file to records.
+
+    Args:
+        model: The parsed file.
+
+    Returns:
+        Its definitions.
+    """
+    return Definitions(
+        {n: _build_service(n, m) for n, m in model.services.items()},
+        {n: _build_catalogue(n, m) for n, m in model.catalogues.items()},
+        {n: _build_searcher(n, m) for n, m in model.searchers.items()},
+        model.drain,
+    )
+
+
+def _build_service(name: str, model: ServiceModel) -> records.Service:
+    return records.Service(
+        name=name,
+        catalogues=model.catalogues,
+        profile=records.Profile(**model.profile.model_dump()),
+        objectives=records.Objectives(**model.objectives.model_dump()),
+    )
+
+
+def _build_catalogue(name: str, model: CatalogueModel) -> records.Catalogue:
+    layouts = tuple(
+        records.Layout(layout.first_snapshot, layout.shards)
+        for layout in model.layouts
+    )
+    return records.Catalogue(name, layouts)
+
+
+def _build_searcher(name: str, model: SearcherModel) -> records.Searcher:
+    return records.Searcher(
+        name=name,
+        address=records.Address(model.host, model.port),
+        zone=sys.intern(model.zone),
+        slots=model.slots,
+        connections=model.connections,
+        shards=tuple(sys.intern(shard) for shard in model.shards),
+        group=sys.intern(model.group or name),
+    )
+
+
+def merge_files(files: Mapping[str, Definitions]) -> Definitions:
     """Merges files in the order of their names.
 
     A name defined in a later file replaces the definition of an earlier one.
 
     Args:
-        models: The parsed files by name.
+        files: The definitions of each file by name.
 
     Returns:
-        The merged model and the errors found (none at present).
+        The merged definitions.
     """
-    merged = {"services": {}, "catalogues": {}, "searchers": {}}
+    merged = Definitions({}, {}, {}, ())
     drained = []
-    for name in sorted(models):
-        for section, entries in merged.items():
-            entries.update(getattr(models[name], section))
-        drained.extend(models[name].drain)
-    return FileModel.model_construct(**merged, drain=tuple(drained)), []
+    for name in sorted(files):
+        merged.services.update(files[name].services)
+        merged.catalogues.update(files[name].catalogues)
+        merged.searchers.update(files[name].searchers)
+        drained.extend(files[name].drained)
+    return dataclasses.replace(merged, drained=tuple(drained))
 
 
-def check_references(merged: FileModel) -> list[Diagnostic]:
+def check_references(merged: Definitions) -> list[Diagnostic]:
     """Checks that every name that is used is defined.
 
     Args:
-        merged: The merged model.
+        merged: The merged definitions.
 
     Returns:
         One error a dangling name.
@@ -173,23 +238,25 @@
                 source = f"services.{name}.catalogues"
                 errors.append(Diagnostic(source, f"unknown {catalogue!r}"))
     for name, searcher in merged.searchers.items():
+        if shards.issuperset(searcher.shards):
+            continue
         for shard in searcher.shards:
             if shard not in shards:
                 source = f"searchers.{name}.shards"
                 errors.append(Diagnostic(source, f"unknown {shard!r}"))
-    for name in merged.drain:
+    for name in merged.drained:
         if name not in merged.searchers:
             errors.append(Diagnostic("drain", f"unknown searcher {name!r}"))
     return errors
 
 
 def build_configuration(
-    merged: FileModel, revision: int, hashes: Mapping[str, str]
+    merged: Definitions, revision: int, hashes: Mapping[str, str]
 ) -> records.Configuration:
     """Builds the immutable configuration.
 
     Args:
-        merged: A merged model without errors.
+        merged: Merged definitions without errors.
         revision: The revision accepted by the store.
         hashes: The content hash of each file.
 
@@ -198,38 +265,10 @@
     """
     return records.Configuration(
         revision=revision,
-        services={
-            name: records.Service(
-                name=name,
-                catalogues=model.catalogues,
-                profile=records.Profile(**model.profile.model_dump()),
-                objectives=records.Objectives(**model.objectives.model_dump()),
-            )
-            for name, model in merged.services.items()
-        },
-        catalogues={
-            name: records.Catalogue(
-                name=name,
-                layouts=tuple(
-                    records.Layout(layout.first_snapshot, layout.shards)
-                    for layout in model.layouts
-                ),
-            )
-            for name, model in merged.catalogues.items()
-        },
-        searchers={
-            name: records.Searcher(
-                name=name,
-                address=records.Address(model.host, model.port),
-                zone=model.zone,
-                slots=model.slots,
-                connections=model.connections,
-                shards=model.shards,
-                group=model.group or name,
-            )
-            for name, model in merged.searchers.items()
-        },
-        drained=frozenset(merged.drain),
+        services=merged.services,
+        catalogues=merged.catalogues,
+        searchers=merged.searchers,
+        drained=frozenset(merged.drained),
         files=dict(hashes),
     )
 
@@ -246,18 +285,51 @@
     Returns:
         The configuration, or None, and all errors found.
     """
-    errors = []
-    models = {}
-    for name, text in files.items():
-        model, found = parse_file(name, text)
-        errors.extend(found)
-        if model is not None:
-            models[name] = model
-    if errors:
-        return None, errors
-    merged, errors = merge_files(models)
-    errors = errors + check_references(merged)
-    if errors:
-        return None, errors
     hashes = {name: content_hash(text) for name, text in files.items()}
-    return build_configuration(merged, revision, hashes), []
+    texts = {hashes[name]: text for name, text in files.items()}
+    return ConfigurationLoader().load(hashes, texts.__getitem__, revision)
+
+
+class ConfigurationLoader:
+    """Loads revisions one after the other, parsing only changed files."""
+
+    def __init__(self):
+        self._parsed = {}
+
+    def load(
+        self,
+        files: Mapping[str, str],
+        read_text: Callable[[str], str],
+        revision: int,
+    ) -> tuple[records.Configuration | None, list[Diagnostic]]:
+        """Runs the whole pipeline.
+
+        Args:
+            files: The content hash of each file by name.
+            read_text: Returns the content of a hash.
+            revision: The revision to give to the result.
+
+        Returns:
+            The configuration, or None, and all errors found.
+        """
+        parsed, errors = {}, []
+        for name, digest in files.items():
+            found = self._parse(name, digest, read_text)
+            errors.extend(found)
+            parsed[name] = self._parsed.get(digest)
+        if errors:
+            return None, errors
+        merged = merge_files(parsed)
+        errors = check_references(merged)
+        if errors:
+            return None, errors
+        self._parsed = {d: self._parsed[d] for d in files.values()}
+        return build_configuration(merged, revision, files), []
+
+    def _parse(self, name: str, digest: str, read_text) -> list[Diagnostic]:
+        if digest in self._parsed:
+            return []
+        model, errors = parse_file(name, read_text(digest))
+        if model is not None:
+            self._parsed[digest] = build_definitions(model)
+        return errors
--- a/kumquatspur/scripts/config_commands.py
+++ b/kumquatspur/scripts/config_commands.py
@@ -1,5 +1,6 @@
 """The `config` commands that read and change the configuration."""
 
+import dataclasses
 import getpass
 import json
 import pathlib
@@ -162,6 +163,35 @@
     return http_calls.EXIT_OK
 
 
+def run_rollback(arguments) -> int:
+    """Makes an earlier revision's files the next revision.
+
+    Args:
+        arguments: A `RollbackCommand`.
+
+    Returns:
+        The exit code.
+    """
+    store, errors = _open_store(arguments)
+    if errors:
+        print_errors(errors)
+        return http_calls.EXIT_BAD_INPUT
+    author = arguments.author or getpass.getuser()
+    try:
+        result, errors = store.rollback(arguments.revision, author)
+    except StoreUnavailableError as error:
+        return _unreachable(arguments, error)
+    if errors:
+        print_errors(errors)
+        return http_calls.EXIT_CONFLICT
+    if arguments.json:
+        print_json(dataclasses.asdict(result))
+    else:
+        names = ", ".join(result.changed) or "nothing"
+        print(f"revision {result.revision} accepted, changed {names}")
+    return http_calls.EXIT_OK
+
+
 def _change(local: str | None, stored: str | None) -> str:
     if stored is None:
         return "add"
--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -137,6 +137,25 @@
         return config_commands.run_history(self)
 
 
+@cappa.command(name="rollback")
+@dataclass
+class RollbackCommand:
+    """Makes the files of an earlier revision the next revision.
+
+    Example: kumquatspur config rollback 7 --store 127.0.0.1:21000
+    """
+
+    revision: Annotated[int, cappa.Arg(help="The earlier revision.")]
+    store: Store
+    prefix: Prefix = "kumquatspur"
+    author: Annotated[str, cappa.Arg(long=True, help="Your name.")] = ""
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return config_commands.run_rollback(self)
+
+
 @cappa.command(name="status")
 @dataclass
 class ConfigStatusCommand:
@@ -164,6 +183,7 @@
         | PushCommand
         | DiffCommand
         | HistoryCommand
+        | RollbackCommand
         | ConfigStatusCommand
     ]
 
--- a/kumquatspur/wire/config_store.py
+++ b/kumquatspur/wire/config_store.py
@@ -5,11 +5,23 @@
 """
 
 import dataclasses
-import json
 import uuid
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
+
+import tenacity
 
 from kumquatspur.border.config_files import content_hash, load_configuration
+from kumquatspur.border.config_head import (
+    MAX_HEAD_BYTES,
+    MAX_HISTORY,
+    Head,
+    HistoryArchive,
+    HistoryEntry,
+    decode_archive,
+    decode_head,
+    encode_archive,
+    encode_head,
+)
 from kumquatspur.core.records import Diagnostic
 from kumquatspur.wire.store_client import (
     StoreClient,
@@ -17,42 +29,18 @@
     StoreUnavailableError,
 )
 
-MAX_HISTORY = 100
-MAX_TRIES = 8
-
-
-@dataclasses.dataclass(frozen=True)
-class HistoryEntry:
-    """One accepted change.
-
-    Attributes:
-        revision: The revision that it made.
-        change_id: The change's identifier.
-        author: Who made it.
-        changed: New content hash by file name; "" where it was removed.
-        previous: Old content hash by file name; "" where it was added.
-    """
-
-    revision: int
-    change_id: str
-    author: str
-    changed: dict[str, str]
-    previous: dict[str, str]
-
+__all__ = ["ConfigStore", "Head", "HistoryEntry", "PushResult", "decode_head"]
 
-@dataclasses.dataclass(frozen=True)
-class Head:
-    """The value of the head key.
+MAX_TRIES = 12
+MIN_WAIT_S = 0.02
+MAX_WAIT_S = 1.0
 
-    Attributes:
-        revision: The revision; 0 before the first change.
-        files: Content hash by file name.
-        history: The latest changes, oldest first.
-    """
-
-    revision: int = 0
-    files: dict[str, str] = dataclasses.field(default_factory=dict)
-    history: tuple[HistoryEntry, ...] = ()
+_retry_unavailable = tenacity.retry(
+    retry=tenacity.retry_if_exception_type(StoreUnavailableError),
+    stop=tenacity.stop_after_attempt(MAX_TRIES),
+    wait=tenacity.wait_random_exponential(MIN_WAIT_S, MAX_WAIT_S),
+    reraise=True,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,7 +48,8 @@
     """What became of a push.
 
     Attributes:
-        revision: The revision now in the store.
+        revision: The revision that the push made, or the one in the store if
+            there was nothing to change.
         changed: Names of the files that the push changed.
     """
 
@@ -68,24 +57,12 @@
     changed: tuple[str, ...]
 
 
-def _encode_head(head: Head) -> str:
-    return json.dumps(dataclasses.asdict(head))
-
-
-def decode_head(text: str | None) -> Head:
-    """Decodes the head key's value.
-
-    Args:
-        text: The value; None if the key does not exist.
-
-    Returns:
-        The head.
-    """
-    if text is None:
-        return Head()
-    raw = json.loads(text)
-    history = tuple(HistoryEntry(**entry) for entry in raw["history"])
-    return Head(raw["revision"], raw["files"], history)
+@dataclasses.dataclass(frozen=True)
+class _Change:
+    edits: dict[str, str]
+    base: Mapping[str, str]
+    author: str
+    change_id: str
 
 
 class ConfigStore:
@@ -118,6 +95,19 @@
             raise StoreUnavailableError(f"content {digest} is missing")
         return stored.value
 
+    def read_history(self, head: Head) -> Iterator[HistoryEntry]:
+        """Yields all accepted changes up to a head, latest first.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        yield from reversed(head.history)
+        digest = head.archive
+        while digest:
+            archive = decode_archive(self._read_retrying(digest))
+            yield from reversed(archive.entries)
+            digest = archive.earlier
+
     def push(
         self,
         files: Mapping[str, str],
@@ -146,53 +136,136 @@
             for name in {*wanted, *base}
             if wanted.get(name) != base.get(name)
         }
-        change_id = uuid.uuid4().hex
         for name, digest in edits.items():
             if digest:
                 self._write_content(digest, files[name])
-        return self._swap(edits, base, author, change_id)
+        texts = {wanted[name]: text for name, text in files.items()}
+        change = _Change(edits, base, author, uuid.uuid4().hex)
+        return self._swap(change, texts)
+
+    def rollback(
+        self, revision: int, author: str
+    ) -> tuple[PushResult | None, list[Diagnostic]]:
+        """Makes the files of an earlier revision the next revision.
+
+        Args:
+            revision: The earlier revision.
+            author: Who makes the change.
 
-    def _swap(self, edits, base, author: str, change_id: str):
+        Returns:
+            The result, or None, and the errors found.
+
+        Raises:
+            StoreUnavailableError: The store stayed out of reach.
+        """
+        head = _retry_unavailable(self.read_head)()
+        files = self._files_at(head, revision)
+        if files is None:
+            return None, [Diagnostic(str(revision), "is no earlier revision")]
+        edits = {
+            name: files.get(name, "")
+            for name in {*files, *head.files}
+            if files.get(name) != head.files.get(name)
+        }
+        change = _Change(edits, head.files, author, uuid.uuid4().hex)
+        return self._swap(change, {})
+
+    def _files_at(self, head: Head, revision: int) -> dict[str, str] | None:
+        files = dict(head.files)
+        if not 0 < revision <= head.revision:
+            return None
+        for entry in self.read_history(head):
+            if entry.revision <= revision:
+                break
+            _edit(files, entry.previous)
+        return files
+
+    def _swap(self, change: _Change, texts: dict[str, str]):
+        attempted = None
         for _ in range(MAX_TRIES):
-            stored = self._client.get(self.head_key())
+            stored = self._get_retrying(self.head_key())
             head = decode_head(stored.value)
-            if any(entry.change_id == change_id for entry in head.history):
-                return PushResult(head.revision, tuple(sorted(edits))), []
-            conflicts = _conflicts(head, edits, base, author)
-            if conflicts:
-                return None, conflicts
-            new_head = _apply(head, edits, author, change_id)
+            made = self._find_change(head, change.change_id, attempted)
+            if made is not None:
+                return _result(made), []
+            errors = _conflicts(head, change)
+            new_head = _apply(head, change, self._write_text)
+            errors = errors or self._check(new_head, texts)
+            if errors:
+                return None, errors
             if new_head.files == head.files:
                 return PushResult(head.revision, ()), []
+            attempted = new_head.revision if attempted is None else attempted
             try:
                 self._client.put(
-                    self.head_key(), _encode_head(new_head), stored.version
+                    self.head_key(), encode_head(new_head), stored.version
                 )
             except (StoreConflictError, StoreUnavailableError):
                 # The change id in the history tells whether a write whose
                 # answer was lost took effect.
                 continue
-            return PushResult(new_head.revision, tuple(sorted(edits))), []
+            return _result(new_head.history[-1]), []
         raise StoreUnavailableError("the head could not be replaced")
 
+    def _find_change(self, head: Head, change_id: str, attempted: int | None):
+        """Returns a change's history entry if it was accepted before."""
+        if attempted is None:
+            return None
+        for entry in self.read_history(head):
+            if entry.change_id == change_id:
+                return entry
+            if entry.revision <= attempted:
+                return None
+        return None
+
+    def _check(self, head: Head, texts: dict[str, str]) -> list[Diagnostic]:
+        """Validates the files of a head, others' edits included."""
+        if len(encode_head(head).encode()) > MAX_HEAD_BYTES:
+            message = f"the folder's index exceeds {MAX_HEAD_BYTES} bytes"
+            return [Diagnostic("head", message)]
+        for digest in set(head.files.values()) - texts.keys():
+            texts[digest] = self._read_retrying(digest)
+        files = {name: texts[digest] for name, digest in head.files.items()}
+        return load_configuration(files)[1]
+
+    def _write_text(self, text: str) -> str:
+        digest = content_hash(text)
+        self._write_content(digest, text)
+        return digest
+
+    @_retry_unavailable
     def _write_content(self, digest: str, text: str) -> None:
         try:
             self._client.put(f"{self._prefix}/content/{digest}", text, 0)
         except StoreConflictError:
+            # The key is named by its content, so it is already there.
             return
 
+    @_retry_unavailable
+    def _get_retrying(self, key: str):
+        return self._client.get(key)
+
+    @_retry_unavailable
+    def _read_retrying(self, digest: str) -> str:
+        return self.read_file(digest)
+
+
+def _result(entry: HistoryEntry) -> PushResult:
+    return PushResult(entry.revision, tuple(sorted(entry.changed)))
+
 
-def _conflicts(head: Head, edits, base, author: str) -> list[Diagnostic]:
+def _conflicts(head: Head, change: _Change) -> list[Diagnostic]:
     errors = []
-    for name in sorted(edits):
+    for name in sorted(change.edits):
         current = head.files.get(name)
-        if current == base.get(name) or current == (edits[name] or None):
+        wanted = change.edits[name] or None
+        if current in (change.base.get(name), wanted):
             continue
         other = _last_author(head, name)
         errors.append(
             Diagnostic(
                 name,
-                f"was changed by {other} as {author} was changing it;"
+                f"was changed by {other} as {change.author} was changing it;"
                 " read it again and repeat the change",
             )
         )
@@ -206,16 +279,32 @@
     return "another operator"
 
 
-def _apply(head: Head, edits, author: str, change_id: str) -> Head:
-    files = dict(head.files)
-    previous = {name: files.get(name, "") for name in edits}
+def _edit(files: dict[str, str], edits: Mapping[str, str]) -> None:
     for name, digest in edits.items():
         if digest:
             files[name] = digest
         else:
             files.pop(name, None)
+
+
+def _apply(
+    head: Head, change: _Change, write_text: Callable[[str], str]
+) -> Head:
+    edits = {
+        name: digest
+        for name, digest in change.edits.items()
+        if head.files.get(name, "") != digest
+    }
+    files = dict(head.files)
+    previous = {name: files.get(name, "") for name in edits}
+    _edit(files, edits)
+    revision = head.revision + 1
     entry = HistoryEntry(
-        head.revision + 1, change_id, author, dict(edits), previous
+        revision, change.change_id, change.author, edits, previous
     )
-    history = (*head.history, entry)[-MAX_HISTORY:]
-    return Head(head.revision + 1, files, history)
+    history, archive = (*head.history, entry), head.archive
+    if len(history) > MAX_HISTORY:
+        split = len(history) - MAX_HISTORY // 2
+        old = HistoryArchive(history[:split], archive)
+        history, archive = history[split:], write_text(encode_archive(old))
+    return Head(revision, files, history, archive)
