Administration API: configuration files, team keys, prefixes and quotas

Cause: the configuration could only be changed with direct access to the store, by anyone, for all files. Ruled out: a permission system in the store, which belongs to the platform; an edit without a revision, since it loses a concurrent change silently. Conclusion: the command line and the API share ConfigStore; quotas are checked before the compare-and-swap, so two racing edits of one team may together exceed its quota by one file.

--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -80,6 +80,15 @@
         return value
 
 
+class TeamModel(_Model):
+    """A group of operators that may change the files of one prefix."""
+
+    prefix: str = pydantic.Field(min_length=1)
+    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+    max_files: int = pydantic.Field(100, ge=1)
+    max_bytes: int = pydantic.Field(1_000_000, ge=1)
+
+
 class FileModel(_Model):
     """One configuration file."""
 
@@ -87,6 +96,7 @@
     catalogues: dict[str, CatalogueModel] = {}
     searchers: dict[str, SearcherModel] = {}
     drain: tuple[str, ...] = ()
+    teams: dict[str, TeamModel] = {}
 
 
 def content_hash(text: str) -> str:
@@ -140,7 +150,7 @@
     Returns:
         The merged model and the errors found (none at present).
     """
-    merged = {"services": {}, "catalogues": {}, "searchers": {}}
+    merged = {"services": {}, "catalogues": {}, "searchers": {}, "teams": {}}
     drained = []
     for name in sorted(models):
         for section, entries in merged.items():
@@ -230,6 +240,10 @@
             for name, model in merged.searchers.items()
         },
         drained=frozenset(merged.drain),
+        teams={
+            name: records.Team(name=name, **model.model_dump())
+            for name, model in merged.teams.items()
+        },
         files=dict(hashes),
     )
 
--- a/kumquatspur/core/records.py
+++ b/kumquatspur/core/records.py
@@ -117,6 +117,26 @@
     group: str
 
 
+@record
+class Team:
+    """A group of operators that may change the files of one prefix.
+
+    Attributes:
+        name: The unique name.
+        prefix: What the names of its files, and of everything that they
+            define, begin with.
+        key_sha256: Hexadecimal SHA-256 of its key of the administration API.
+        max_files: The number of files that it may have.
+        max_bytes: The size that its files may have together.
+    """
+
+    name: str
+    prefix: str
+    key_sha256: str
+    max_files: int
+    max_bytes: int
+
+
 @record
 class Configuration:
     """The operators' configuration at one revision.
@@ -127,6 +147,7 @@
         catalogues: Catalogues by name.
         searchers: Searchers by name.
         drained: Names of searchers that must receive no new work.
+        teams: Teams by name.
         files: The content hash of each file, by file name.
     """
 
@@ -137,6 +158,7 @@
     )
     searchers: Mapping[str, Searcher] = dataclasses.field(default_factory=dict)
     drained: frozenset[str] = frozenset()
+    teams: Mapping[str, Team] = dataclasses.field(default_factory=dict)
     files: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
--- a/kumquatspur/wire/admin_server.py
+++ b/kumquatspur/wire/admin_server.py
@@ -1,11 +1,14 @@
-"""HTTP server for operators, on its own port and with its own key."""
+"""HTTP server for operators, on its own port and with its own keys."""
 
 import dataclasses
-import hmac
 from http import HTTPStatus
 
 from kumquatspur.core.records import Diagnostic
+from kumquatspur.policy.tenancy import Operator, identify
+from kumquatspur.wire.admin_config import FILES_PATH, AdminConfig
+from kumquatspur.wire.config_store import ConfigStore
 from kumquatspur.wire.json_http import Reply, error_reply, send
+from kumquatspur.wire.store_client import StoreClient
 
 
 class AdminServer:
@@ -13,26 +16,19 @@
 
     Attributes:
         shell: The I/O layer that runs the node.
+        config: The part that changes configuration.
     """
 
     def __init__(self, shell):
         self.shell = shell
+        client = StoreClient(shell.settings.store.address())
+        self.config = AdminConfig(ConfigStore(client, shell.settings.prefix))
 
     def __call__(self, environ, start_response):
         """Serves one request."""
-        if not self._authorized(environ):
-            errors = [Diagnostic("Authorization", "the key is wrong")]
-            reply = error_reply(HTTPStatus.UNAUTHORIZED, "unauthorized", errors)
-            return send(reply, start_response)
-        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
-        handler = _ROUTES.get(route)
-        if handler is None:
-            errors = [Diagnostic(environ["PATH_INFO"], "no such resource")]
-            reply = error_reply(HTTPStatus.NOT_FOUND, "not_found", errors)
-            return send(reply, start_response)
-        return send(handler(self), start_response)
+        return send(self._reply(environ), start_response)
 
-    def status(self) -> Reply:
+    def status(self, environ, operator: Operator) -> Reply:
         """Describes this node and what it knows of the others."""
         board = self.shell.node.board
         now = self.shell.now()
@@ -57,7 +53,7 @@
         }
         return Reply(HTTPStatus.OK, body)
 
-    def metrics(self) -> Reply:
+    def metrics(self, environ, operator: Operator) -> Reply:
         """Returns all metrics of this node."""
         board = self.shell.node.board
         body = self.shell.metrics.export(self.shell.now())
@@ -69,13 +65,34 @@
         }
         return Reply(HTTPStatus.OK, body)
 
-    def _authorized(self, environ) -> bool:
-        given = environ.get("HTTP_AUTHORIZATION", "")
-        wanted = f"Bearer {self.shell.settings.admin_key}"
-        return hmac.compare_digest(given.encode(), wanted.encode())
+    def _reply(self, environ) -> Reply:
+        operator = self._identify(environ)
+        if operator is None:
+            errors = [Diagnostic("Authorization", "the key is wrong")]
+            return error_reply(HTTPStatus.UNAUTHORIZED, "unauthorized", errors)
+        path = environ["PATH_INFO"]
+        if path.startswith(FILES_PATH):
+            path = FILES_PATH
+        handler = self._routes().get((environ["REQUEST_METHOD"], path))
+        if handler is None:
+            errors = [Diagnostic(environ["PATH_INFO"], "no such resource")]
+            return error_reply(HTTPStatus.NOT_FOUND, "not_found", errors)
+        return handler(environ, operator)
 
+    def _routes(self):
+        return {
+            ("GET", "/v1/status"): self.status,
+            ("GET", "/v1/metrics"): self.metrics,
+            ("GET", "/v1/config"): self.config.list_files,
+            ("GET", FILES_PATH): self.config.read_file,
+            ("PUT", FILES_PATH): self.config.write_file,
+            ("DELETE", FILES_PATH): self.config.remove_file,
+        }
 
-_ROUTES = {
-    ("GET", "/v1/status"): AdminServer.status,
-    ("GET", "/v1/metrics"): AdminServer.metrics,
-}
+    def _identify(self, environ) -> Operator | None:
+        given = environ.get("HTTP_AUTHORIZATION", "")
+        return identify(
+            given.removeprefix("Bearer "),
+            self.shell.settings.admin_key,
+            self.shell.node.board.configuration.teams,
+        )
