--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -230,13 +230,21 @@
         files: The configuration folder.
     """
 
-    def __init__(self, shape: Shape, folder: pathlib.Path, service_ms=4.0):
+    def __init__(
+        self,
+        shape: Shape,
+        folder: pathlib.Path,
+        service_ms: float = 4.0,
+        hosts_per_zone: int = 3,
+    ):
         self.shape = shape
         self.folder = folder
         self.service_ms = service_ms
         self.processes = {}
         self.files = config_files(shape)
-        self.settings = {s["name"]: s for s in daemon_settings(shape)}
+        self.settings = {
+            s["name"]: s for s in daemon_settings(shape, hosts_per_zone)
+        }
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
 
     def start(self) -> None:
