Index searchers by shard when a configuration is built

Cause: choosing a replica scans all searchers for each shard of each query, which at 100,000 searchers and 250 shards is 25 million comparisons a query. Before: no index.

--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -5,10 +5,11 @@
 its result and the errors found.
 """
 
+import collections
 import hashlib
 import ipaddress
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import pydantic
 
@@ -206,48 +207,70 @@
     Returns:
         The configuration.
     """
+    searchers = {
+        name: _build_searcher(name, model)
+        for name, model in merged.searchers.items()
+    }
     return records.Configuration(
         revision=revision,
         services={
-            name: records.Service(
-                name=name,
-                catalogues=model.catalogues,
-                profile=records.Profile(**model.profile.model_dump()),
-                objectives=records.Objectives(**model.objectives.model_dump()),
-            )
+            name: _build_service(name, model)
             for name, model in merged.services.items()
         },
         catalogues={
-            name: records.Catalogue(
-                name=name,
-                layouts=tuple(
-                    records.Layout(layout.first_snapshot, layout.shards)
-                    for layout in model.layouts
-                ),
-            )
+            name: _build_catalogue(name, model)
             for name, model in merged.catalogues.items()
         },
-        searchers={
-            name: records.Searcher(
-                name=name,
-                address=records.Address(model.host, model.port),
-                zone=model.zone,
-                slots=model.slots,
-                connections=model.connections,
-                shards=model.shards,
-                group=model.group or name,
-            )
-            for name, model in merged.searchers.items()
-        },
+        searchers=searchers,
         drained=frozenset(merged.drain),
         teams={
             name: records.Team(name=name, **model.model_dump())
             for name, model in merged.teams.items()
         },
         files=dict(hashes),
+        replicas=_group_by_shard(searchers.values()),
+    )
+
+
+def _build_service(name: str, model: ServiceModel) -> records.Service:
+    return records.Service(
+        name=name,
+        catalogues=model.catalogues,
+        profile=records.Profile(**model.profile.model_dump()),
+        objectives=records.Objectives(**model.objectives.model_dump()),
     )
 
 
+def _build_catalogue(name: str, model: CatalogueModel) -> records.Catalogue:
+    layouts = tuple(
+        records.Layout(layout.first_snapshot, layout.shards)
+        for layout in model.layouts
+    )
+    return records.Catalogue(name, layouts)
+
+
+def _build_searcher(name: str, model: SearcherModel) -> records.Searcher:
+    return records.Searcher(
+        name=name,
+        address=records.Address(model.host, model.port),
+        zone=model.zone,
+        slots=model.slots,
+        connections=model.connections,
+        shards=model.shards,
+        group=model.group or name,
+    )
+
+
+def _group_by_shard(
+    searchers: Iterable[records.Searcher],
+) -> dict[str, tuple[records.Searcher, ...]]:
+    grouped = collections.defaultdict(list)
+    for searcher in searchers:
+        for shard in searcher.shards:
+            grouped[shard].append(searcher)
+    return {shard: tuple(found) for shard, found in grouped.items()}
+
+
 def load_configuration(
     files: Mapping[str, str], revision: int = 0
 ) -> tuple[records.Configuration | None, list[Diagnostic]]:
--- a/kumquatspur/core/records.py
+++ b/kumquatspur/core/records.py
@@ -149,6 +149,7 @@
         drained: Names of searchers that must receive no new work.
         teams: Teams by name.
         files: The content hash of each file, by file name.
+        replicas: The searchers that may be asked for a shard, by shard.
     """
 
     revision: int = 0
@@ -160,6 +161,9 @@
     drained: frozenset[str] = frozenset()
     teams: Mapping[str, Team] = dataclasses.field(default_factory=dict)
     files: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    replicas: Mapping[str, tuple[Searcher, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @record
