--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -11,7 +11,7 @@
 import ipaddress
 import json
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import pydantic
 
@@ -83,6 +83,15 @@
         return value
 
 
+class TeamModel(_Model):
+    """A group of operators that may change the files of one prefix."""
+
+    prefix: str = pydantic.Field(min_length=1)
+    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+    max_files: int = pydantic.Field(100, ge=1)
+    max_bytes: int = pydantic.Field(1_000_000, ge=1)
+
+
 class FileModel(_Model):
     """One configuration file."""
 
@@ -90,6 +99,7 @@
     catalogues: dict[str, CatalogueModel] = {}
     searchers: dict[str, SearcherModel] = {}
     drain: tuple[str, ...] = ()
+    teams: dict[str, TeamModel] = {}
 
 
 def content_hash(text: str) -> str:
@@ -138,12 +148,14 @@
         services: Services by name.
         catalogues: Catalogues by name.
         searchers: Searchers by name.
+        teams: Teams by name.
         drained: Names of searchers that must receive no new work.
     """
 
     services: dict[str, records.Service]
     catalogues: dict[str, records.Catalogue]
     searchers: dict[str, records.Searcher]
+    teams: dict[str, records.Team]
     drained: tuple[str, ...]
 
 
@@ -160,6 +172,7 @@
         {n: _build_service(n, m) for n, m in model.services.items()},
         {n: _build_catalogue(n, m) for n, m in model.catalogues.items()},
         {n: _build_searcher(n, m) for n, m in model.searchers.items()},
+        {n: records.Team(n, **m.model_dump()) for n, m in model.teams.items()},
         model.drain,
     )
 
@@ -204,12 +217,13 @@
     Returns:
         The merged definitions.
     """
-    merged = Definitions({}, {}, {}, ())
+    merged = Definitions({}, {}, {}, {}, ())
     drained = []
     for name in sorted(files):
         merged.services.update(files[name].services)
         merged.catalogues.update(files[name].catalogues)
         merged.searchers.update(files[name].searchers)
+        merged.teams.update(files[name].teams)
         drained.extend(files[name].drained)
     return dataclasses.replace(merged, drained=tuple(drained))
 
@@ -269,10 +283,22 @@
         catalogues=merged.catalogues,
         searchers=merged.searchers,
         drained=frozenset(merged.drained),
+        teams=merged.teams,
         files=dict(hashes),
+        replicas=_group_by_shard(merged.searchers.values()),
     )
 
 
+def _group_by_shard(
+    searchers: Iterable[records.Searcher],
+) -> dict[str, tuple[records.Searcher, ...]]:
+    grouped = collections.defaultdict(list)
+    for searcher in searchers:
+        for shard in searcher.shards:
+            grouped[shard].append(searcher)
+    return {shard: tuple(found) for shard, found in grouped.items()}
+
+
 def load_configuration(
     files: Mapping[str, str], revision: int = 0
 ) -> tuple[records.Configuration | None, list[Diagnostic]]:
--- /dev/null
+++ b/kumquatspur/controllers/gossip.py
@@ -0,0 +1,107 @@
+"""State of the exchange of host and searcher state on one node."""
+
+import collections
+import dataclasses
+
+import xxhash
+
+from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
+
+REPORT_BUCKETS = 64
+
+# Kinds of replicated entries.
+MEMBER = "member"
+REPORT = "report"
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryKey:
+    """Names a replicated entry.
+
+    Attributes:
+        kind: `MEMBER` or `REPORT`.
+        name: Name of the entry host or searcher.
+    """
+
+    kind: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Delivery:
+    """How a changed entry is to be passed on.
+
+    Attributes:
+        origin: The root of the tree in this node's zone.
+        relayed: Whether other zones are to receive it too.
+    """
+
+    origin: str
+    relayed: bool
+
+
+class GossipState:
+    """Replicated entries and what is still to be passed on.
+
+    Attributes:
+        sequence: Version of this node's own entry.
+        view_version: Grows with each change of who counts as live.
+        reports: The latest entry of each searcher.
+        digests: Digest of all entries of a topic, by topic.
+        mismatches: Differing digests seen in a row, by topic.
+        outgoing: Entries to be passed on at once.
+        flush_due: Whether a `StateUpdateDue` timer is set.
+        piggyback: Times that an entry is still to be sent with heartbeats.
+        awaiting: When the unanswered probe of each host was sent.
+        suspects: When each suspected host of this zone counts as dead.
+        probe_order: Hosts of this zone that are still to be probed.
+        zone_order: Other zones that are still to be probed.
+        zone_failures: Probes failed in a row, by other zone.
+        synced: Whether all state was received since the start.
+        requested_at: When state was last requested.
+        served_at: When all state was last sent to a peer.
+        ticked_at: When the last heartbeats were sent.
+    """
+
+    def __init__(self):
+        self.sequence = 0
+        self.view_version = 0
+        self.reports: dict[str, ReportEntry] = {}
+        self.digests: dict[str, int] = collections.defaultdict(int)
+        self.mismatches: dict[str, int] = collections.defaultdict(int)
+        self.outgoing: dict[EntryKey, Delivery] = {}
+        self.flush_due = False
+        self.piggyback: dict[EntryKey, int] = {}
+        self.awaiting: dict[str, float] = {}
+        self.suspects: dict[str, float] = {}
+        self.probe_order: list[str] = []
+        self.zone_order: list[str] = []
+        self.zone_failures: dict[str, int] = collections.defaultdict(int)
+        self.synced = False
+        self.requested_at = 0.0
+        self.served_at = 0.0
+        self.ticked_at = 0.0
+
+    def put_report(self, entry: ReportEntry) -> None:
+        """Stores a searcher's entry."""
+        topic = report_topic(entry.searcher)
+        old = self.reports.get(entry.searcher)
+        if old is not None:
+            self.digests[topic] ^= _report_hash(old)
+        self.digests[topic] ^= _report_hash(entry)
+        self.reports[entry.searcher] = entry
+
+    def toggle_member(self, entry: MemberEntry) -> None:
+        """Adds a live host's entry to its zone's digest, or removes it."""
+        if entry.status in (Status.ALIVE, Status.SUSPECT):
+            text = f"{entry.name}:{entry.incarnation}:{entry.sequence}"
+            self.digests[entry.zone] ^= xxhash.xxh3_64_intdigest(text)
+
+
+def report_topic(searcher: str) -> str:
+    """Returns the topic of the digest that covers a searcher."""
+    return f"#{xxhash.xxh3_64_intdigest(searcher) % REPORT_BUCKETS}"
+
+
+def _report_hash(entry: ReportEntry) -> int:
+    return xxhash.xxh3_64_intdigest(f"{entry.searcher}:{entry.version}")
