Distribute the configuration over peers; membership by probes and gossip

Change: two hosts a zone hold a store lease and watch; revisions travel along a tree in the zone, are asked for from peers that are ahead, and read with jitter as a fallback. Probes go to two hosts of the zone and one of another; changes travel along the same tree and through delegates. Owners are chosen by rendezvous hashing with bounded loads, cached per view and configuration.

--- /dev/null
+++ b/kumquatspur/border/config_contents.py
@@ -0,0 +1,38 @@
+"""Compressed text form in which hosts keep and exchange file contents."""
+
+import base64
+import zlib
+
+from kumquatspur.border.config_files import content_hash
+
+MAX_CONTENT_BYTES = 1_000_000
+
+
+def pack_text(text: str) -> str:
+    """Compresses a file's content."""
+    return base64.b85encode(zlib.compress(text.encode())).decode()
+
+
+def unpack_text(packed: str) -> str:
+    """Restores a file's content.
+
+    Raises:
+        ValueError: The input is malformed or its content is too long.
+    """
+    decoder = zlib.decompressobj()
+    try:
+        data = base64.b85decode(packed)
+        content = decoder.decompress(data, MAX_CONTENT_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not decoder.eof:
+        raise ValueError("the content is cut off or too long")
+    return content.decode()
+
+
+def matches(packed: str, digest: str) -> bool:
+    """Returns whether packed content has a content hash."""
+    try:
+        return content_hash(unpack_text(packed)) == digest
+    except ValueError:
+        return False
--- a/kumquatspur/border/settings.py
+++ b/kumquatspur/border/settings.py
@@ -61,6 +61,8 @@
         admin: Where operators connect.
         store: The platform's configuration store.
         host_list: The platform's host list.
+        seeds: Peer endpoints of some entry hosts, for a start without the
+            host list.
         prefix: Key prefix of this system in the store.
         peer_key: Shared key of the entry hosts.
         admin_key: Key of the administration API.
@@ -76,6 +78,7 @@
     admin: Endpoint
     store: Endpoint
     host_list: Endpoint
+    seeds: tuple[Endpoint, ...] = ()
     prefix: str = "kumquatspur"
     peer_key: str = pydantic.Field(min_length=8)
     admin_key: str = pydantic.Field(min_length=8)
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -9,8 +9,11 @@
 from typing import Any
 
 from kumquatspur.border.settings import Settings
+from kumquatspur.controllers.distribution import DistributionState
+from kumquatspur.controllers.gossip import GossipState
+from kumquatspur.controllers.placement_cache import PlacementCache
 from kumquatspur.core.actions import Item
-from kumquatspur.core.messages import SearcherReport, SubQuery
+from kumquatspur.core.messages import SearcherReport, Status, SubQuery
 from kumquatspur.core.records import (
     Address,
     Configuration,
@@ -21,6 +24,10 @@
 from kumquatspur.policy.budget import ExtraAttemptBudget
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
+# Failed probes in a row after which another zone counts as cut off.
+CUT_FAILURES = 2
+_LIVE = (Status.ALIVE, Status.SUSPECT)
+
 
 @dataclasses.dataclass
 class Member:
@@ -31,18 +38,35 @@
         zone: Its availability zone.
         address: Where it accepts streams.
         incarnation: Grows with every start of it.
+        sequence: Grows with each change that it makes to its own entry.
+        status: Whether it is live, as far as is known.
+        watching: Whether it watches the configuration in the store.
         last_heard: Time of its last message; None before the first.
         revision: The configuration revision in force there.
-        leaving: Whether it is stopping.
+        broken: Whether this node cannot reach it.
+        trusted_from: When it is counted on again after coming and going.
+        returns: Times at which it came back.
+        changed_at: When its status changed.
     """
 
     name: str
     zone: str
     address: Address
     incarnation: int = 0
+    sequence: int = 0
+    status: Status = Status.UNKNOWN
+    watching: bool = False
     last_heard: float | None = None
     revision: int = 0
-    leaving: bool = False
+    broken: bool = False
+    trusted_from: float = 0.0
+    returns: list[float] = dataclasses.field(default_factory=list)
+    changed_at: float = 0.0
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it is stopping."""
+        return self.status is Status.LEAVING
 
 
 @dataclasses.dataclass
@@ -141,6 +165,9 @@
         store_calls: What to do when a call to the store ends, by call id: a
             function of blackboard, `StoreCallEnded` and time that returns
             actions.
+        distribution: State of the distribution of the configuration.
+        gossip: State of the exchange with other entry hosts.
+        placement: Owners of the searchers, as last computed.
         stopping: Whether a graceful stop has begun.
     """
 
@@ -161,6 +188,9 @@
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
+        self.distribution = DistributionState()
+        self.gossip = GossipState()
+        self.placement = PlacementCache()
         self.stopping = False
         self._timers = []
         self._timer_order = itertools.count()
@@ -186,6 +216,8 @@
 
     def alive(self, member: Member, now: float) -> bool:
         """Returns whether a member counts as live and not leaving."""
-        if member.leaving or member.last_heard is None:
+        if member.status not in _LIVE or member.broken:
+            return False
+        if now < member.trusted_from:
             return False
-        return now - member.last_heard <= self.settings.timing.suspect_s
+        return self.gossip.zone_failures.get(member.zone, 0) < CUT_FAILURES
--- /dev/null
+++ b/kumquatspur/controllers/configuration_test.py
@@ -0,0 +1,207 @@
+import json
+import unittest
+
+from kumquatspur.border.config_files import content_hash
+from kumquatspur.border.config_head import Head, encode_head
+from kumquatspur.border.settings import Settings
+from kumquatspur.core import events, messages
+from standins.deployment import OSLO, daemon_settings
+from standins.node_driver import NodeDriver
+
+IN_FORCE_S = 3.0
+ZONE = ("oslo-1-a", "oslo-1-b", "oslo-1-c")
+
+
+def catalogue(shards):
+    layouts = [{"shards": [f"c/{n}" for n in range(shards)]}]
+    return json.dumps({"catalogues": {"c": {"layouts": layouts}}})
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Nine nodes, three a zone, with the store at the driver's hands."""
+
+    def setUp(self):
+        self.start()
+
+    def start(self, seed=0):
+        settings = [Settings.model_validate(s) for s in daemon_settings(OSLO)]
+        self.driver = NodeDriver(settings, seed)
+        for name in self.driver.settings:
+            self.driver.start(name)
+        self.driver.run(4.0)
+        self.accepted = 0
+        self.seen = {}
+
+    def accept(self, **files):
+        """Accepts a revision as an operator's tool does."""
+        self.accepted += 1
+        hashes = {}
+        for name, text in files.items():
+            hashes[name] = content_hash(text)
+            key = f"kumquatspur/content/{hashes[name]}"
+            self.driver.write_store(key, text)
+        head = encode_head(Head(self.accepted, hashes))
+        self.driver.write_store("kumquatspur/head", head)
+
+    def revisions(self, names=None):
+        nodes = self.driver.nodes
+        return {
+            n: nodes[n].board.configuration.revision for n in names or nodes
+        }
+
+    def run_and_check(self, seconds, step=0.05):
+        """Advances; no revision in force may ever go back."""
+        for _ in range(round(seconds / step)):
+            self.driver.run(step)
+            for name, node in self.driver.nodes.items():
+                key = (name, node.board.incarnation)
+                revision = node.board.configuration.revision
+                self.assertGreaterEqual(revision, self.seen.get(key, 0))
+                self.seen[key] = revision
+
+    def watchers(self):
+        nodes = self.driver.nodes
+        return [n for n in nodes if nodes[n].board.distribution.lease]
+
+    def test_in_force_whatever_becomes_of_the_watchers(self):
+        def nothing(names):
+            return []
+
+        def kill(names):
+            return [self.driver.kill(name) for name in names]
+
+        def kill_and_lose_answers(names):
+            self.driver.store.lose_writes = 4
+            return kill(names)
+
+        def freeze(names):
+            self.driver.frozen_nodes.update(names)
+
+        def cut(names):
+            self.driver.store.cut.update(names)
+
+        for fault in (nothing, kill, kill_and_lose_answers, freeze, cut):
+            with self.subTest(fault.__name__):
+                self.start()
+                self.accept(a=catalogue(1))
+                self.run_and_check(IN_FORCE_S)
+                watchers = self.watchers()
+                self.assertEqual(len(watchers), 6)
+                fault(watchers)
+                self.accept(a=catalogue(2))
+                self.run_and_check(IN_FORCE_S)
+                running = self.driver.nodes.keys() - self.driver.frozen_nodes
+                self.assertEqual(set(self.revisions(running).values()), {2})
+
+    def test_paused_watcher_gives_up_its_role_and_never_reverts(self):
+        paused = self.watchers()[0]
+        self.driver.frozen_nodes.add(paused)
+        self.accept(a=catalogue(1))
+        self.run_and_check(8.0)
+        self.driver.frozen_nodes.clear()
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {1})
+        zone = [w for w in self.watchers() if w[:6] == paused[:6]]
+        self.assertEqual(len(zone), 2)
+
+    def test_store_outage_during_and_after_acceptance(self):
+        self.accept(a=catalogue(1))
+        self.driver.store.down = True
+        self.run_and_check(30.0)
+        self.driver.store.down = False
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {1})
+
+    def test_zone_cut_from_the_store_follows_the_others(self):
+        self.driver.store.cut.update(ZONE)
+        self.run_and_check(5.0)
+        self.accept(a=catalogue(1))
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {1})
+
+    def test_restart_in_a_zone_that_is_cut_off(self):
+        self.accept(a=catalogue(1), b="{}")
+        self.run_and_check(IN_FORCE_S)
+        others = self.driver.settings.keys() - set(ZONE)
+        pairs = [(a, b) for a in ZONE for b in others]
+        self.driver.cut_links.update(pairs + [(b, a) for a, b in pairs])
+        self.driver.store.cut.update(ZONE)
+        self.run_and_check(5.0)
+        self.driver.kill(ZONE[0])
+        self.run_and_check(1.0)
+        self.driver.start(ZONE[0])
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions(ZONE).values()), {1})
+        self.accept(a=catalogue(2), b="{}")
+        self.run_and_check(5.0)
+        self.assertEqual(set(self.revisions(ZONE).values()), {1})
+        self.driver.cut_links.clear()
+        self.driver.store.cut.clear()
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {2})
+
+    def test_invalid_head_or_content_replaces_nothing(self):
+        self.accept(a=catalogue(1))
+        self.run_and_check(IN_FORCE_S)
+        bad = json.dumps({"services": {"s": {"catalogues": ["none"]}}})
+        self.accept(a=bad)
+        self.run_and_check(IN_FORCE_S)
+        self.driver.write_store("kumquatspur/head", "{garbage")
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {1})
+        self.accept(a=catalogue(3))
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {3})
+
+    def test_an_older_head_changes_nothing(self):
+        for shards in range(1, 4):
+            self.accept(a=catalogue(shards))
+        self.run_and_check(IN_FORCE_S)
+        self.accepted = 1
+        self.accept(a=catalogue(1))
+        self.run_and_check(35.0)
+        self.assertEqual(set(self.revisions().values()), {3})
+
+    def test_contents_that_a_peer_forged_are_not_taken(self):
+        self.accept(a=catalogue(1))
+        self.run_and_check(IN_FORCE_S)
+        node = self.driver.nodes[ZONE[0]]
+        update = messages.ConfigurationUpdate(
+            ZONE[1], 1, 2, {"a": "0" * 32}, {"0" * 32: "not packed"}
+        )
+        event = events.PeerMessageReceived(ZONE[1], update)
+        node.handle(event, self.driver.now)
+        self.assertEqual(node.board.configuration.revision, 1)
+
+    def test_store_calls_are_few(self):
+        self.accept(a=catalogue(1))
+        self.run_and_check(IN_FORCE_S)
+        before = sum(self.driver.store.calls.values())
+        self.run_and_check(60.0, 1.0)
+        calls = sum(self.driver.store.calls.values()) - before
+        # Two watchers a zone: a renewal a second and a watch each 10 s; all
+        # others read the head each 15 to 30 s.
+        self.assertLess(calls / 60.0, 3 * 2 * 1.3 + 9 / 15.0)
+
+    def test_large_configuration_travels_in_bounded_messages(self):
+        sizes = []
+        send = self.driver._on_SendPeer
+
+        def count(name, action):
+            if isinstance(action.message, messages.ConfigurationUpdate):
+                sizes.append(sum(map(len, action.message.contents.values())))
+            send(name, action)
+
+        self.driver._on_SendPeer = count
+        files = {
+            f"f{n}": json.dumps({"drain": [], "teams": {}}) + " " * n
+            for n in range(300)
+        }
+        self.accept(**files)
+        self.run_and_check(IN_FORCE_S)
+        self.assertEqual(set(self.revisions().values()), {1})
+        self.assertLess(max(sizes), 300_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatspur/controllers/distribution.py
@@ -0,0 +1,174 @@
+"""State of the distribution of the configuration on one node."""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from kumquatspur.border.config_files import ConfigurationLoader
+
+MAX_CHANGES_KEPT = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Revision:
+    """A revision and the content hash of each of its files."""
+
+    number: int = 0
+    files: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class WantedRevision:
+    """A newer revision some of whose contents are missing.
+
+    Attributes:
+        revision: The revision.
+        source: The peer that announced it; "" for the store.
+        origin: Root of the tree along which it is sent on; "" for nowhere.
+        asks: Ticks for which its contents have been missing.
+    """
+
+    revision: Revision
+    source: str
+    origin: str
+    asks: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """The files that differ between two revisions put in force in turn.
+
+    Attributes:
+        base: Number of the earlier revision.
+        changed: Content hash by file name; "" where it was removed.
+    """
+
+    base: int
+    changed: Mapping[str, str]
+
+
+@dataclasses.dataclass
+class WatcherLease:
+    """A store lease that entitles its holder to watch the head key.
+
+    Attributes:
+        lease: The store's identifier.
+        key: The key bound to it.
+        key_version: The version of that key.
+        renewed: When the last successful renewal was sent.
+        tried: When the last renewal was sent.
+    """
+
+    lease: str
+    key: str
+    key_version: int
+    renewed: float
+    tried: float
+
+
+class DistributionState:
+    """What a node knows of revisions, and its role as watcher.
+
+    Attributes:
+        in_force: The revision in force.
+        wanted: A newer revision that is being fetched, or None.
+        rejected: The highest revision found invalid.
+        contents: Packed file contents by content hash.
+        steps: The latest steps, by number of the later revision.
+        loader: Parses changed files.
+        lease: The watcher's lease, or None if this node does not watch.
+        watch_call: The call id of the watch under way, or "".
+        store_version: Version of the head key last seen.
+        polled_at: When the head key was last read.
+        poll_share: Share of the interval after which to read it again.
+        campaign_at: When a watcher's lease may be sought again.
+        failures: Calls to the store that failed in a row.
+        reading: Content hashes that are being read from the store.
+        asked_at: When a peer was last asked for a revision.
+    """
+
+    def __init__(self):
+        self.in_force = Revision()
+        self.wanted: WantedRevision | None = None
+        self.rejected = 0
+        self.contents: dict[str, str] = {}
+        self.steps: collections.OrderedDict[int, Step] = (
+            collections.OrderedDict()
+        )
+        self.loader = ConfigurationLoader()
+        self.lease: WatcherLease | None = None
+        self.watch_call = ""
+        self.store_version = 0
+        self.polled_at = -math.inf
+        self.poll_share = 1.0
+        self.campaign_at = 0.0
+        self.failures = 0
+        self.reading: set[str] = set()
+        self.asked_at = 0.0
+
+    def newest(self) -> int:
+        """Returns the highest revision known."""
+        wanted = self.wanted.revision.number if self.wanted else 0
+        return max(self.in_force.number, self.rejected, wanted)
+
+    def missing(self) -> list[str]:
+        """Returns the content hashes that the wanted revision lacks."""
+        if self.wanted is None:
+            return []
+        digests = self.wanted.revision.files.values()
+        return sorted(set(digests) - self.contents.keys())
+
+    def put_in_force(self, revision: Revision) -> None:
+        """Makes a revision the one in force, with the step to it."""
+        old = self.in_force
+        self.steps[revision.number] = Step(
+            old.number, diff_files(old.files, revision.files)
+        )
+        if len(self.steps) > MAX_CHANGES_KEPT:
+            self.steps.popitem(last=False)
+        self.in_force = revision
+
+    def prune_contents(self) -> None:
+        """Drops contents that neither revision needs."""
+        needed = set(self.in_force.files.values())
+        if self.wanted is not None:
+            needed.update(self.wanted.revision.files.values())
+        for digest in self.contents.keys() - needed:
+            del self.contents[digest]
+
+    def changes_since(self, base: int) -> Mapping[str, str] | None:
+        """Returns what differs from an earlier revision, if still known.
+
+        Args:
+            base: Number of the earlier revision.
+
+        Returns:
+            Content hash by file name ("" where removed), or None.
+        """
+        changed, number = {}, self.in_force.number
+        while number > base:
+            step = self.steps.get(number)
+            if step is None:
+                return None
+            changed = {**step.changed, **changed}
+            number = step.base
+        return changed if number == base else None
+
+
+def diff_files(
+    old: Mapping[str, str], new: Mapping[str, str]
+) -> dict[str, str]:
+    """Returns the new hash of each file that differs, "" where removed."""
+    return {
+        name: new.get(name, "")
+        for name in {*old, *new}
+        if old.get(name) != new.get(name)
+    }
+
+
+def apply_changes(
+    old: Mapping[str, str], changed: Mapping[str, str]
+) -> dict[str, str]:
+    """Returns the files after a change."""
+    return {n: d for n, d in {**old, **changed}.items() if d}
--- a/kumquatspur/controllers/gossip.py
+++ b/kumquatspur/controllers/gossip.py
@@ -57,6 +57,8 @@
         probe_order: Hosts of this zone that are still to be probed.
         zone_order: Other zones that are still to be probed.
         zone_failures: Probes failed in a row, by other zone.
+        empty_zones: Since when each zone with searchers has no live host.
+        fostered: Zones whose searchers are owned in other zones.
         synced: Whether all state was received since the start.
         requested_at: When state was last requested.
         served_at: When all state was last sent to a peer.
@@ -77,6 +79,8 @@
         self.probe_order: list[str] = []
         self.zone_order: list[str] = []
         self.zone_failures: dict[str, int] = collections.defaultdict(int)
+        self.empty_zones: dict[str, float] = {}
+        self.fostered: set[str] = set()
         self.synced = False
         self.requested_at = 0.0
         self.served_at = 0.0
@@ -95,13 +99,14 @@
         """Adds a live host's entry to its zone's digest, or removes it."""
         if entry.status in (Status.ALIVE, Status.SUSPECT):
             text = f"{entry.name}:{entry.incarnation}:{entry.sequence}"
-            self.digests[entry.zone] ^= xxhash.xxh3_64_intdigest(text)
+            self.digests[entry.zone] ^= xxhash.xxh3_64_intdigest(text.encode())
 
 
 def report_topic(searcher: str) -> str:
     """Returns the topic of the digest that covers a searcher."""
-    return f"#{xxhash.xxh3_64_intdigest(searcher) % REPORT_BUCKETS}"
+    return f"#{xxhash.xxh3_64_intdigest(searcher.encode()) % REPORT_BUCKETS}"
 
 
 def _report_hash(entry: ReportEntry) -> int:
-    return xxhash.xxh3_64_intdigest(f"{entry.searcher}:{entry.version}")
+    text = f"{entry.searcher}:{entry.version}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -1,11 +1,27 @@
-"""Knows which entry hosts are alive, and spreads searcher reports."""
-
-from kumquatspur.controllers import owner
-from kumquatspur.controllers.blackboard import Blackboard, KnownReport, Member
+"""Knows which entry hosts are alive.
+
+Every node probes a few hosts of its zone, and one of another zone, at each
+heartbeat. Changes travel at once along a tree in the zone and through
+delegates to other zones, again with the next heartbeats, and are compared by
+digests so that what was lost is repaired.
+"""
+
+from kumquatspur.controllers import placement, replication, view
+from kumquatspur.controllers.blackboard import (
+    CUT_FAILURES,
+    Blackboard,
+    Member,
+)
 from kumquatspur.core import actions, events, messages
+from kumquatspur.core.messages import Status
+from kumquatspur.core.records import Address
 
-# Every report is sent again after this many heartbeats, for hosts that are new.
-FULL_REPORT_INTERVAL = 4
+PROBES_PER_HEARTBEAT = 2
+PROBE_TIMEOUT_SHARE = 0.8
+# A node that was itself held up for so many intervals accuses nobody.
+SLOW_TICK_INTERVALS = 2.0
+FORGET_S = 600.0
+LOST_PROBE_INTERVAL = 4
 
 
 def on_hosts_listed(board: Blackboard, event: events.HostsListed, now: float):
@@ -24,53 +40,72 @@
             continue
         if host.name not in board.members:
             board.members[host.name] = Member(
-                host.name, host.zone, host.address
+                host.name, host.zone, host.address, changed_at=now
             )
     return []
 
 
-def on_heartbeat(board: Blackboard, peer: str, message, now: float):
-    """Takes a heartbeat of another entry host.
+def note_heard(board: Blackboard, peer: str, now: float) -> None:
+    """Notes that a peer's message arrived.
 
     Args:
         board: The blackboard.
         peer: The sender.
-        message: The `Heartbeat`.
         now: The current time.
-
-    Returns:
-        Actions.
     """
-    member = board.members.get(message.name)
+    member = board.members.get(peer)
     if member is None:
-        member = Member(message.name, message.zone, message.address)
-        board.members[message.name] = member
-    if message.incarnation < member.incarnation:
-        return []
-    member.incarnation = message.incarnation
-    member.zone = message.zone
-    member.address = message.address
-    member.revision = message.revision
-    member.leaving = message.leaving
+        return
     member.last_heard = now
-    take_reports(board, message.reports, now)
-    return []
+    state = board.gossip
+    if member.broken:
+        member.broken = False
+        state.view_version += 1
+    if state.zone_failures.pop(member.zone, 0) >= CUT_FAILURES:
+        state.view_version += 1
 
 
-def take_reports(board: Blackboard, reports, now: float) -> None:
-    """Stores reports of searchers that other hosts own.
+def on_heartbeat(board: Blackboard, peer: str, message, now: float):
+    """Takes a heartbeat of another entry host.
 
     Args:
         board: The blackboard.
-        reports: The reports.
+        peer: The sender.
+        message: The `Heartbeat`.
         now: The current time.
+
+    Returns:
+        Actions.
     """
-    for report in reports:
-        board.reports[report.searcher] = KnownReport(report, now)
+    if message.name == board.settings.name:
+        return []
+    status = Status.LEAVING if message.leaving else Status.ALIVE
+    entry = messages.MemberEntry(
+        message.name,
+        message.zone,
+        message.address,
+        message.incarnation,
+        message.sequence,
+        int(status),
+        message.watching,
+    )
+    delivery = replication.delivery_from(board, message.zone, "")
+    replication.take_member(board, entry, delivery, now)
+    note_heard(board, message.name, now)
+    member = board.members[message.name]
+    member.revision = max(member.revision, message.revision)
+    board.gossip.awaiting.pop(message.name, None)
+    replication.take_entries(
+        board, message.entries, message.reports, delivery, now
+    )
+    found = replication.check_digest(board, member, message, now)
+    if message.wants_answer:
+        found.append(_heartbeat(board, member, False, now))
+    return found
 
 
 def on_heartbeat_due(board: Blackboard, event: events.HeartbeatDue, now):
-    """Sends a heartbeat to every known entry host.
+    """Ends unanswered probes and sends new ones.
 
     Args:
         board: The blackboard.
@@ -85,39 +120,35 @@
         now + interval * board.rng.uniform(0.9, 1.1), events.HeartbeatDue()
     )
     board.counters["heartbeats"] += 1
-    return announce(board, now)
+    _end_probes(board, interval, now)
+    replication.contest_reports(board, now)
+    placement.update_fostered(board, now)
+    _forget(board, now)
+    found = [
+        _heartbeat(board, member, True, now)
+        for member in _choose_probes(board, now)
+    ]
+    return found + _probe_seeds(board, now)
 
 
-def announce(board: Blackboard, now: float):
-    """Returns heartbeats to all members.
+def on_trust_due(board: Blackboard, event: events.TrustDue, now: float):
+    """Counts suspected hosts as dead, and damped ones as live again.
 
     Args:
         board: The blackboard.
+        event: The timer.
         now: The current time.
 
     Returns:
         Actions.
     """
-    if board.counters["heartbeats"] % FULL_REPORT_INTERVAL:
-        names = board.changed_reports & board.queues.keys()
-    else:
-        names = set(board.queues)
-    board.changed_reports.clear()
-    heartbeat = messages.Heartbeat(
-        name=board.settings.name,
-        zone=board.settings.zone,
-        incarnation=board.incarnation,
-        address=board.settings.peer.address(),
-        revision=board.configuration.revision,
-        leaving=board.stopping,
-        reports=tuple(
-            owner.build_report(board.queues[name]) for name in sorted(names)
-        ),
-    )
-    return [
-        actions.SendPeer(member.name, member.address, heartbeat)
-        for member in board.members.values()
-    ]
+    state = board.gossip
+    state.view_version += 1
+    for name, end in list(state.suspects.items()):
+        if end <= now:
+            member = board.members[name]
+            replication.set_status(board, member, Status.DEAD, now)
+    return []
 
 
 def on_stop(board: Blackboard, event: events.StopRequested, now: float):
@@ -131,28 +162,11 @@
     Returns:
         Actions.
     """
+    board.gossip.toggle_member(view.own_entry(board))
     board.stopping = True
-    return announce(board, now)
-
-
-def on_configuration(
-    board: Blackboard, event: events.ConfigurationReceived, now: float
-):
-    """Puts a configuration in force if it is newer.
-
-    Args:
-        board: The blackboard.
-        event: The configuration.
-        now: The current time.
-
-    Returns:
-        Actions.
-    """
-    if event.configuration.revision <= board.configuration.revision:
-        return []
-    board.configuration = event.configuration
-    fields = (("revision", event.configuration.revision),)
-    return [actions.LogEvent("configuration_in_force", fields)]
+    board.gossip.view_version += 1
+    view.change_own_entry(board, now)
+    return replication.flush(board, now)
 
 
 def on_peer_lost(board: Blackboard, event: events.PeerLost, now: float):
@@ -167,6 +181,126 @@
         Actions.
     """
     member = board.members.get(event.peer)
-    if member is not None:
-        member.last_heard = None
+    if member is not None and member.status is not Status.UNKNOWN:
+        _fail(board, member, now)
     return []
+
+
+def _fail(board: Blackboard, member: Member, now: float) -> None:
+    state = board.gossip
+    state.awaiting.pop(member.name, None)
+    if not member.broken:
+        member.broken = True
+        state.view_version += 1
+    own_zone = member.zone == board.settings.zone
+    if own_zone and member.status is Status.ALIVE:
+        replication.set_status(board, member, Status.SUSPECT, now)
+
+
+def _end_probes(board: Blackboard, interval: float, now: float) -> None:
+    state = board.gossip
+    held_up = now - state.ticked_at > SLOW_TICK_INTERVALS * interval
+    state.ticked_at = now
+    if held_up:
+        state.awaiting.clear()
+    for name, sent in list(state.awaiting.items()):
+        if now - sent < PROBE_TIMEOUT_SHARE * interval:
+            continue
+        member = board.members.get(name)
+        if member is None:
+            del state.awaiting[name]
+            continue
+        _fail(board, member, now)
+        if member.zone != board.settings.zone:
+            state.zone_failures[member.zone] += 1
+            state.view_version += 1
+            state.zone_order.append(member.zone)
+
+
+def _choose_probes(board: Blackboard, now: float) -> list[Member]:
+    """Returns hosts to probe: of this zone in turn, suspects, others."""
+    state = board.gossip
+    chosen = {}
+    for _ in range(PROBES_PER_HEARTBEAT):
+        if not state.probe_order:
+            state.probe_order = _zone_names(board, board.settings.zone)
+            board.rng.shuffle(state.probe_order)
+        while state.probe_order:
+            member = board.members.get(state.probe_order.pop())
+            if member is not None and member.name not in chosen:
+                chosen[member.name] = member
+                break
+    for name in list(state.suspects)[:PROBES_PER_HEARTBEAT]:
+        chosen[name] = board.members[name]
+    for member in (_next_foreign(board), _next_lost(board)):
+        if member is not None:
+            chosen[member.name] = member
+    for name, member in chosen.items():
+        if member.status in (Status.ALIVE, Status.SUSPECT):
+            state.awaiting.setdefault(name, now)
+    return list(chosen.values())
+
+
+def _zone_names(board: Blackboard, zone: str) -> list[str]:
+    """Returns the hosts of a zone that may be alive."""
+    gone = (Status.DEAD, Status.LEAVING)
+    return [
+        member.name
+        for member in board.members.values()
+        if member.zone == zone and member.status not in gone
+    ]
+
+
+def _next_foreign(board: Blackboard) -> Member | None:
+    state = board.gossip
+    if not state.zone_order:
+        zones = {member.zone for member in board.members.values()}
+        state.zone_order = sorted(zones - {board.settings.zone})
+        board.rng.shuffle(state.zone_order)
+    if not state.zone_order:
+        return None
+    names = _zone_names(board, state.zone_order.pop())
+    return board.members[board.rng.choice(names)] if names else None
+
+
+def _next_lost(board: Blackboard) -> Member | None:
+    """Returns a host that is gone, now and then, as it may have come back."""
+    if board.counters["heartbeats"] % LOST_PROBE_INTERVAL:
+        return None
+    lost = [m for m in board.members.values() if m.status is Status.DEAD]
+    return board.rng.choice(lost) if lost else None
+
+
+def _probe_seeds(board: Blackboard, now: float) -> list:
+    if any(board.alive(member, now) for member in board.members.values()):
+        return []
+    own = board.settings.peer.address()
+    found = []
+    for seed in board.settings.seeds:
+        address = seed.address()
+        if address != own:
+            name = f"{address.host}:{address.port}"
+            found.append(_send_probe(board, name, address, now))
+    return found
+
+
+def _send_probe(board, name: str, address: Address, now: float):
+    heartbeat = replication.build_heartbeat(board, "", True, now)
+    return actions.SendPeer(name, address, heartbeat)
+
+
+def _heartbeat(board, member: Member, wants_answer: bool, now: float):
+    heartbeat = replication.build_heartbeat(
+        board, member.name, wants_answer, now
+    )
+    return actions.SendPeer(member.name, member.address, heartbeat)
+
+
+def _forget(board: Blackboard, now: float) -> None:
+    """Drops hosts that have been gone for long."""
+    if board.counters["heartbeats"] % 128:
+        return
+    gone = (Status.DEAD, Status.LEAVING, Status.UNKNOWN)
+    for member in list(board.members.values()):
+        if member.status in gone and now - member.changed_at > FORGET_S:
+            del board.members[member.name]
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -8,13 +8,21 @@
 import random
 
 from kumquatspur.border.settings import Settings
-from kumquatspur.controllers import coordinator, membership, owner
+from kumquatspur.controllers import (
+    configuration,
+    coordinator,
+    membership,
+    owner,
+    replication,
+    view,
+    watcher,
+)
 from kumquatspur.controllers.blackboard import Blackboard
 from kumquatspur.core import actions, events, messages
 
 
 def _on_sub_answer(board, peer, message, now):
-    membership.take_reports(board, message.reports, now)
+    replication.take_reports(board, message.reports, now)
     return coordinator.on_sub_answer(board, peer, message, now)
 
 
@@ -30,20 +38,28 @@
     events.UpstreamFailed: (owner.on_upstream_failed,),
     events.ProbeAnswered: (owner.on_probe_answered,),
     events.ProbeFailed: (owner.on_probe_failed,),
-    events.ConfigurationReceived: (membership.on_configuration,),
+    events.ConfigurationReceived: (configuration.on_configuration,),
     events.HostsListed: (membership.on_hosts_listed,),
     events.PeerLost: (membership.on_peer_lost, coordinator.on_peer_lost),
-    events.StopRequested: (membership.on_stop,),
+    events.StopRequested: (watcher.on_stop, membership.on_stop),
     events.QueryHedgeDue: (coordinator.on_hedge_due,),
     events.QueryDeadlineDue: (coordinator.on_deadline_due,),
     events.SubQueryFlushDue: (owner.on_flush_due,),
     events.SubQueryDeadlineDue: (owner.on_sub_query_deadline,),
     events.HeartbeatDue: (membership.on_heartbeat_due,),
+    events.StateUpdateDue: (replication.on_state_update_due,),
+    events.TrustDue: (membership.on_trust_due,),
+    events.ConfigurationDue: (configuration.on_configuration_due,),
+    events.WatchDue: (configuration.on_watch_due,),
     events.ProbeDue: (owner.on_probe_due,),
 }
 
 _MESSAGE_CONTROLLERS = {
     messages.Heartbeat: membership.on_heartbeat,
+    messages.StateUpdate: replication.on_state_update,
+    messages.StateRequest: replication.on_state_request,
+    messages.ConfigurationUpdate: configuration.on_update,
+    messages.ConfigurationRequest: configuration.on_request,
     messages.SubQuery: owner.on_sub_query,
     messages.SubAnswer: _on_sub_answer,
     messages.CancelSubQuery: owner.on_cancel,
@@ -67,6 +83,9 @@
         self.board = Blackboard(settings, rng, incarnation)
         self.board.schedule(now, events.HeartbeatDue())
         self.board.schedule(now, events.ProbeDue())
+        first = now + rng.uniform(0.0, configuration.TICK_S)
+        self.board.schedule(first, events.ConfigurationDue())
+        self.board.gossip.toggle_member(view.own_entry(self.board))
 
     def next_wakeup(self) -> float | None:
         """Returns when a `TimerFired` event is due, or None."""
@@ -86,6 +105,8 @@
             found = self._run_timers(now)
         else:
             found = self._dispatch(event, now)
+        if self.board.changed_reports:
+            replication.publish_reports(self.board, now)
         return self._deliver_local(found, now)
 
     def _run_timers(self, now: float) -> list:
@@ -99,6 +120,7 @@
             controller = _MESSAGE_CONTROLLERS.get(type(event.message))
             if controller is None:
                 return []
+            membership.note_heard(self.board, event.peer, now)
             return controller(self.board, event.peer, event.message, now)
         found = []
         for controller in _CONTROLLERS[type(event)]:
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -1,8 +1,19 @@
 """Where searchers are owned, given the members known."""
 
+import collections
+
 from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.controllers.placement_cache import PlacementCache
 from kumquatspur.core.records import Searcher
-from kumquatspur.policy.ownership import rank_members
+from kumquatspur.policy.ownership import (
+    Piece,
+    assign_pieces,
+    cut_groups,
+    foster_zone,
+)
+
+# How long a zone must be without live hosts before others own its searchers.
+FOSTER_DELAY_S = 5.0
 
 
 def live_members(board: Blackboard, zone: str, now: float) -> list[str]:
@@ -16,14 +27,7 @@
     Returns:
         Names, in no particular order.
     """
-    names = [
-        member.name
-        for member in board.members.values()
-        if member.zone == zone and board.alive(member, now)
-    ]
-    if board.settings.zone == zone and not board.stopping:
-        names.append(board.settings.name)
-    return names
+    return _refresh(board, now).live.get(zone, [])
 
 
 def ranked_owners(
@@ -37,15 +41,87 @@
         now: The current time.
 
     Returns:
-        Names, owner first; empty if no live host of its zone is known.
+        Names, owner first; empty if no live host is known. The searchers of a
+        zone without live hosts are owned in another zone.
     """
-    members = live_members(board, searcher.zone, now)
-    return rank_members(searcher.group, members)
+    cache = _refresh(board, now)
+    zone = searcher.zone
+    owners = cache.owners.get(zone)
+    if owners is None:
+        owners = _assign(board, cache, zone)
+    return owners.get(searcher.name, [])
 
 
 def is_owned(board: Blackboard, searcher: Searcher, now: float) -> bool:
     """Returns whether this node owns a searcher."""
-    if searcher.zone != board.settings.zone:
-        return False
     owners = ranked_owners(board, searcher, now)
     return bool(owners) and owners[0] == board.settings.name
+
+
+def update_fostered(board: Blackboard, now: float) -> None:
+    """Finds zones that have been without live entry hosts for a while.
+
+    Args:
+        board: The blackboard.
+        now: The current time.
+    """
+    cache, state = _refresh(board, now), board.gossip
+    empty = {zone for zone in cache.pieces if not cache.live.get(zone)}
+    state.empty_zones = {z: state.empty_zones.get(z, now) for z in empty}
+    fostered = {
+        zone
+        for zone, since in state.empty_zones.items()
+        if now - since >= FOSTER_DELAY_S
+    }
+    if fostered != state.fostered:
+        state.fostered = fostered
+        state.view_version += 1
+
+
+def _assign(
+    board: Blackboard, cache: PlacementCache, zone: str
+) -> dict[str, list[str]]:
+    """Computes the owners of a zone unless neither side has changed."""
+    pieces = cache.pieces.get(zone, [])
+    owning_zone = zone
+    if zone in board.gossip.fostered:
+        owning_zone = foster_zone(zone, cache.live)
+    members = sorted(cache.live.get(owning_zone, []))
+    source, owners = cache.assigned.get(zone, (None, None))
+    if source != (pieces, members):
+        owners = assign_pieces(pieces, members)
+        cache.assigned[zone] = ((pieces, members), owners)
+    cache.owners[zone] = owners
+    return owners
+
+
+def _refresh(board: Blackboard, now: float) -> PlacementCache:
+    cache = board.placement
+    searchers = board.configuration.searchers
+    key = (board.gossip.view_version, board.configuration.revision)
+    if cache.key == key and cache.searchers is searchers:
+        return cache
+    if cache.searchers is not searchers:
+        cache.pieces = _cut_zones(searchers)
+        cache.searchers = searchers
+    cache.key = key
+    cache.owners = {}
+    cache.live = _live_by_zone(board, now)
+    return cache
+
+
+def _cut_zones(searchers) -> dict[str, list[Piece]]:
+    by_zone = collections.defaultdict(list)
+    for searcher in searchers.values():
+        by_zone[searcher.zone].append(searcher)
+    return {zone: cut_groups(found) for zone, found in by_zone.items()}
+
+
+def _live_by_zone(board: Blackboard, now: float) -> dict[str, list[str]]:
+    live = collections.defaultdict(list)
+    for member in board.members.values():
+        if board.alive(member, now):
+            live[member.zone].append(member.name)
+    if not board.stopping:
+        live[board.settings.zone].append(board.settings.name)
+    return dict(live)
--- a/kumquatspur/controllers/view.py
+++ b/kumquatspur/controllers/view.py
@@ -88,16 +88,21 @@
 
 
 def pass_on(
-    board: Blackboard, key: EntryKey, delivery: Delivery, now: float
+    board: Blackboard,
+    key: EntryKey,
+    delivery: Delivery | None,
+    now: float,
 ) -> None:
     """Queues a changed entry for other hosts.
 
     Args:
         board: The blackboard.
         key: The entry.
-        delivery: How to pass it on.
+        delivery: How to pass it on; None if it is not.
         now: The current time.
     """
+    if delivery is None:
+        return
     state = board.gossip
     state.outgoing[key] = delivery
     peers = len(zone_peers(board, now)) + 1
--- a/kumquatspur/core/events.py
+++ b/kumquatspur/core/events.py
@@ -186,6 +186,26 @@
     """Timer: send heartbeats."""
 
 
+@record
+class ConfigurationDue:
+    """Timer: look for newer configuration, keep the watcher's role."""
+
+
+@record
+class WatchDue:
+    """Timer: watch the head key of the configuration again."""
+
+
+@record
+class StateUpdateDue:
+    """Timer: send on what changed in the state of hosts and searchers."""
+
+
+@record
+class TrustDue:
+    """Timer: a host that came and went may be counted on again."""
+
+
 @record
 class ProbeDue:
     """Timer: probe the owned searchers."""
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -4,6 +4,9 @@
 to the moment of sending, because monotonic clocks differ between hosts.
 """
 
+import enum
+from collections.abc import Mapping
+
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Address, ShardResult, record
 
@@ -50,27 +53,149 @@
     slow_ms: float
 
 
+class Status(enum.IntEnum):
+    """What is known of an entry host; at equal age the greater one holds."""
+
+    UNKNOWN = 0
+    ALIVE = 1
+    LEAVING = 2
+    SUSPECT = 3
+    DEAD = 4
+
+
+@record
+class MemberEntry:
+    """The state of one entry host, as passed on by others.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+        address: Where it accepts streams.
+        incarnation: Grows with every start of it.
+        sequence: Grows with every change that it makes to its own entry.
+        status: A `Status`.
+        watching: Whether it watches the configuration in the store.
+    """
+
+    name: str
+    zone: str
+    address: Address
+    incarnation: int
+    sequence: int
+    status: int
+    watching: bool
+
+
+@record
+class ReportEntry:
+    """The lasting part of a `SearcherReport`, as passed on by others.
+
+    Attributes:
+        searcher: The searcher's name.
+        version: Grows with each change, whichever host owns the searcher.
+        held: The snapshots it holds.
+        draining: Whether it is leaving.
+        reachable: Whether its last request or probe succeeded.
+    """
+
+    searcher: str
+    version: int
+    held: tuple[int, ...]
+    draining: bool
+    reachable: bool
+
+
 @record
 class Heartbeat:
-    """Liveness and state of one entry host.
+    """A probe of another entry host, or the answer to one.
 
     Attributes:
         name: The sender's name.
         zone: Its availability zone.
         incarnation: Grows with every start of the sender.
+        sequence: Grows with every change of the sender's own entry.
         address: Where it accepts streams.
         revision: The configuration revision in force there.
         leaving: Whether it is stopping.
-        reports: Reports of searchers that it owns and that changed.
+        watching: Whether it watches the configuration in the store.
+        wants_answer: Whether it is a probe.
+        digest_topic: What `digest` covers: a zone, or some of the searchers.
+        digest: Digest of all its entries.
+        entries: Recent changes of entry hosts.
+        reports: Recent changes of searchers.
     """
 
     name: str
     zone: str
     incarnation: int
+    sequence: int
     address: Address
     revision: int
     leaving: bool
-    reports: tuple[SearcherReport, ...]
+    watching: bool
+    wants_answer: bool
+    digest_topic: str = ""
+    digest: int = 0
+    entries: tuple[MemberEntry, ...] = ()
+    reports: tuple[ReportEntry, ...] = ()
+
+
+@record
+class StateUpdate:
+    """Changes of entry hosts and searchers, sent at once along a tree.
+
+    Attributes:
+        origin: The root of the tree; "" if the receiver must not pass it on.
+        entries: Entry hosts.
+        reports: Searchers.
+    """
+
+    origin: str
+    entries: tuple[MemberEntry, ...]
+    reports: tuple[ReportEntry, ...]
+
+
+@record
+class StateRequest:
+    """Asks for all that is known of some topics.
+
+    Attributes:
+        topics: The topics; empty for all.
+    """
+
+    topics: tuple[str, ...]
+
+
+@record
+class ConfigurationUpdate:
+    """A revision as a difference, with some of its contents.
+
+    Attributes:
+        origin: The root of the tree along which it is sent on, or "".
+        base: The revision that it differs from; 0 for no files.
+        revision: The revision.
+        changed: Content hash by file name; "" where it was removed.
+        contents: Packed file contents by content hash.
+    """
+
+    origin: str
+    base: int
+    revision: int
+    changed: Mapping[str, str]
+    contents: Mapping[str, str]
+
+
+@record
+class ConfigurationRequest:
+    """Asks for what follows a revision.
+
+    Attributes:
+        revision: The revision in force at the sender.
+        digests: The contents wanted; empty for those that changed.
+    """
+
+    revision: int
+    digests: tuple[str, ...]
 
 
 @record
@@ -148,6 +273,10 @@
 MESSAGE_TYPES = (
     Hello,
     Heartbeat,
+    StateUpdate,
+    StateRequest,
+    ConfigurationUpdate,
+    ConfigurationRequest,
     SubQuery,
     SubAnswer,
     CancelSubQuery,
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -7,13 +7,11 @@
 import eventlet
 import eventlet.wsgi
 
-from kumquatspur.border.config_files import load_configuration
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
 from kumquatspur.core.verdict import Outcome, Phase
 from kumquatspur.wire.admin_server import AdminServer
 from kumquatspur.wire.caller_server import CallerServer
-from kumquatspur.wire.config_store import ConfigStore, decode_head
 from kumquatspur.wire.metrics import Metrics
 from kumquatspur.wire.peer_stream import PeerStreams
 from kumquatspur.wire.store_calls import STORE_ACTIONS, run_store_call
@@ -26,8 +24,6 @@
 
 _log = logging.getLogger(__name__)
 
-WATCH_WAIT_S = 10.0
-STORE_RETRY_S = 0.5
 CALLER_IDLE_S = 30.0
 LISTEN_BACKLOG = 1024
 STOP_POLL_S = 0.02
@@ -92,7 +88,6 @@
         admin_listener = _listen(settings.admin)
         eventlet.spawn_n(self._peers.serve, peer_listener)
         eventlet.spawn_n(_serve_http, admin_listener, self._admin)
-        eventlet.spawn_n(self._follow_configuration)
         eventlet.spawn_n(self._follow_host_list)
         server = eventlet.spawn(_serve_http, caller_listener, self.callers)
         self._set_wakeup()
@@ -186,33 +181,6 @@
     def _log_event(self, action: actions.LogEvent) -> None:
         _log.info(action.name, extra=dict(action.fields))
 
-    def _follow_configuration(self) -> None:
-        address = self.settings.store.address()
-        client = StoreClient(address)
-        store = ConfigStore(client, self.settings.prefix)
-        contents = {}
-        version = 0
-        while True:
-            try:
-                stored = client.watch(store.head_key(), version, WATCH_WAIT_S)
-                if stored.version != version:
-                    self._load(store, decode_head(stored.value), contents)
-                version = stored.version
-            except StoreUnavailableError as error:
-                _log.warning("store unavailable", extra={"error": str(error)})
-                eventlet.sleep(STORE_RETRY_S * random.uniform(0.5, 1.5))
-
-    def _load(self, store: ConfigStore, head, contents: dict) -> None:
-        for digest in set(head.files.values()) - contents.keys():
-            contents[digest] = store.read_file(digest)
-        files = {name: contents[d] for name, d in head.files.items()}
-        configuration, errors = load_configuration(files, head.revision)
-        if configuration is None:
-            fields = {"errors": [str(error) for error in errors]}
-            _log.error("configuration rejected", extra=fields)
-            return
-        self.deliver(events.ConfigurationReceived(configuration))
-
     def _follow_host_list(self) -> None:
         address = self.settings.host_list.address()
         while True:
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -53,12 +53,20 @@
         values: Value and version by key.
         down: Answer nothing.
         lose_writes: Number of coming writes whose answer is lost.
+        cut: Nodes that get no answer.
         calls: Number of calls by action name.
+        leases: When each lease ends.
+        key_leases: The lease of each key that has one.
+        watches: Waiting watches as node name and action.
     """
 
     values: dict = dataclasses.field(default_factory=dict)
     down: bool = False
     lose_writes: int = 0
+    cut: set = dataclasses.field(default_factory=set)
+    leases: dict = dataclasses.field(default_factory=dict)
+    key_leases: dict = dataclasses.field(default_factory=dict)
+    watches: list = dataclasses.field(default_factory=list)
     calls: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -140,6 +148,11 @@
         entry = (self.now + seconds, next(self._order), name, event)
         heapq.heappush(self._queue, entry)
 
+    def at(self, when: float, function) -> None:
+        """Calls a function at a time."""
+        entry = (when, next(self._order), "", function)
+        heapq.heappush(self._queue, entry)
+
     def run(self, seconds: float) -> None:
         """Advances the time."""
         end = self.now + seconds
@@ -147,7 +160,10 @@
             self.now = max(self.now, at)
             while self._queue and self._queue[0][0] <= self.now:
                 _, _, name, event = heapq.heappop(self._queue)
-                self.inject(name, event)
+                if name:
+                    self.inject(name, event)
+                else:
+                    event()
             for name in sorted(self.nodes):
                 wakeup = self.nodes[name].next_wakeup()
                 due = wakeup is not None and wakeup <= self.now
@@ -243,46 +259,83 @@
         )
         return events.ItemResult(item.item_id, result)
 
+    def write_store(self, key: str, value: str | None, lease="") -> int:
+        """Writes a key as another client of the store would.
+
+        Returns:
+            The new version.
+        """
+        version = next(self._versions)
+        self.store.values[key] = (value, version)
+        if value is None:
+            del self.store.values[key]
+        self.store.key_leases[key] = lease
+        waiting, self.store.watches = self.store.watches, []
+        for name, action in waiting:
+            if action.key == key:
+                self._end_watch(name, action)
+            else:
+                self.store.watches.append((name, action))
+        return version
+
+    def _read_store(self, key: str):
+        lease = self.store.key_leases.get(key)
+        if lease and self.store.leases[lease] < self.now:
+            self.store.values.pop(key, None)
+            self.store.key_leases.pop(key)
+        return self.store.values.get(key, (None, 0))
+
     def _on_ReadStoreKey(self, name, action):  # noqa: N802
-        value, version = self.store.values.get(action.key, (None, 0))
+        value, version = self._read_store(action.key)
         self._end_store_call(name, action, StoreStatus.OK, value, version)
 
     def _on_WriteStoreKey(self, name, action):  # noqa: N802
-        _, version = self.store.values.get(action.key, (None, 0))
-        if self.store.down or version != action.version:
+        _, version = self._read_store(action.key)
+        ended = self.store.leases.get(action.lease, 0.0) < self.now
+        conflict = version != action.version or (action.lease and ended)
+        if self._store_is_cut(name) or conflict:
             status = StoreStatus.CONFLICT
             self._end_store_call(name, action, status, None, version)
             return
-        version = next(self._versions)
-        self.store.values[action.key] = (action.value, version)
+        version = self.write_store(action.key, action.value, action.lease)
+        status = StoreStatus.OK
         if self.store.lose_writes:
             self.store.lose_writes -= 1
-            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
-            self.after(STORE_DELAY_S, name, event)
-            return
-        self._end_store_call(
-            name, action, StoreStatus.OK, action.value, version
-        )
+            status = StoreStatus.UNAVAILABLE
+        self._end_store_call(name, action, status, action.value, version)
 
     def _on_WatchStoreKey(self, name, action):  # noqa: N802
-        value, version = self.store.values.get(action.key, (None, 0))
-        delay = action.wait_s if version == action.version else STORE_DELAY_S
-        self._end_store_call(
-            name, action, StoreStatus.OK, value, version, delay
-        )
+        _, version = self._read_store(action.key)
+        if self._store_is_cut(name) or version != action.version:
+            self._end_watch(name, action)
+            return
+        self.store.watches.append((name, action))
+        self.at(self.now + action.wait_s, lambda: self._time_out(name, action))
+
+    def _time_out(self, name, action):
+        if (name, action) in self.store.watches:
+            self.store.watches.remove((name, action))
+            self._end_watch(name, action)
+
+    def _end_watch(self, name, action):
+        value, version = self._read_store(action.key)
+        self._end_store_call(name, action, StoreStatus.OK, value, version)
 
     def _on_KeepStoreLease(self, name, action):  # noqa: N802
         lease = action.lease or f"lease-{next(self._lease_ids)}"
-        event = StoreCallEnded(action.call_id, StoreStatus.OK, lease=lease)
-        if self.store.down:
-            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
-        self.after(STORE_DELAY_S, name, event)
+        status = StoreStatus.OK
+        if action.lease and self.store.leases.get(lease, 0.0) < self.now:
+            status = StoreStatus.UNAVAILABLE
+        elif not self._store_is_cut(name):
+            self.store.leases[lease] = self.now + action.ttl_s
+        self._end_store_call(name, action, status, None, 0, lease)
 
-    def _end_store_call(
-        self, name, action, status, value, version, delay=STORE_DELAY_S
-    ):
+    def _store_is_cut(self, name) -> bool:
+        return self.store.down or name in self.store.cut
+
+    def _end_store_call(self, name, action, status, value, version, lease=""):
         self.store.calls[type(action).__name__] += 1
-        if self.store.down:
-            status, value, version = StoreStatus.UNAVAILABLE, None, 0
-        event = StoreCallEnded(action.call_id, status, value, version)
-        self.after(delay, name, event)
+        if self._store_is_cut(name):
+            status, value, version, lease = StoreStatus.UNAVAILABLE, None, 0, ""
+        event = StoreCallEnded(action.call_id, status, value, version, lease)
+        self.after(STORE_DELAY_S, name, event)
