Balanced ownership; proofs of membership

Cause: rendezvous hashing without bounds left owners with 18, 3 and 7 searchers on one zone of the demonstration, and one host idle on the other. Tried first: the greedy form of bounded loads; at 118 hosts the loss of one moved 6.0 times its searchers on average, because a changed bound displaces pieces in chains. Now: deferred acceptance with a bound on a coarse grid.

--- a/kumquatspur/controllers/gossip.py
+++ b/kumquatspur/controllers/gossip.py
@@ -108,5 +108,5 @@
 
 
 def _report_hash(entry: ReportEntry) -> int:
-    text = f"{entry.searcher}:{entry.version}"
+    text = f"{entry}"
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -214,7 +214,8 @@
         if member.zone != board.settings.zone:
             state.zone_failures[member.zone] += 1
             state.view_version += 1
-            state.zone_order.append(member.zone)
+            if state.zone_failures[member.zone] < CUT_FAILURES:
+                state.zone_order.append(member.zone)
 
 
 def _choose_probes(board: Blackboard, now: float) -> list[Member]:
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -87,12 +87,12 @@
     if zone in board.gossip.fostered:
         owning_zone = foster_zone(zone, cache.live)
     members = sorted(cache.live.get(owning_zone, []))
-    source, owners = cache.assigned.get(zone, (None, None))
+    source, assignment = cache.assigned.get(zone, (None, None))
     if source != (pieces, members):
-        owners = assign_pieces(pieces, members)
-        cache.assigned[zone] = ((pieces, members), owners)
-    cache.owners[zone] = owners
-    return owners
+        assignment = assign_pieces(pieces, members, assignment)
+        cache.assigned[zone] = ((pieces, members), assignment)
+    cache.owners[zone] = assignment.owners
+    return assignment.owners
 
 
 def _refresh(board: Blackboard, now: float) -> PlacementCache:
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -20,7 +20,7 @@
 from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
 from kumquatspur.policy.members import damping_s, is_return, supersedes
 
-PIGGYBACK_ENTRIES = 6
+PIGGYBACK_ENTRIES = 4
 ENTRIES_PER_UPDATE = 200
 MISMATCHES_TOLERATED = 2
 REQUEST_INTERVAL_S = 1.0
@@ -278,7 +278,7 @@
     now: float,
 ) -> None:
     old = board.gossip.reports.get(entry.searcher)
-    if old is not None and entry.version <= old.version:
+    if old is not None and _age(entry) <= _age(old):
         return
     board.gossip.put_report(entry)
     view.pass_on(board, EntryKey(REPORT, entry.searcher), delivery, now)
@@ -297,6 +297,11 @@
     board.reports[entry.searcher] = KnownReport(report, now)
 
 
+def _age(entry: ReportEntry) -> tuple:
+    """Orders entries, also those that two owners made at once."""
+    return (entry.version, entry.held, entry.draining, entry.reachable)
+
+
 def take_reports(board: Blackboard, reports, now: float) -> None:
     """Stores reports that came with an owner's answer.
 
--- a/kumquatspur/controllers/view.py
+++ b/kumquatspur/controllers/view.py
@@ -106,7 +106,7 @@
     state = board.gossip
     state.outgoing[key] = delivery
     peers = len(zone_peers(board, now)) + 1
-    state.piggyback[key] = 3 * peers.bit_length()
+    state.piggyback[key] = peers.bit_length()
     if not state.flush_due:
         state.flush_due = True
         board.schedule(now + FLUSH_DELAY_S, events.StateUpdateDue())
--- a/kumquatspur/policy/ownership.py
+++ b/kumquatspur/policy/ownership.py
@@ -2,10 +2,11 @@
 
 Rendezvous hashing (Thaler and Ravishankar, 1998) with bounded loads (after
 Mirrokni, Thorup and Zadimoghaddam, 2018). The searchers of a placement group
-are cut into pieces; every host computes the same ranking of hosts for a piece
-and gives the piece to the first host whose load stays within the bound. The
-loss of a host moves the pieces that it owned and the few that a changed bound
-displaces.
+are cut into pieces, and every host computes the same ranking of hosts for a
+piece. Pieces are given to hosts by deferred acceptance (Gale and Shapley,
+1962): a piece asks the hosts in the order of its ranking, and a host over its
+bound passes on the pieces that it ranks lowest. The result depends on the live
+hosts alone. The loss of a host moves the pieces that it owned and a few more.
 """
 
 import collections
@@ -19,16 +20,28 @@
 
 from kumquatspur.core.records import Searcher
 
+# Searchers a piece in a zone of up to so many searchers, and in larger ones.
+SMALL_ZONE_SEARCHERS = 256
+SMALL_PIECE_SEARCHERS = 4
 PIECE_SEARCHERS = 8
-LOAD_BOUND = 1.15
-RANKS_KEPT = 4
+# The bound is a power of this, so that it seldom changes with the hosts.
+BOUND_STEP = 1.1
+LOAD_BOUND = 1.1
+RANKS_KEPT = 6
 # Owners that may use a searcher at once while their views differ.
 OWNERS_AT_ONCE = 2
 
+_MIX = 0x9E3779B97F4A7C15
+_MASK = (1 << 64) - 1
 
-@functools.lru_cache(maxsize=65536)
-def _weight(piece: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{piece}\0{member}".encode())
+
+@functools.lru_cache(maxsize=32768)
+def _hash(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _weight(piece_hash: int, member: str) -> int:
+    return ((piece_hash ^ _hash(member)) * _MIX) & _MASK
 
 
 def rank_members(piece: str, members: Iterable[str]) -> list[str]:
@@ -41,11 +54,16 @@
     Returns:
         The members, the first choice first.
     """
-    return sorted(
-        members,
-        key=lambda member: (_weight(piece, member), member),
+    return _first_ranks(piece, list(members), None)
+
+
+def _first_ranks(piece: str, members: list[str], count) -> list[str]:
+    piece_hash = _hash(piece)
+    ranked = sorted(
+        ((_weight(piece_hash, member), member) for member in members),
         reverse=True,
     )
+    return [member for _, member in ranked[:count]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,10 +91,13 @@
     groups = collections.defaultdict(list)
     for searcher in searchers:
         groups[searcher.group].append(searcher.name)
+    total = sum(len(names) for names in groups.values())
+    small = total <= SMALL_ZONE_SEARCHERS
+    size = SMALL_PIECE_SEARCHERS if small else PIECE_SEARCHERS
     pieces = []
     for group, names in groups.items():
         names.sort()
-        count = math.ceil(len(names) / PIECE_SEARCHERS)
+        count = math.ceil(len(names) / size)
         for number in range(count):
             start = number * len(names) // count
             end = (number + 1) * len(names) // count
@@ -86,49 +107,143 @@
     return pieces
 
 
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """The owners of a zone's searchers.
+
+    Attributes:
+        members: The live members that it was computed from.
+        rankings: The best ranked members of each piece.
+        owners: By searcher name the members, owner first.
+    """
+
+    members: frozenset[str] = frozenset()
+    rankings: Mapping[str, list[str]] = dataclasses.field(default_factory=dict)
+    owners: Mapping[str, list[str]] = dataclasses.field(default_factory=dict)
+
+
 def assign_pieces(
-    pieces: Iterable[Piece], members: Iterable[str]
-) -> dict[str, list[str]]:
+    pieces: Iterable[Piece],
+    members: Iterable[str],
+    previous: Assignment | None = None,
+) -> Assignment:
     """Assigns each piece an owner and standbys.
 
     Args:
         pieces: The pieces of a zone, those of most searchers first.
         members: Names of the live members.
+        previous: An earlier assignment, which only saves work.
 
     Returns:
-        By searcher name the members, owner first; empty without members.
+        The assignment; without owners if there are no members.
     """
     pieces, members = list(pieces), sorted(members)
     if not members:
-        return {}
-    total = sum(len(piece.searchers) for piece in pieces)
-    bound = math.ceil(LOAD_BOUND * total / len(members))
-    loads = dict.fromkeys(members, 0)
+        return Assignment()
+    rankings = _rank_pieces(pieces, members, previous or Assignment())
     owners = {}
-    for piece in pieces:
-        ranking = _choose(piece, members, loads, bound)
-        loads[ranking[0]] += len(piece.searchers)
+    for piece, owner in _Matching(pieces, members, rankings).run().items():
+        standbys = rankings[piece.name][:RANKS_KEPT]
+        ranking = [owner, *(m for m in standbys if m != owner)]
         owners.update(dict.fromkeys(piece.searchers, ranking))
-    return owners
+    return Assignment(frozenset(members), rankings, owners)
 
 
-def _choose(piece: Piece, members, loads, bound: int) -> list[str]:
-    size = len(piece.searchers)
-    ranking = _first_ranks(piece.name, members)
-    fitting = [m for m in ranking if loads[m] + size <= bound]
-    if not fitting:
-        whole = rank_members(piece.name, members)
-        fitting = [m for m in whole if loads[m] + size <= bound]
-    if not fitting:
-        fitting = [min(members, key=lambda m: (loads[m], m))]
-    owner = fitting[0]
-    return [owner, *(m for m in ranking if m != owner)]
+def _rank_pieces(pieces, members: list[str], previous: Assignment):
+    """Ranks the members for each piece, by the previous ranking if it does."""
+    live = frozenset(members)
+    joined = live - previous.members
+    rankings = {}
+    for piece in pieces:
+        kept = previous.rankings.get(piece.name, ())[:RANKS_KEPT]
+        ranking = [member for member in kept if member in live]
+        if len(ranking) < RANKS_KEPT // 2 or len(joined) > RANKS_KEPT:
+            ranking = _first_ranks(piece.name, members, RANKS_KEPT)
+        elif joined:
+            ranking = _insert(piece.name, ranking, joined)
+        rankings[piece.name] = ranking
+    return rankings
 
 
-def _first_ranks(piece: str, members: list[str]) -> list[str]:
-    return heapq.nlargest(
-        RANKS_KEPT, members, key=lambda member: (_weight(piece, member), member)
-    )
+def _insert(piece: str, ranking: list[str], joined) -> list[str]:
+    """Ranks members that joined, as far down as the ranking is complete."""
+    merged = rank_members(piece, [*ranking, *joined])
+    return merged[: merged.index(ranking[-1]) + 1]
+
+
+def load_bound(searchers: int, hosts: int) -> int:
+    """Returns how many searchers a host may own.
+
+    Args:
+        searchers: Number of searchers of the zone.
+        hosts: Number of live hosts.
+    """
+    wanted = max(1.0, LOAD_BOUND * searchers / hosts)
+    steps = math.ceil(math.log(wanted, BOUND_STEP) - 1e-9)
+    return math.ceil(BOUND_STEP**steps)
+
+
+class _Matching:
+    """One run of deferred acceptance.
+
+    Attributes:
+        rankings: The best ranked members of each piece, all once needed.
+    """
+
+    def __init__(self, pieces, members: list[str], rankings):
+        self.rankings = rankings
+        self._pieces = pieces
+        self._members = members
+        self._sizes = {piece.name: len(piece.searchers) for piece in pieces}
+        self._bound = load_bound(sum(self._sizes.values()), len(members))
+        self._loads = dict.fromkeys(members, 0)
+        self._held = {member: [] for member in members}
+        self._asked = dict.fromkeys(rankings, 0)
+
+    def run(self) -> dict[Piece, str]:
+        """Returns the owner of each piece."""
+        by_name = {piece.name: piece for piece in self._pieces}
+        waiting, unplaced = list(self._pieces), []
+        while waiting:
+            piece = waiting.pop()
+            member = self._next_choice(piece)
+            if member is None:
+                unplaced.append(piece)
+                continue
+            rejected = self._offer(piece, member)
+            waiting.extend(by_name[name] for name in rejected)
+        owners = {
+            by_name[name]: member
+            for member, held in self._held.items()
+            for _, name in held
+        }
+        for piece in sorted(unplaced, key=lambda piece: piece.name):
+            owner = min(self._members, key=lambda m: (self._loads[m], m))
+            self._loads[owner] += len(piece.searchers)
+            owners[piece] = owner
+        return owners
+
+    def _next_choice(self, piece: Piece) -> str | None:
+        asked = self._asked[piece.name]
+        if asked == len(self._members):
+            return None
+        if asked == len(self.rankings[piece.name]):
+            ranking = rank_members(piece.name, self._members)
+            self.rankings[piece.name] = ranking
+        self._asked[piece.name] = asked + 1
+        return self.rankings[piece.name][asked]
+
+    def _offer(self, piece: Piece, member: str) -> list[str]:
+        """Gives a piece to a member; returns those that it passes on."""
+        held, rejected = self._held[member], []
+        weight = _weight(_hash(piece.name), member)
+        heapq.heappush(held, (weight, piece.name))
+        self._loads[member] += len(piece.searchers)
+        while self._loads[member] > self._bound:
+            _, name = heapq.heappop(held)
+            self._loads[member] -= self._sizes[name]
+            rejected.append(name)
+        return rejected
 
 
 def connection_share(searcher: Searcher) -> int:
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -81,6 +81,7 @@
         searchers: The fake searchers by name.
         store: The fake store.
         outcomes: Final actions by request id.
+        addresses: Nodes by a name that stands for their address.
         cut_links: Pairs of names (sender, receiver) whose messages are lost.
         frozen_nodes: Nodes that handle nothing until they are removed here.
         rng: The source of all randomness.
@@ -95,6 +96,7 @@
         self.store = FakeStore()
         self.outcomes: dict[str, list] = collections.defaultdict(list)
         self.logs: list[actions.LogEvent] = []
+        self.addresses: dict[str, str] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.frozen_nodes: set[str] = set()
         self.cancelled: set[str] = set()
@@ -104,8 +106,13 @@
         self._lease_ids = itertools.count(1)
         self._versions = itertools.count(1)
 
-    def start(self, name: str) -> None:
-        """Starts a node, or starts it again with nothing remembered."""
+    def start(self, name: str, listed: bool = True) -> None:
+        """Starts a node, or starts it again with nothing remembered.
+
+        Args:
+            name: The node.
+            listed: Whether it reads the host list.
+        """
         node = Node(
             self.settings[name],
             random.Random(self.rng.random()),
@@ -113,6 +120,8 @@
             self.now,
         )
         self.nodes[name] = node
+        if not listed:
+            return
         hosts = tuple(
             Host(s.name, s.zone, s.peer.address(), False, "entry")
             for s in self.settings.values()
@@ -200,13 +209,14 @@
         self.after(0.0, name, event)
 
     def _on_SendPeer(self, name, action):  # noqa: N802
-        if (name, action.peer) in self.cut_links:
+        peer = self.addresses.get(action.peer, action.peer)
+        if (name, peer) in self.cut_links:
             return
-        if action.peer not in self.nodes:
+        if peer not in self.nodes:
             self.after(PEER_DELAY_S, name, events.PeerLost(action.peer))
             return
         event = events.PeerMessageReceived(name, action.message)
-        self.after(PEER_DELAY_S, action.peer, event)
+        self.after(PEER_DELAY_S, peer, event)
 
     def _on_ProbeUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
