--- /dev/null
+++ b/standins/fault_schedules.py
@@ -0,0 +1,469 @@
+"""Seeded random schedules of faults, and the checks that hold under them.
+
+A schedule starts six entry hosts and twelve searchers in three availability
+zones, lets two faults happen at random times while queries arrive, heals them
+and queries every host again. `check_schedule` compares every answer with what
+the fake searchers executed.
+"""
+
+import collections
+import dataclasses
+import json
+import random
+
+from kumquatspur.border.config_files import load_configuration
+from kumquatspur.border.settings import Settings
+from kumquatspur.core import actions, events
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Configuration, Host, Query
+from kumquatspur.core.verdict import Verdict
+from standins.deployment import ServiceShape, Shape, daemon_settings
+from standins.node_driver import FakeSearcher, NodeDriver
+
+ZONES = ("z1", "z2", "z3")
+SERVICE = "desk"
+OLD_SHARDS = ("a/0", "a/1", "b/0", "b/1")
+NEW_SHARDS = ("a/0", "a/2", "a/3", "b/0", "b/1")
+FIRST_NEW_SNAPSHOT = 3
+FAULTY_S = 2.5
+HEAL_S = 6.0
+QUERY_INTERVAL_S = 0.04
+DEADLINES_S = (0.06, 0.14, 0.3)
+ANSWER_GRACE_S = 0.002
+SHAPE = Shape(
+    "random",
+    ZONES,
+    (ServiceShape(SERVICE, 4, 3, 2, 25, ("a", "b")),),
+    {},
+    20000,
+)
+
+
+@dataclasses.dataclass
+class SentQuery:
+    """A query of a schedule.
+
+    Attributes:
+        query: The query.
+        host: The entry host that got it.
+        steady: Whether the host was neither killed nor frozen meanwhile.
+    """
+
+    query: Query
+    host: str
+    steady: bool = True
+
+
+@dataclasses.dataclass
+class Schedule:
+    """One run of a schedule.
+
+    Attributes:
+        driver: The nodes and fakes.
+        rng: The schedule's source of randomness.
+        faults: The names of the faults.
+        revision: The latest configuration revision.
+        repartitioned: Whether the configuration has the new layout.
+        sent: The queries under fault.
+        final: The queries after all was healed.
+    """
+
+    driver: NodeDriver
+    rng: random.Random
+    faults: tuple[str, ...]
+    revision: int = 0
+    repartitioned: bool = False
+    sent: list[SentQuery] = dataclasses.field(default_factory=list)
+    final: list[SentQuery] = dataclasses.field(default_factory=list)
+    pending: list = dataclasses.field(default_factory=list)
+
+    def at(self, time: float, step) -> None:
+        """Has a function called at a time of the driver."""
+        self.pending.append((time, len(self.pending), step))
+
+    def run(self, seconds: float) -> None:
+        """Advances the driver's time and calls the functions that are due."""
+        end = self.driver.now + seconds
+        while due := [entry for entry in self.pending if entry[0] <= end]:
+            entry = min(due)
+            self.pending.remove(entry)
+            self.driver.run(max(0.0, entry[0] - self.driver.now))
+            entry[2]()
+        self.driver.run(end - self.driver.now)
+
+    def configure(self, services=(SERVICE,), removed=(), drained=()) -> None:
+        """Puts a new configuration revision in force."""
+        self.revision += 1
+        configuration = build_configuration(
+            self.revision, self.repartitioned, services, removed, drained
+        )
+        self.driver.configure(configuration)
+        self.configuration = configuration
+
+
+def build_configuration(
+    revision: int, repartitioned: bool, services, removed, drained
+) -> Configuration:
+    """Builds the configuration of a schedule.
+
+    Args:
+        revision: The revision.
+        repartitioned: Whether catalogue a has its second layout.
+        services: The services to define.
+        removed: Searchers to leave out.
+        drained: Searchers to drain.
+
+    Returns:
+        The configuration.
+    """
+    layouts = [{"first_snapshot": 1, "shards": ["a/0", "a/1"]}]
+    if repartitioned:
+        shards = ["a/0", "a/2", "a/3"]
+        layouts.append({"first_snapshot": FIRST_NEW_SNAPSHOT, "shards": shards})
+    shards = sorted(set(OLD_SHARDS + (NEW_SHARDS if repartitioned else ())))
+    searchers = {
+        f"{shard.replace('/', '-')}-{zone}": {
+            "host": "127.0.0.1",
+            "port": 20100 + 10 * index + number,
+            "zone": zone,
+            "slots": 2,
+            "connections": 25,
+            "shards": [shard],
+            "group": shard[0],
+        }
+        for index, shard in enumerate(shards)
+        for number, zone in enumerate(ZONES)
+    }
+    file = {
+        "services": {name: {"catalogues": ["a", "b"]} for name in services},
+        "catalogues": {
+            "a": {"layouts": layouts},
+            "b": {"layouts": [{"shards": ["b/0", "b/1"]}]},
+        },
+        "searchers": {n: v for n, v in searchers.items() if n not in removed},
+        "drain": list(drained),
+    }
+    text = json.dumps(file)
+    configuration, errors = load_configuration({"all.json": text}, revision)
+    if configuration is None:
+        raise ValueError(errors)
+    return configuration
+
+
+def shards_at(snapshot: int) -> tuple[str, ...]:
+    """Returns the shards that make up a snapshot, as the searchers hold it."""
+    return OLD_SHARDS if snapshot < FIRST_NEW_SNAPSHOT else NEW_SHARDS
+
+
+def _searcher_switch(**faulty):
+    """Returns a fault that sets fields of a searcher until it is healed."""
+
+    def begin(schedule: Schedule, until: float) -> None:
+        names = sorted(schedule.driver.searchers)
+        fake = schedule.driver.searchers[schedule.rng.choice(names)]
+        healthy = FakeSearcher()
+        for field, value in faulty.items():
+            setattr(fake, field, value)
+
+        def heal():
+            for field in faulty:
+                setattr(fake, field, getattr(healthy, field))
+
+        schedule.at(until, heal)
+
+    return begin
+
+
+def _roll(schedule: Schedule, until: float, snapshots=(2,)) -> None:
+    """Has every searcher load a snapshot, and then drop the ones before."""
+    now = schedule.driver.now
+    for name, fake in sorted(schedule.driver.searchers.items()):
+        if not set(shards_at(snapshots[-1])) & {name[:3].replace("-", "/")}:
+            continue
+        load = schedule.rng.uniform(now, until)
+        drop = schedule.rng.uniform(load, until)
+        schedule.at(load, lambda f=fake: _hold(f, (*f.held, *snapshots)))
+        schedule.at(drop, lambda f=fake: _hold(f, snapshots))
+
+
+def _hold(fake: FakeSearcher, snapshots) -> None:
+    fake.held = tuple(sorted(set(snapshots)))
+
+
+def _repartition(schedule: Schedule, until: float) -> None:
+    if schedule.repartitioned:
+        return
+    schedule.repartitioned = True
+    schedule.configure()
+    for name, fake in schedule.driver.searchers.items():
+        if name.startswith(("a-2", "a-3")):
+            fake.held = ()
+
+    def load():
+        _roll(schedule, max(until, schedule.driver.now), (3,))
+
+    schedule.at(min(until, schedule.driver.now + 0.5), load)
+
+
+def _kill(schedule: Schedule, until: float) -> None:
+    name = schedule.rng.choice(sorted(schedule.driver.nodes))
+    _unsteady(schedule, name)
+    schedule.driver.kill(name)
+    schedule.at(until, lambda: _restart(schedule, name))
+
+
+def _restart(schedule: Schedule, name: str) -> None:
+    schedule.driver.start(name)
+    event = events.ConfigurationReceived(schedule.configuration)
+    schedule.driver.inject(name, event)
+
+
+def _bounce(schedule: Schedule, until: float) -> None:
+    name = schedule.rng.choice(sorted(schedule.driver.nodes))
+    _unsteady(schedule, name)
+    schedule.driver.kill(name)
+    _restart(schedule, name)
+
+
+def _freeze(schedule: Schedule, until: float) -> None:
+    name = schedule.rng.choice(sorted(schedule.driver.nodes))
+    _unsteady(schedule, name)
+    schedule.driver.frozen_nodes.add(name)
+    schedule.at(until, lambda: schedule.driver.frozen_nodes.discard(name))
+
+
+def _unsteady(schedule: Schedule, name: str) -> None:
+    now = schedule.driver.now
+    for sent in schedule.sent:
+        if sent.host == name and sent.query.deadline >= now:
+            sent.steady = False
+
+
+def _cut_zone(schedule: Schedule, until: float) -> None:
+    zone = schedule.rng.choice(ZONES)
+    settings = schedule.driver.settings
+    links = {
+        (one, other)
+        for one in settings
+        for other in settings
+        if (settings[one].zone == zone) != (settings[other].zone == zone)
+    }
+    _cut(schedule, until, links)
+
+
+def _cut_one_way(schedule: Schedule, until: float) -> None:
+    link = tuple(schedule.rng.sample(sorted(schedule.driver.settings), 2))
+    _cut(schedule, until, {link})
+
+
+def _cut(schedule: Schedule, until: float, links) -> None:
+    links = links - schedule.driver.cut_links
+    schedule.driver.cut_links |= links
+    schedule.at(
+        until, lambda: schedule.driver.cut_links.difference_update(links)
+    )
+
+
+def _store_down(schedule: Schedule, until: float) -> None:
+    store = schedule.driver.store
+    store.down = True
+    schedule.at(until, lambda: setattr(store, "down", False))
+
+
+def _store_loses(schedule: Schedule, until: float) -> None:
+    schedule.driver.store.lose_writes += 3
+
+
+def _change(field: str):
+    """Returns a fault that changes the configuration until it is healed."""
+
+    def begin(schedule: Schedule, until: float) -> None:
+        names = sorted(schedule.configuration.searchers)
+        change = {
+            "services": {"services": ("other",)},
+            "removed": {"removed": (schedule.rng.choice(names),)},
+            "drained": {"drained": (schedule.rng.choice(names),)},
+        }[field]
+        schedule.configure(**change)
+        schedule.at(until, schedule.configure)
+
+    return begin
+
+
+def _list_leaving(schedule: Schedule, until: float) -> None:
+    searchers = schedule.configuration.searchers
+    victim = searchers[schedule.rng.choice(sorted(searchers))]
+
+    def tell(leaving: bool) -> None:
+        host = Host(
+            victim.name, victim.zone, victim.address, leaving, "upstream"
+        )
+        for name in schedule.driver.settings:
+            schedule.driver.inject(name, events.HostsListed((host,)))
+
+    tell(True)
+    schedule.at(until, lambda: tell(False))
+
+
+FAULTS = {
+    "searcher_down": _searcher_switch(down=True),
+    "searcher_frozen": _searcher_switch(frozen=True),
+    "searcher_draining": _searcher_switch(draining=True),
+    "searcher_loses_answers": _searcher_switch(lose_answers=True),
+    "searcher_slow": _searcher_switch(service_s=0.25),
+    "snapshot_roll": _roll,
+    "repartition": _repartition,
+    "host_killed": _kill,
+    "host_restarted": _bounce,
+    "host_frozen": _freeze,
+    "zone_cut": _cut_zone,
+    "link_cut_one_way": _cut_one_way,
+    "store_down": _store_down,
+    "store_loses_answers": _store_loses,
+    "service_removed": _change("services"),
+    "searcher_removed": _change("removed"),
+    "searcher_drained": _change("drained"),
+    "host_list_says_leaving": _list_leaving,
+}
+
+
+def run_schedule(seed: int) -> Schedule:
+    """Runs the schedule of a seed.
+
+    Args:
+        seed: The seed; each of the pairs of faults comes up in turn.
+
+    Returns:
+        The schedule after its run.
+    """
+    rng = random.Random(seed)
+    settings = [Settings.model_validate(s) for s in daemon_settings(SHAPE, 2)]
+    driver = NodeDriver(settings, seed)
+    driver.peer_jitter_s = 0.001
+    driver.duplicate_share = 0.02
+    faults = tuple(rng.choices(sorted(FAULTS), k=2))
+    schedule = Schedule(driver, rng, faults)
+    for name in driver.settings:
+        driver.start(name)
+    schedule.configure()
+    schedule.run(1.5)
+    start = driver.now
+    for fault in faults:
+        begin = rng.uniform(start, start + 1.0)
+        until = rng.uniform(begin + 0.05, start + FAULTY_S)
+        schedule.at(begin, lambda f=fault, u=until: FAULTS[f](schedule, u))
+    for number in range(int(FAULTY_S / QUERY_INTERVAL_S)):
+        at = start + rng.uniform(0.0, FAULTY_S)
+        schedule.at(at, lambda n=number: _send_query(schedule, f"q{n}"))
+    schedule.run(FAULTY_S + HEAL_S)
+    for name in sorted(driver.settings):
+        _send_query(schedule, f"final-{name}", name)
+    schedule.run(1.0)
+    return schedule
+
+
+def _send_query(schedule: Schedule, request_id: str, host: str = "") -> None:
+    driver, rng = schedule.driver, schedule.rng
+    final = bool(host)
+    live = sorted(set(driver.nodes) - driver.frozen_nodes)
+    host = host or rng.choice(live)
+    wanted = () if final or rng.random() < 0.7 else ("a/0", "a/1")
+    query = Query(
+        request_id,
+        SERVICE,
+        json.dumps(request_id),
+        100,
+        driver.now + (0.3 if final else rng.choice(DEADLINES_S)),
+        repeatable=final or rng.random() < 0.7,
+        shards=wanted,
+    )
+    sent = SentQuery(query, host)
+    (schedule.final if final else schedule.sent).append(sent)
+    driver.inject(host, events.QueryReceived(query))
+
+
+def check_schedule(schedule: Schedule) -> list[str]:
+    """Checks all promises against what the searchers executed.
+
+    Args:
+        schedule: A schedule after its run.
+
+    Returns:
+        One text a violation.
+    """
+    executed = collections.defaultdict(list)
+    for fake in schedule.driver.searchers.values():
+        for item in fake.executed:
+            executed[item.content].append((item.shard, item.snapshot))
+    found = []
+    for sent in schedule.sent + schedule.final:
+        runs = executed[sent.query.content]
+        faults = _check_query(schedule.driver, sent, runs)
+        found += [f"{sent.query.request_id}: {text}" for text in faults]
+    for sent in schedule.final:
+        (action,) = schedule.driver.outcomes[sent.query.request_id] or (None,)
+        answer = getattr(action, "answer", None)
+        if answer is None or answer.missing:
+            found.append(f"{sent.query.request_id}: not healed: {action}")
+    for name, node in schedule.driver.nodes.items():
+        if node.board.queries or node.board.sub_queries:
+            found.append(f"{name}: queries left behind")
+    return found
+
+
+def _check_query(driver: NodeDriver, sent: SentQuery, runs) -> list[str]:
+    query = sent.query
+    outcomes = driver.outcomes[query.request_id]
+    if len(outcomes) > 1 or (sent.steady and not outcomes):
+        return [f"{len(outcomes)} outcomes"]
+    found = []
+    counts = collections.Counter(shard for shard, _ in runs)
+    if not query.repeatable and any(n > 1 for n in counts.values()):
+        found.append(f"not repeatable, executed {dict(counts)}")
+    if not outcomes:
+        return found
+    late = driver.outcome_times[query.request_id][0] - query.deadline
+    if sent.steady and late > ANSWER_GRACE_S:
+        found.append(f"answered {late:.4f} s after the deadline")
+    if isinstance(outcomes[0], actions.RefuseCaller):
+        return found + _check_refusal(outcomes[0].refusal, runs)
+    return found + _check_answer(query, outcomes[0].answer, set(runs))
+
+
+def _check_refusal(refusal, runs) -> list[str]:
+    found = []
+    if refusal.verdict is Verdict.NOT_RUN and runs:
+        found.append(f"said not run, executed {runs}")
+    if refusal.verdict is Verdict.RAN and not runs:
+        found.append("said that it ran, not executed")
+    if refusal.retry_after_s <= 0 or not isinstance(refusal.reason, Reason):
+        found.append(f"refusal without reason or retry time: {refusal}")
+    return found
+
+
+def _check_answer(query: Query, answer, runs) -> list[str]:
+    found = []
+    missing = [entry.shard for entry in answer.missing]
+    claimed = sorted([*answer.covered, *missing])
+    wanted = sorted(query.shards or shards_at(answer.snapshot))
+    if claimed != wanted:
+        found.append(f"claims {claimed} at {answer.snapshot}, not {wanted}")
+    keys = sorted((hit.shard, hit.key, hit.fields) for hit in answer.hits)
+    expected = sorted(
+        (shard, f"{shard}@{answer.snapshot}", query.content)
+        for shard in answer.covered
+    )
+    if keys != expected:
+        found.append(f"hits {keys}, not {expected}")
+    unproved = {(shard, answer.snapshot) for shard in answer.covered} - runs
+    if unproved:
+        found.append(f"covered but not executed: {unproved}")
+    ran = {shard for shard, _ in runs}
+    for entry in answer.missing:
+        if not isinstance(entry.reason, Reason):
+            found.append(f"missing without a reason: {entry}")
+        if entry.verdict is Verdict.NOT_RUN and entry.shard in ran:
+            found.append(f"executed: {entry}")
+        if entry.verdict is Verdict.RAN and entry.shard not in ran:
+            found.append(f"not executed: {entry}")
+    return found
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -34,6 +34,8 @@
         lose_answers: Execute, then break the connection.
         draining: Decline all work and say so.
         executed: The items executed, in order.
+        called_at: The times at which requests arrived.
+        declined: The items declined, with the reason.
     """
 
     held: tuple[int, ...] = (1,)
@@ -43,6 +45,8 @@
     lose_answers: bool = False
     draining: bool = False
     executed: list = dataclasses.field(default_factory=list)
+    called_at: list = dataclasses.field(default_factory=list)
+    declined: list = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
@@ -73,6 +77,9 @@
         searchers: The fake searchers by name.
         store: The fake store.
         outcomes: Final actions by request id.
+        outcome_times: When they were taken, by request id.
+        duplicate_share: Share of messages between nodes that arrive twice.
+        peer_jitter_s: Longest extra delay of a message between nodes.
         cut_links: Pairs of names (sender, receiver) whose messages are lost.
         frozen_nodes: Nodes that handle nothing until they are removed here.
         rng: The source of all randomness.
@@ -86,6 +93,9 @@
         self.searchers: dict[str, FakeSearcher] = {}
         self.store = FakeStore()
         self.outcomes: dict[str, list] = collections.defaultdict(list)
+        self.outcome_times = collections.defaultdict(list)
+        self.duplicate_share = 0.0
+        self.peer_jitter_s = 0.0
         self.logs: list[actions.LogEvent] = []
         self.cut_links: set[tuple[str, str]] = set()
         self.frozen_nodes: set[str] = set()
@@ -168,10 +178,14 @@
         handler(name, action)
 
     def _on_AnswerCaller(self, name, action):  # noqa: N802
-        self.outcomes[action.answer.request_id].append(action)
+        self._end(action.answer.request_id, action)
 
     def _on_RefuseCaller(self, name, action):  # noqa: N802
-        self.outcomes[action.refusal.request_id].append(action)
+        self._end(action.refusal.request_id, action)
+
+    def _end(self, request_id, action):
+        self.outcomes[request_id].append(action)
+        self.outcome_times[request_id].append(self.now)
 
     def _on_LogEvent(self, name, action):  # noqa: N802
         self.logs.append(action)
@@ -190,7 +204,10 @@
             self.after(PEER_DELAY_S, name, events.PeerLost(action.peer))
             return
         event = events.PeerMessageReceived(name, action.message)
-        self.after(PEER_DELAY_S, action.peer, event)
+        copies = 1 + (self.rng.random() < self.duplicate_share)
+        for _ in range(copies):
+            jitter = self.rng.uniform(0.0, self.peer_jitter_s)
+            self.after(PEER_DELAY_S + jitter, action.peer, event)
 
     def _on_ProbeUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
@@ -217,6 +234,7 @@
             )
             self.after(max(0.0, action.deadline - self.now), name, event)
             return
+        fake.called_at.append(self.now)
         results = tuple(self._execute(action, fake, i) for i in action.items)
         if fake.lose_answers:
             event = events.UpstreamFailed(call_id, Phase.SENT, Outcome.FAILED)
@@ -234,10 +252,12 @@
         elif item.snapshot not in fake.held:
             declined = Reason.SNAPSHOT_NOT_HELD
         if declined is not None:
+            fake.declined.append((item, declined))
             result = ShardResult(item.shard, name, Verdict.NOT_RUN, declined)
             return events.ItemResult(item.item_id, result)
         fake.executed.append(item)
-        hit = Hit(1.0, item.shard, f"{item.shard}@{item.snapshot}", "null")
+        key = f"{item.shard}@{item.snapshot}"
+        hit = Hit(1.0, item.shard, key, item.content)
         result = ShardResult(
             item.shard, name, Verdict.RAN, None, item.snapshot, (hit,)
         )
