--- a/kumquatspur/border/upstream_api.py
+++ b/kumquatspur/border/upstream_api.py
@@ -111,14 +111,19 @@
         item = asked.pop(model.item_id, None)
         if item is None:
             continue
-        found.append(ItemResult(item.item_id, _result(searcher, item, model)))
+        result = _result(searcher, item, model, tuple(sorted(reply.held)))
+        found.append(ItemResult(item.item_id, result))
     return tuple(found)
 
 
-def _result(searcher: str, item: Item, model: ItemModel) -> ShardResult:
+def _result(
+    searcher: str, item: Item, model: ItemModel, held: tuple[int, ...]
+) -> ShardResult:
     reason = _STATUS_REASON.get(model.status)
     if reason is not None:
-        return ShardResult(item.shard, searcher, Verdict.NOT_RUN, reason)
+        return ShardResult(
+            item.shard, searcher, Verdict.NOT_RUN, reason, held=held
+        )
     matches = (
         model.status == "ok"
         and model.shard == item.shard
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -18,6 +18,7 @@
     Service,
     ShardResult,
 )
+from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
@@ -64,6 +65,14 @@
     result: ShardResult | None = None
 
 
+@dataclasses.dataclass
+class SnapshotResults:
+    """The final result of every shard at one snapshot."""
+
+    snapshot: int
+    results: tuple[ShardResult, ...]
+
+
 @dataclasses.dataclass
 class QueryState:
     """A query that this node coordinates.
@@ -77,7 +86,9 @@
         attempts: All attempts, by shard.
         results: The final result of each shard that has one.
         rechosen: Whether the snapshot was already chosen again.
-        past_verdicts: Verdicts of attempts at an abandoned snapshot.
+        past_verdicts: Verdict of each shard at the abandoned snapshot.
+        past_sub_ids: The sub-queries at the abandoned snapshot.
+        fallback: What the abandoned snapshot gave, or None.
     """
 
     query: Query
@@ -87,7 +98,9 @@
     attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
     results: dict[str, ShardResult] = dataclasses.field(default_factory=dict)
     rechosen: bool = False
-    past_verdicts: list = dataclasses.field(default_factory=list)
+    past_verdicts: dict[str, Verdict] = dataclasses.field(default_factory=dict)
+    past_sub_ids: set[str] = dataclasses.field(default_factory=set)
+    fallback: "SnapshotResults | None" = None
 
     @property
     def service(self) -> Service:
@@ -137,6 +150,7 @@
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
+        seen_sub_queries: Sub-queries received whose deadline is to come.
         counters: Event counts by name.
         store_calls: What to do when a call to the store ends, by call id: a
             function of blackboard, `StoreCallEnded` and time that returns
@@ -158,6 +172,7 @@
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
+        self.seen_sub_queries: set[str] = set()
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -10,6 +10,7 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Query, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.retry import MIN_ATTEMPT_S
 
 
 def on_query(board: Blackboard, event: events.QueryReceived, now: float):
@@ -24,10 +25,10 @@
         Actions: messages to owners, or a refusal.
     """
     query = event.query
-    reason = _refusal_reason(board, query)
+    reason = _refusal_reason(board, query, now)
     if reason is None:
         snapshot = replica_selection.choose_snapshot(
-            board, board.configuration, query, frozenset()
+            board, board.configuration, query, now
         )
         if not snapshot:
             reason = Reason.NO_SNAPSHOT
@@ -148,7 +149,9 @@
     return found
 
 
-def _refusal_reason(board: Blackboard, query: Query) -> Reason | None:
+def _refusal_reason(
+    board: Blackboard, query: Query, now: float
+) -> Reason | None:
     configuration = board.configuration
     if not configuration.revision:
         return Reason.NO_CONFIGURATION
@@ -157,4 +160,6 @@
     known = replica_selection.all_shards(configuration, query)
     if not known.issuperset(query.shards):
         return Reason.UNKNOWN_SHARD
+    if now + MIN_ATTEMPT_S > query.deadline - query_scatter.ANSWER_MARGIN_S:
+        return Reason.TIMED_OUT
     return None
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -35,6 +35,10 @@
     Returns:
         Actions.
     """
+    if message.sub_id in board.seen_sub_queries:
+        board.counters["duplicate_sub_queries"] += 1
+        return []
+    board.seen_sub_queries.add(message.sub_id)
     state = SubQueryState(message, peer)
     board.sub_queries[message.sub_id] = state
     deadline = now + message.remaining_ms / 1000.0
@@ -84,7 +88,7 @@
     found = []
     for item in call.items:
         result = results.get(item.item_id)
-        if result is None:
+        if result is None or not _belongs(item, result):
             result = _failed_result(
                 queue, item, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
             )
@@ -152,6 +156,7 @@
     Returns:
         Actions.
     """
+    board.seen_sub_queries.discard(event.sub_id)
     state = board.sub_queries.get(event.sub_id)
     if state is None:
         return []
@@ -305,6 +310,12 @@
     return found
 
 
+def _belongs(item: actions.Item, result: ShardResult) -> bool:
+    covers = result.reason is None
+    same_snapshot = not covers or result.snapshot == item.snapshot
+    return result.shard == item.shard and same_snapshot
+
+
 def _failed_result(queue, item, verdict, reason) -> ShardResult:
     return ShardResult(item.shard, queue.searcher.name, verdict, reason)
 
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -1,12 +1,21 @@
 """Takes the results of a query's shards, and retries, chooses again or ends."""
 
+import collections
+import dataclasses
+
 from kumquatspur.controllers import query_scatter, replica_selection
-from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
+from kumquatspur.controllers.blackboard import (
+    Attempt,
+    Blackboard,
+    QueryState,
+    SnapshotResults,
+)
 from kumquatspur.core import actions
 from kumquatspur.core import verdict as verdicts
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Refusal, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.coverage import reason_of_attempts
 from kumquatspur.policy.merge import build_answer
 from kumquatspur.policy.retry import MIN_ATTEMPT_S, NextStep, next_step
 
@@ -17,6 +26,7 @@
     Reason.NO_SNAPSHOT: "no reachable searcher holds a snapshot",
     Reason.UNKNOWN_SERVICE: "the service is not configured",
     Reason.UNKNOWN_SHARD: "a shard named is not part of the service",
+    Reason.TIMED_OUT: "the deadline passed before any shard answered",
     Reason.LEAVING: "this host is stopping",
 }
 
@@ -46,13 +56,22 @@
     """
     attempt = _find_attempt(state, peer, sub_id, result)
     if attempt is None:
-        board.counters["foreign_results"] += 1
+        past = sub_id in state.past_sub_ids
+        board.counters["late_results" if past else "foreign_results"] += 1
         return []
+    if not _is_sound(state, result):
+        board.counters["invalid_results"] += 1
+        result = ShardResult(
+            result.shard,
+            attempt.searcher,
+            Verdict.MAY_HAVE_RUN,
+            Reason.UPSTREAM_FAILED,
+        )
     attempt.result = result
     if result.shard in state.results:
         board.counters["late_results"] += 1
         return []
-    if result.reason is None and result.snapshot == state.snapshot:
+    if result.reason is None:
         state.results[result.shard] = result
         return []
     return _retry_or_give_up(board, state, result, now)
@@ -86,9 +105,6 @@
     Returns:
         Actions.
     """
-    for shard in replica_selection.wanted_shards(state):
-        if shard not in state.results:
-            state.results[shard] = _unfinished(state, shard)
     return _finish(board, state)
 
 
@@ -112,17 +128,27 @@
 def _find_attempt(state: QueryState, peer, sub_id, result) -> Attempt | None:
     for attempt in state.attempts.get(result.shard, ()):
         same = attempt.sub_id == sub_id and attempt.owner == peer
+        # An owner that withdrew an item names no searcher.
+        same = same and result.searcher in (attempt.searcher, "")
         if same and attempt.result is None:
             return attempt
     return None
 
 
+def _is_sound(state: QueryState, result: ShardResult) -> bool:
+    if result.reason is not None:
+        return not result.hits
+    own_hits = all(hit.shard == result.shard for hit in result.hits)
+    ran = result.verdict is Verdict.RAN
+    return own_hits and ran and result.snapshot == state.snapshot
+
+
 def _retry_or_give_up(board, state: QueryState, result: ShardResult, now):
     shard = result.shard
     attempts = state.attempts[shard]
     if any(attempt.result is None for attempt in attempts):
         return []
-    verdict = verdicts.join(attempt.result.verdict for attempt in attempts)
+    verdict = _shard_verdict(state, shard)
     left = query_scatter.time_left_s(state, now)
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
     if step is NextStep.RETRY:
@@ -132,38 +158,69 @@
             board.counters["retries"] += 1
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, False, now)
-    if _should_rechoose(state, result, left):
-        return _rechoose(board, state, result, now)
-    state.results[shard] = ShardResult(
-        shard, result.searcher, verdict, result.reason
-    )
+    reason = reason_of_attempts(attempt.result for attempt in attempts)
+    state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
+    if reason is Reason.SNAPSHOT_NOT_HELD and left > MIN_ATTEMPT_S:
+        return _rechoose(board, state, now)
     return []
 
 
-def _should_rechoose(state: QueryState, result, left: float) -> bool:
-    return (
-        result.reason is Reason.SNAPSHOT_NOT_HELD
-        and not state.rechosen
-        and left > MIN_ATTEMPT_S
-        and state.query.repeatable
-    )
-
-
-def _rechoose(board, state: QueryState, result: ShardResult, now: float):
+def _rechoose(board: Blackboard, state: QueryState, now: float) -> list:
+    """Chooses the snapshot again, once, if another one covers more."""
+    safe = state.query.repeatable or _joined(state) is Verdict.NOT_RUN
+    if state.rechosen or not safe:
+        return []
     snapshot = replica_selection.choose_snapshot(
-        board, state.configuration, state.query, {state.snapshot}
+        board,
+        state.configuration,
+        state.query,
+        now,
+        _told(state),
+        state.snapshot,
     )
-    state.rechosen = True
-    if not snapshot:
-        state.results[result.shard] = result
+    if snapshot in (0, state.snapshot):
         return []
     board.counters["snapshot_rechosen"] += 1
-    for attempts in state.attempts.values():
-        state.past_verdicts.extend(_verdict(attempt) for attempt in attempts)
+    found = query_scatter.cancel_unfinished(board, state)
+    _abandon_snapshot(state)
     state.snapshot = snapshot
+    return found + query_scatter.scatter(board, state, now)
+
+
+def _told(state: QueryState) -> dict[str, tuple[int, ...]]:
+    """Returns what searchers said they hold when they held no snapshot."""
+    return {
+        attempt.searcher: attempt.result.held
+        for attempts in state.attempts.values()
+        for attempt in attempts
+        if attempt.result is not None
+        and attempt.result.reason is Reason.SNAPSHOT_NOT_HELD
+    }
+
+
+def _abandon_snapshot(state: QueryState) -> None:
+    state.rechosen = True
+    state.fallback = _settle(state)
+    state.past_verdicts = {
+        shard: _shard_verdict(state, shard) for shard in state.attempts
+    }
+    state.past_sub_ids = {
+        attempt.sub_id
+        for attempts in state.attempts.values()
+        for attempt in attempts
+    }
     state.attempts.clear()
     state.results.clear()
-    return query_scatter.scatter(board, state, now)
+
+
+def _settle(state: QueryState) -> SnapshotResults:
+    """Returns the results at the present snapshot; what lacks is late."""
+    results = tuple(
+        state.results.get(shard)
+        or ShardResult(shard, "", Verdict.MAY_HAVE_RUN, Reason.TIMED_OUT)
+        for shard in replica_selection.wanted_shards(state)
+    )
+    return SnapshotResults(state.snapshot, results)
 
 
 def _verdict(attempt: Attempt) -> Verdict:
@@ -172,22 +229,40 @@
     return attempt.result.verdict
 
 
-def _unfinished(state: QueryState, shard: str) -> ShardResult:
+def _shard_verdict(state: QueryState, shard: str) -> Verdict:
+    past = state.past_verdicts.get(shard, Verdict.NOT_RUN)
     attempts = state.attempts.get(shard, ())
-    verdict = verdicts.join(_verdict(attempt) for attempt in attempts)
-    return ShardResult(shard, "", verdict, Reason.TIMED_OUT)
+    return verdicts.join([past, *map(_verdict, attempts)])
+
 
+def _joined(state: QueryState) -> Verdict:
+    shards = state.attempts.keys() | state.past_verdicts.keys()
+    return verdicts.join(_shard_verdict(state, shard) for shard in shards)
 
-def _finish(board: Blackboard, state: QueryState):
+
+def _finish(board: Blackboard, state: QueryState) -> list:
     query = state.query
     del board.queries[query.request_id]
     found = query_scatter.cancel_unfinished(board, state)
-    answer = build_answer(
-        query.request_id, state.snapshot, query.limit, state.results.values()
-    )
-    verdict = verdicts.join([answer.verdict, *state.past_verdicts])
-    if not answer.covered:
-        reasons = [missing.reason for missing in answer.missing]
-        reason = reasons[0] if reasons else Reason.NO_REPLICA
-        return [*found, refuse(query.request_id, reason, verdict)]
-    return [*found, actions.AnswerCaller(answer)]
+    choices = filter(None, (_settle(state), state.fallback))
+    best = max(choices, key=_covered_share)
+    results = [_with_verdict(state, result) for result in best.results]
+    answer = build_answer(query.request_id, best.snapshot, query.limit, results)
+    if answer.covered:
+        return [*found, actions.AnswerCaller(answer)]
+    reasons = collections.Counter(result.reason for result in results)
+    reason = reasons.most_common(1)[0][0] if reasons else Reason.NO_REPLICA
+    return [*found, refuse(query.request_id, reason, _joined(state))]
+
+
+def _covered_share(found: SnapshotResults) -> float:
+    covered = sum(result.reason is None for result in found.results)
+    return covered / max(1, len(found.results))
+
+
+def _with_verdict(state: QueryState, result: ShardResult) -> ShardResult:
+    """Counts the attempts at both snapshots in what is said of a shard."""
+    if result.reason is None:
+        return result
+    verdict = _shard_verdict(state, result.shard)
+    return dataclasses.replace(result, verdict=verdict)
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -5,7 +5,6 @@
 from kumquatspur.controllers import placement, replica_selection
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions, events, messages
-from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
@@ -34,8 +33,9 @@
         if searcher:
             chosen.append((shard, searcher))
         else:
+            reason = replica_selection.missing_reason(board, state, shard, now)
             state.results[shard] = ShardResult(
-                shard, "", Verdict.NOT_RUN, Reason.NO_REPLICA
+                shard, "", Verdict.NOT_RUN, reason
             )
     extra_budget(board, state.service).earn(len(chosen))
     hedge_at = now + _hedge_delay_s(board, chosen)
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -5,14 +5,32 @@
 searcher that was removed or drained meanwhile gets no new work.
 """
 
+import types
 from collections import defaultdict
+from collections.abc import Mapping
 
 from kumquatspur.controllers import placement
-from kumquatspur.controllers.blackboard import Blackboard, QueryState
-from kumquatspur.core.records import Catalogue, Configuration, Query
+from kumquatspur.controllers.blackboard import (
+    Attempt,
+    Blackboard,
+    QueryState,
+)
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import (
+    Catalogue,
+    Configuration,
+    Query,
+    Searcher,
+)
 from kumquatspur.policy import snapshot as snapshots
+from kumquatspur.policy.coverage import reason_without_replica
 from kumquatspur.policy.replica_choice import Replica, choose_replica
 
+# Owners repeat all reports every few heartbeats; one that was not repeated for
+# this many is no longer trusted.
+REPORT_LIFE_HEARTBEATS = 12
+_NOTHING_TOLD = types.MappingProxyType({})
+
 
 def catalogues_of(
     configuration: Configuration, query: Query
@@ -40,6 +58,12 @@
     }
 
 
+def snapshot_shards(state: QueryState) -> tuple[str, ...]:
+    """Returns the shards that make up the snapshot chosen for a query."""
+    catalogues = catalogues_of(state.configuration, state.query)
+    return snapshots.shards_at(catalogues, state.snapshot)
+
+
 def wanted_shards(state: QueryState) -> tuple[str, ...]:
     """Returns the shards that the answer to a query is counted against.
 
@@ -47,39 +71,53 @@
         state: The query.
 
     Returns:
-        The shards wanted that belong to the snapshot chosen.
+        The shards that the caller named, also those that the snapshot does
+        not have; without any, all shards of the snapshot.
     """
-    catalogues = catalogues_of(state.configuration, state.query)
-    shards = snapshots.shards_at(catalogues, state.snapshot)
-    if state.query.shards:
-        return tuple(shard for shard in shards if shard in state.query.shards)
-    return shards
+    named = tuple(dict.fromkeys(state.query.shards))
+    return named or snapshot_shards(state)
 
 
 def choose_snapshot(
-    board: Blackboard, configuration: Configuration, query: Query, excluded
+    board: Blackboard,
+    configuration: Configuration,
+    query: Query,
+    now: float,
+    told: Mapping[str, tuple[int, ...]] = _NOTHING_TOLD,
+    current: int = 0,
 ) -> int:
     """Chooses the snapshot that a query is answered from.
 
+    Searchers that look unreachable count only if no other holds any.
+
     Args:
         board: The blackboard.
         configuration: The configuration that the query runs under.
         query: The query.
-        excluded: Snapshots that must not be chosen.
+        now: The current time.
+        told: What searchers told this query that they hold, by name.
+        current: The snapshot to stay with unless another one covers more.
 
     Returns:
         The snapshot, or 0 if no usable searcher holds any.
     """
-    relevant = all_shards(configuration, query)
-    held = defaultdict(set)
-    for name, searcher in board.configuration.searchers.items():
-        if not _usable(board, name) or not board.reports[name].report.reachable:
-            continue
-        for shard in relevant.intersection(searcher.shards):
-            held[shard].update(board.reports[name].report.held)
     catalogues = catalogues_of(configuration, query)
+    relevant = all_shards(configuration, query)
     wanted = frozenset(query.shards)
-    return snapshots.choose_snapshot(catalogues, held, excluded, wanted)
+    for answers in (_answers, _may_answer):
+        held = defaultdict(set)
+        for name, searcher in board.configuration.searchers.items():
+            shards = relevant.intersection(searcher.shards)
+            if not shards or not answers(board, searcher, now):
+                continue
+            for shard in shards:
+                held[shard].update(
+                    told.get(name, board.reports[name].report.held)
+                )
+        found = snapshots.choose_snapshot(catalogues, held, wanted, current)
+        if found:
+            return found
+    return 0
 
 
 def choose_searcher(
@@ -96,23 +134,19 @@
     Returns:
         The searcher's name, or "" if there is none.
     """
-    tried = {a.searcher for a in state.attempts.get(shard, ())}
+    tried = {a.searcher for a in state.attempts.get(shard, ()) if _tried(a)}
     replicas = []
     for searcher in board.configuration.searchers.values():
         if shard not in searcher.shards or searcher.name in tried:
             continue
-        if not _usable(board, searcher.name):
+        if _obstacle(board, state, searcher, now) is not None:
             continue
         report = board.reports[searcher.name].report
-        if state.snapshot not in report.held:
-            continue
-        if not placement.ranked_owners(board, searcher, now):
-            continue
         replicas.append(
             Replica(
                 searcher.name,
                 searcher.zone == board.settings.zone,
-                report.reachable,
+                _answers(board, searcher, now),
                 report.backlog,
                 searcher.slots,
                 report.latency_ms,
@@ -122,8 +156,65 @@
     return replica.searcher if replica else ""
 
 
-def _usable(board: Blackboard, searcher: str) -> bool:
-    known = board.reports.get(searcher)
-    if known is None or searcher in board.configuration.drained:
+def missing_reason(
+    board: Blackboard, state: QueryState, shard: str, now: float
+) -> Reason:
+    """Returns why no searcher can be asked for a shard.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: A shard for which `choose_searcher` found none.
+        now: The current time.
+
+    Returns:
+        The reason.
+    """
+    if shard not in snapshot_shards(state):
+        return Reason.UNKNOWN_SHARD
+    obstacles = [
+        _obstacle(board, state, searcher, now)
+        for searcher in board.configuration.searchers.values()
+        if shard in searcher.shards
+    ]
+    return reason_without_replica(filter(None, obstacles))
+
+
+def _obstacle(
+    board: Blackboard, state: QueryState, searcher: Searcher, now: float
+) -> Reason | None:
+    if _leaving(board, searcher):
+        return Reason.REFUSED
+    if not placement.ranked_owners(board, searcher, now):
+        return Reason.ZONE_UNREACHABLE
+    known = board.reports.get(searcher.name)
+    if known is None:
+        return Reason.NO_REPLICA
+    if state.snapshot not in known.report.held:
+        return Reason.SNAPSHOT_NOT_HELD
+    return None
+
+
+def _tried(attempt: Attempt) -> bool:
+    """A lost owner's searcher may be asked again through the next owner."""
+    result = attempt.result
+    return result is None or result.reason is not Reason.PEER_LOST
+
+
+def _leaving(board: Blackboard, searcher: Searcher) -> bool:
+    known = board.reports.get(searcher.name)
+    told = known is not None and known.report.draining
+    return told or searcher.name in board.configuration.drained
+
+
+def _may_answer(board: Blackboard, searcher: Searcher, now: float) -> bool:
+    known = searcher.name in board.reports and not _leaving(board, searcher)
+    return known and bool(placement.ranked_owners(board, searcher, now))
+
+
+def _answers(board: Blackboard, searcher: Searcher, now: float) -> bool:
+    if not _may_answer(board, searcher, now):
         return False
-    return not known.report.draining
+    known = board.reports[searcher.name]
+    life_s = REPORT_LIFE_HEARTBEATS * board.settings.timing.heartbeat_s
+    return known.report.reachable and now - known.received <= life_s
--- a/kumquatspur/policy/snapshot.py
+++ b/kumquatspur/policy/snapshot.py
@@ -27,35 +27,38 @@
             if layout.first_snapshot <= snapshot:
                 current = layout.shards
         shards.extend(current)
-    return tuple(shards)
+    return tuple(dict.fromkeys(shards))
 
 
 def choose_snapshot(
     catalogues: Iterable[Catalogue],
     held: Mapping[str, Set[int]],
-    excluded: Set[int] = frozenset(),
     wanted: Set[str] = frozenset(),
+    current: int = 0,
 ) -> int:
     """Chooses the newest of the snapshots with the best coverage.
 
+    The shards wanted that a snapshot does not have count as not covered.
+
     Args:
         catalogues: The catalogues searched.
         held: The snapshots that usable replicas hold, by shard.
-        excluded: Snapshots that must not be chosen.
         wanted: The shards wanted; empty for all.
+        current: The snapshot to stay with unless another one covers more.
 
     Returns:
         The snapshot, or 0 if no usable replica holds any.
     """
     catalogues = tuple(catalogues)
     candidates = set().union(*held.values()) if held else set()
-    best = (0.0, 0)
-    for snapshot in candidates - excluded:
-        shards = shards_at(catalogues, snapshot)
-        if wanted:
-            shards = tuple(shard for shard in shards if shard in wanted)
-        if not shards:
-            continue
-        holding = sum(snapshot in held.get(shard, ()) for shard in shards)
-        best = max(best, (holding / len(shards), snapshot))
-    return best[1]
+    best = (0.0, False, 0)
+    for snapshot in candidates:
+        shards = set(shards_at(catalogues, snapshot))
+        asked = wanted or shards
+        holding = sum(
+            snapshot in held.get(shard, ()) for shard in shards & asked
+        )
+        if holding:
+            share = holding / len(asked)
+            best = max(best, (share, snapshot == current, snapshot))
+    return best[2]
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -253,7 +253,9 @@
             declined = Reason.SNAPSHOT_NOT_HELD
         if declined is not None:
             fake.declined.append((item, declined))
-            result = ShardResult(item.shard, name, Verdict.NOT_RUN, declined)
+            result = ShardResult(
+                item.shard, name, Verdict.NOT_RUN, declined, held=fake.held
+            )
             return events.ItemResult(item.item_id, result)
         fake.executed.append(item)
         key = f"{item.shard}@{item.snapshot}"
