Change single configuration files from the command line through the API

Cause: a team with a key of the administration API but without access to the store had no command to use it. Before: only curl.

--- a/kumquatspur/scripts/http_calls.py
+++ b/kumquatspur/scripts/http_calls.py
@@ -55,12 +55,30 @@
     """
     headers = {"Authorization": f"Bearer {key}"} if key else {}
     data = json.dumps(body) if body is not None else None
+    return call_raw(method, address, path, data, headers)
+
+
+def call_raw(
+    method: str, address: Address, path: str, data: str | None, headers: dict
+) -> tuple[HttpReply | None, list[Diagnostic]]:
+    """Sends a request with a body of text.
+
+    Args:
+        method: HTTP method.
+        address: The server.
+        path: Path of the resource.
+        data: The body, or None.
+        headers: The headers.
+
+    Returns:
+        The reply, or None, and the errors found.
+    """
     pool = urllib3.HTTPConnectionPool(address.host, address.port)
     try:
         response = pool.urlopen(
             method,
             path,
-            body=data,
+            body=data.encode() if data is not None else None,
             headers=headers,
             retries=False,
             timeout=TIMEOUT_S,
--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -14,6 +14,7 @@
 from kumquatspur.scripts import (
     burn_command,
     config_commands,
+    file_commands,
     query_commands,
 )
 from kumquatspur.scripts import status_commands as status
@@ -34,6 +35,17 @@
     str, cappa.Arg(long=True, help="Key of the administration API.")
 ]
 
+OneAdmin = Annotated[
+    str, cappa.Arg(long="--admin", help="Administration address of a daemon.")
+]
+BaseRevision = Annotated[
+    int | None,
+    cappa.Arg(long=True, help="Revision that the change was made from."),
+]
+DryRun = Annotated[
+    bool, cappa.Arg(long=True, help="Check only; change nothing.")
+]
+
 
 @cappa.command(name="query")
 @dataclass
@@ -137,6 +149,48 @@
         return config_commands.run_history(self)
 
 
+@cappa.command(name="put")
+@dataclass
+class PutCommand:
+    """Adds or replaces one file through the administration API.
+
+    Example: kumquatspur config put desk-1.json --admin 127.0.0.1:21012
+    --admin-key KEY --dry-run
+    """
+
+    file: Annotated[str, cappa.Arg(help="The file; its name is kept.")]
+    admin: OneAdmin
+    admin_key: AdminKey
+    revision: BaseRevision = None
+    dry_run: DryRun = False
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return file_commands.run_put(self)
+
+
+@cappa.command(name="remove")
+@dataclass
+class RemoveCommand:
+    """Removes one file through the administration API.
+
+    Example: kumquatspur config remove desk-1.json --admin 127.0.0.1:21012
+    --admin-key KEY
+    """
+
+    name: Annotated[str, cappa.Arg(help="The file's name.")]
+    admin: OneAdmin
+    admin_key: AdminKey
+    revision: BaseRevision = None
+    dry_run: DryRun = False
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return file_commands.run_remove(self)
+
+
 @cappa.command(name="status")
 @dataclass
 class ConfigStatusCommand:
@@ -164,6 +218,8 @@
         | PushCommand
         | DiffCommand
         | HistoryCommand
+        | PutCommand
+        | RemoveCommand
         | ConfigStatusCommand
     ]
 
--- a/kumquatspur/scripts/kumquatspur_test.py
+++ b/kumquatspur/scripts/kumquatspur_test.py
@@ -80,6 +80,25 @@
         self.assertEqual(run_tool("status", *admin)[0], 0)
         code, out, _ = run_tool("report", "burn", "--json", *admin)
         self.assertEqual(json.loads(out)["asked"], ["oslo-1-a"])
+        self.check_put_and_remove()
+
+    def check_put_and_remove(self):
+        admin = ("--admin", self.admin, "--admin-key", ADMIN_KEY)
+        path = self.folder.parent / "95.json"
+        path.write_text("{}")
+        old = ("--revision", "0")
+        cases = [
+            (("put", str(path), "--dry-run"), 0, "would be accepted"),
+            (("put", str(path), *old), 3, "stale_revision"),
+            (("put", str(path)), 0, "revision 2 accepted"),
+            (("remove", "95.json"), 0, "revision 3 accepted"),
+            (("remove", "95.json"), 2, "no such file"),
+        ]
+        for arguments, expected, message in cases:
+            with self.subTest(arguments=arguments):
+                code, out, err = run_tool("config", *arguments, *admin)
+                self.assertEqual(code, expected)
+                self.assertIn(message, out + err)
 
     def test_errors(self):
         bad = self.folder.parent / "bad"
