Leaving upstreams get no new work, whichever signal comes first

Cause: entries of the host list for upstreams were ignored; a status probe overruled the drain flag of an answer; a refused connection only added a penalty, so kept connections went on taking work; items that waited for a slot were still sent; a new owner started without what the former one knew. Change: policy/leaving.py keeps each signal in force until something that may overrule it does; the owner declines new and waiting items, tells all entry hosts, and probes at once after a refused connection. Work kept from a leaving searcher is retried without spending the budget of extra attempts, since no upstream ran it. A connect time-out is told apart from a refused connection. A searcher removed from the configuration loses its queue and its report.

--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -20,6 +20,7 @@
 )
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.leaving import LeavingState
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 
@@ -147,6 +148,9 @@
         reports: The latest report of each searcher.
         queries: Queries under way by request id.
         queues: Queues of owned searchers by name.
+        leaving: Signs that a searcher called from here is leaving, by name.
+        listed_leaving: Names and addresses of the upstreams that the host
+            list says are leaving.
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
@@ -169,6 +173,8 @@
         self.reports: dict[str, KnownReport] = {}
         self.queries: dict[str, QueryState] = {}
         self.queues: dict[str, SearcherQueue] = {}
+        self.leaving: dict[str, LeavingState] = {}
+        self.listed_leaving: frozenset[str | Address] = frozenset()
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -30,8 +30,11 @@
     events.UpstreamFailed: (owner.on_upstream_failed,),
     events.ProbeAnswered: (owner.on_probe_answered,),
     events.ProbeFailed: (owner.on_probe_failed,),
-    events.ConfigurationReceived: (membership.on_configuration,),
-    events.HostsListed: (membership.on_hosts_listed,),
+    events.ConfigurationReceived: (
+        membership.on_configuration,
+        owner.on_configuration,
+    ),
+    events.HostsListed: (membership.on_hosts_listed, owner.on_hosts_listed),
     events.PeerLost: (membership.on_peer_lost, coordinator.on_peer_lost),
     events.StopRequested: (membership.on_stop,),
     events.QueryHedgeDue: (coordinator.on_hedge_due,),
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -10,6 +10,7 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import ShardResult
 from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
+from kumquatspur.policy.leaving import LeavingState, Signal
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
@@ -83,7 +84,9 @@
     if call is None:
         board.counters["late_upstream_answers"] += 1
         return []
-    _note_state(board, queue, event.held, event.draining, now)
+    if event.draining:
+        _leaving(board, queue).note(Signal.ANSWER, now)
+    _note_state(board, queue, event.held, now)
     results = {entry.item_id: entry.result for entry in event.results}
     found = []
     for item in call.items:
@@ -113,12 +116,13 @@
     call = queue.finish(event.call_id, now) if queue else None
     if call is None:
         return []
+    found = []
     if event.phase is Phase.CONNECTING or event.outcome is Outcome.FAILED:
         queue.reachable = False
+        found += _note_refusal(board, queue, event, now)
         _publish(board, queue, now)
     verdict = verdict_of(event.phase, event.outcome)
     reason = _FAILURE_REASON[event.outcome]
-    found = []
     for item in call.items:
         result = _failed_result(queue, item, verdict, reason)
         found += _complete(board, item, result)
@@ -197,14 +201,18 @@
     jitter = board.rng.uniform(0.9, 1.1)
     board.schedule(now + interval * jitter, events.ProbeDue())
     found = []
-    for searcher in board.configuration.searchers.values():
-        if placement.is_owned(board, searcher, now):
-            _queue(board, searcher.name)
-            found.append(actions.ProbeUpstream(searcher))
-        elif searcher.name in board.queues:
-            queue = board.queues[searcher.name]
-            if not queue.backlog():
-                del board.queues[searcher.name]
+    owned = {
+        searcher.name: searcher
+        for searcher in board.configuration.searchers.values()
+        if placement.is_owned(board, searcher, now)
+    }
+    for searcher in owned.values():
+        _queue(board, searcher.name)
+        found.append(actions.ProbeUpstream(searcher))
+    for name in board.queues.keys() - owned.keys():
+        if not board.queues[name].backlog():
+            del board.queues[name]
+            board.leaving.pop(name, None)
     return found
 
 
@@ -220,9 +228,14 @@
         Actions.
     """
     queue = board.queues.get(event.searcher)
-    if queue is not None:
-        _note_state(board, queue, event.held, event.draining, now)
-    return []
+    if queue is None:
+        return []
+    if event.draining:
+        _leaving(board, queue).note(Signal.PROBE, now)
+    else:
+        _leaving(board, queue).note_probe_healthy(now)
+    _note_state(board, queue, event.held, now)
+    return _dispatch(board, queue, now)
 
 
 def on_probe_failed(board: Blackboard, event: events.ProbeFailed, now: float):
@@ -239,10 +252,54 @@
     queue = board.queues.get(event.searcher)
     if queue is not None:
         queue.reachable = False
+        _leaving(board, queue).note_probe_failed()
         _publish(board, queue, now)
     return []
 
 
+def on_hosts_listed(board: Blackboard, event: events.HostsListed, now: float):
+    """Takes the upstreams that the platform's host list says are leaving.
+
+    Args:
+        board: The blackboard.
+        event: The list.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    leaving = [h for h in event.hosts if h.leaving and h.role == "upstream"]
+    names = frozenset(host.name for host in leaving)
+    board.listed_leaving = names | {host.address for host in leaving}
+    return _note_withdrawals(board, now)
+
+
+def on_configuration(
+    board: Blackboard, event: events.ConfigurationReceived, now: float
+):
+    """Forgets searchers removed and declines what waits for those drained.
+
+    Args:
+        board: The blackboard.
+        event: The configuration.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    for name in board.reports.keys() - board.configuration.searchers.keys():
+        del board.reports[name]
+    return _note_withdrawals(board, now)
+
+
+def _note_withdrawals(board: Blackboard, now: float) -> list:
+    found = []
+    for queue in list(board.queues.values()):
+        _publish(board, queue, now, changed=False)
+        found += _dispatch(board, queue, now)
+    return found
+
+
 def build_report(queue: SearcherQueue) -> messages.SearcherReport:
     """Builds the report of an owned searcher.
 
@@ -271,6 +328,7 @@
     if queue is None:
         queue = SearcherQueue(searcher)
         board.queues[name] = queue
+        _take_over(board, queue)
     queue.searcher = searcher
     return queue
 
@@ -292,12 +350,12 @@
 def _admit(board, queue, target, item, now: float) -> Reason | None:
     if queue is None:
         return Reason.NO_REPLICA
-    if target.searcher in board.configuration.drained:
-        return Reason.REFUSED
     return queue.admit(item, now)
 
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
+    if queue.draining:
+        return _decline_waiting(board, queue)
     found = []
     while items := queue.take_batch():
         call_id = board.new_id()
@@ -316,6 +374,45 @@
     return result.shard == item.shard and same_snapshot
 
 
+def _decline_waiting(board: Blackboard, queue: SearcherQueue) -> list:
+    found = []
+    while queue.waiting:
+        item = queue.waiting.popleft()
+        result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.REFUSED)
+        found += _complete(board, item, result)
+    return found
+
+
+def _leaving(board: Blackboard, queue: SearcherQueue) -> LeavingState:
+    return board.leaving.setdefault(queue.searcher.name, LeavingState())
+
+
+def _note_refusal(board, queue: SearcherQueue, event, now: float) -> list:
+    """Probes an upstream that closed its listener: is it leaving or down?"""
+    refused = (Phase.CONNECTING, Outcome.FAILED)
+    if (event.phase, event.outcome) != refused:
+        return []
+    _leaving(board, queue).note(Signal.CONNECTION_REFUSED, now)
+    return [actions.ProbeUpstream(queue.searcher)]
+
+
+def _take_over(board: Blackboard, queue: SearcherQueue) -> None:
+    """Starts from what the former owner reported."""
+    known = board.reports.get(queue.searcher.name)
+    if known is not None:
+        queue.held = known.report.held
+        queue.reachable = known.report.reachable
+        withdrawn = placement.is_withdrawn(board, queue.searcher.name)
+        if known.report.draining and not withdrawn:
+            _leaving(board, queue).note(Signal.ANSWER, known.received)
+    queue.draining = _takes_no_work(board, queue)
+
+
+def _takes_no_work(board: Blackboard, queue: SearcherQueue) -> bool:
+    leaving = _leaving(board, queue).is_leaving()
+    return leaving or placement.is_withdrawn(board, queue.searcher.name)
+
+
 def _failed_result(queue, item, verdict, reason) -> ShardResult:
     return ShardResult(item.shard, queue.searcher.name, verdict, reason)
 
@@ -397,18 +494,19 @@
     return Verdict.MAY_HAVE_RUN
 
 
-def _note_state(board, queue: SearcherQueue, held, draining: bool, now):
-    changed = (
-        held != queue.held or draining != queue.draining or not queue.reachable
-    )
+def _note_state(board, queue: SearcherQueue, held, now):
+    changed = held != queue.held or not queue.reachable
     queue.held = held
-    queue.draining = draining
     queue.reachable = True
     _publish(board, queue, now, changed)
 
 
 def _publish(board: Blackboard, queue: SearcherQueue, now, changed=True):
+    draining = _takes_no_work(board, queue)
+    changed = changed or draining != queue.draining
+    queue.draining = draining
     report = build_report(queue)
-    board.reports[report.searcher] = KnownReport(report, now)
+    if report.searcher in board.configuration.searchers:
+        board.reports[report.searcher] = KnownReport(report, now)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -49,3 +49,19 @@
         return False
     owners = ranked_owners(board, searcher, now)
     return bool(owners) and owners[0] == board.settings.name
+
+
+def is_withdrawn(board: Blackboard, name: str) -> bool:
+    """Returns whether operators or the host list ask for no new work.
+
+    Args:
+        board: The blackboard.
+        name: The searcher's name.
+
+    Returns:
+        True if it is not configured, drained, or leaving by the host list.
+    """
+    searcher = board.configuration.searchers.get(name)
+    if searcher is None or name in board.configuration.drained:
+        return True
+    return bool(board.listed_leaving & {name, searcher.address})
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -153,8 +153,7 @@
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
     if step is NextStep.RETRY:
         searcher = replica_selection.choose_searcher(board, state, shard, now)
-        budget = query_scatter.extra_budget(board, state.service)
-        if searcher and budget.spend():
+        if searcher and _pays_for_retry(board, state, result):
             board.counters["retries"] += 1
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, False, now)
@@ -165,6 +164,14 @@
     return []
 
 
+def _pays_for_retry(board: Blackboard, state: QueryState, result) -> bool:
+    """Work that its owner kept from a leaving searcher moves for free."""
+    kept = result.verdict is Verdict.NOT_RUN
+    if kept and replica_selection.is_leaving(board, result.searcher):
+        return True
+    return query_scatter.extra_budget(board, state.service).spend()
+
+
 def _rechoose(board: Blackboard, state: QueryState, now: float) -> list:
     """Chooses the snapshot again, once, if another one covers more."""
     safe = state.query.repeatable or _joined(state) is Verdict.NOT_RUN
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -183,7 +183,7 @@
 def _obstacle(
     board: Blackboard, state: QueryState, searcher: Searcher, now: float
 ) -> Reason | None:
-    if _leaving(board, searcher):
+    if is_leaving(board, searcher.name):
         return Reason.REFUSED
     if not placement.ranked_owners(board, searcher, now):
         return Reason.ZONE_UNREACHABLE
@@ -201,15 +201,17 @@
     return result is None or result.reason is not Reason.PEER_LOST
 
 
-def _leaving(board: Blackboard, searcher: Searcher) -> bool:
-    known = board.reports.get(searcher.name)
+def is_leaving(board: Blackboard, name: str) -> bool:
+    """Returns whether a searcher must get no new work, as known here."""
+    known = board.reports.get(name)
     told = known is not None and known.report.draining
-    return told or searcher.name in board.configuration.drained
+    return told or placement.is_withdrawn(board, name)
 
 
 def _may_answer(board: Blackboard, searcher: Searcher, now: float) -> bool:
-    known = searcher.name in board.reports and not _leaving(board, searcher)
-    return known and bool(placement.ranked_owners(board, searcher, now))
+    if searcher.name not in board.reports or is_leaving(board, searcher.name):
+        return False
+    return bool(placement.ranked_owners(board, searcher, now))
 
 
 def _answers(board: Blackboard, searcher: Searcher, now: float) -> bool:
--- /dev/null
+++ b/kumquatspur/policy/leaving_test.py
@@ -0,0 +1,40 @@
+import unittest
+
+from kumquatspur.policy.leaving import HOLD_S, LeavingState, Signal
+
+# Steps: a signal, "failed" or "healthy" for a probe, or seconds to wait.
+CASES = [
+    ([], False),
+    ([Signal.PROBE], True),
+    ([Signal.PROBE, "healthy"], False),
+    ([Signal.ANSWER, "healthy"], True),
+    ([Signal.ANSWER, "failed", "healthy"], False),
+    ([Signal.ANSWER, Signal.PROBE, "healthy"], False),
+    ([Signal.PROBE, Signal.ANSWER, "healthy"], False),
+    ([Signal.ANSWER, HOLD_S - 1.0, "healthy"], True),
+    ([Signal.ANSWER, HOLD_S, "healthy"], False),
+    ([Signal.CONNECTION_REFUSED, "failed"], True),
+    ([Signal.CONNECTION_REFUSED, "failed", "healthy"], False),
+    (["failed", Signal.CONNECTION_REFUSED, "healthy"], True),
+]
+
+
+class LeavingStateTest(unittest.TestCase):
+    def test_what_ends_a_signal(self):
+        for steps, leaving in CASES:
+            with self.subTest(steps=steps):
+                state, now = LeavingState(), 0.0
+                for step in steps:
+                    if isinstance(step, float):
+                        now += step
+                    elif isinstance(step, Signal):
+                        state.note(step, now)
+                    elif step == "failed":
+                        state.note_probe_failed()
+                    else:
+                        state.note_probe_healthy(now)
+                self.assertIs(state.is_leaving(), leaving)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -13,12 +13,6 @@
 
 _JSON = {"Content-Type": "application/json"}
 
-# Failures before the first byte of the request was handed to the kernel.
-_NOT_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
-
 
 class UpstreamClient:
     """Sends requests to searchers over kept connections.
@@ -56,10 +50,15 @@
                 retries=False,
                 timeout=self._timeout(left),
             )
-        except _NOT_SENT:
+        # These two come before any byte was handed to the kernel.
+        except urllib3.exceptions.NewConnectionError:
             return events.UpstreamFailed(
                 call.call_id, Phase.CONNECTING, Outcome.FAILED
             )
+        except urllib3.exceptions.ConnectTimeoutError:
+            return events.UpstreamFailed(
+                call.call_id, Phase.CONNECTING, Outcome.TIMED_OUT
+            )
         except urllib3.exceptions.TimeoutError:
             return events.UpstreamFailed(
                 call.call_id, Phase.SENT, Outcome.TIMED_OUT
--- a/standins/fault_schedules.py
+++ b/standins/fault_schedules.py
@@ -159,8 +159,8 @@
     """Returns a fault that sets fields of a searcher until it is healed."""
 
     def begin(schedule: Schedule, until: float) -> None:
-        names = sorted(schedule.driver.searchers)
-        fake = schedule.driver.searchers[schedule.rng.choice(names)]
+        victim = schedule.rng.choice(sorted(schedule.driver.searchers))
+        fake = schedule.driver.searchers[victim]
         healthy = FakeSearcher()
         for field, value in faulty.items():
             setattr(fake, field, value)
@@ -291,18 +291,9 @@
 
 
 def _list_leaving(schedule: Schedule, until: float) -> None:
-    searchers = schedule.configuration.searchers
-    victim = searchers[schedule.rng.choice(sorted(searchers))]
-
-    def tell(leaving: bool) -> None:
-        host = Host(
-            victim.name, victim.zone, victim.address, leaving, "upstream"
-        )
-        for name in schedule.driver.settings:
-            schedule.driver.inject(name, events.HostsListed((host,)))
-
-    tell(True)
-    schedule.at(until, lambda: tell(False))
+    victim = schedule.rng.choice(sorted(schedule.configuration.searchers))
+    list_upstream(schedule, victim, True)
+    schedule.at(until, lambda: list_upstream(schedule, victim, False))
 
 
 FAULTS = {
@@ -327,26 +318,40 @@
 }
 
 
-def run_schedule(seed: int) -> Schedule:
-    """Runs the schedule of a seed.
+def start_schedule(seed: int, faults: tuple[str, ...] = ()) -> Schedule:
+    """Starts all hosts and searchers and waits until they know each other.
 
     Args:
-        seed: The seed; each of the pairs of faults comes up in turn.
+        seed: The seed.
+        faults: The names of the faults that are to happen.
 
     Returns:
-        The schedule after its run.
+        The schedule, with nothing faulty yet.
     """
-    rng = random.Random(seed)
     settings = [Settings.model_validate(s) for s in daemon_settings(SHAPE, 2)]
     driver = NodeDriver(settings, seed)
     driver.peer_jitter_s = 0.001
     driver.duplicate_share = 0.02
-    faults = tuple(rng.choices(sorted(FAULTS), k=2))
-    schedule = Schedule(driver, rng, faults)
+    schedule = Schedule(driver, random.Random(seed), faults)
     for name in driver.settings:
         driver.start(name)
     schedule.configure()
     schedule.run(1.5)
+    return schedule
+
+
+def run_schedule(seed: int) -> Schedule:
+    """Runs the schedule of a seed.
+
+    Args:
+        seed: The seed; it decides on the faults and all times.
+
+    Returns:
+        The schedule after its run.
+    """
+    faults = tuple(random.Random(seed).choices(sorted(FAULTS), k=2))
+    schedule = start_schedule(seed, faults)
+    driver, rng = schedule.driver, schedule.rng
     start = driver.now
     for fault in faults:
         begin = rng.uniform(start, start + 1.0)
@@ -357,28 +362,49 @@
         schedule.at(at, lambda n=number: _send_query(schedule, f"q{n}"))
     schedule.run(FAULTY_S + HEAL_S)
     for name in sorted(driver.settings):
-        _send_query(schedule, f"final-{name}", name)
+        send_query(schedule, f"final-{name}", name)
     schedule.run(1.0)
     return schedule
 
 
-def _send_query(schedule: Schedule, request_id: str, host: str = "") -> None:
+def send_query(schedule: Schedule, request_id: str, host: str, **fields):
+    """Sends a query that a healthy system answers in full.
+
+    Args:
+        schedule: The schedule.
+        request_id: The query's identifier.
+        host: The entry host.
+        **fields: Fields of the `Query` to replace.
+    """
+    now = schedule.driver.now
+    content = json.dumps(request_id)
+    query = Query(request_id, SERVICE, content, 100, now + 0.3)
+    query = dataclasses.replace(query, **fields)
+    schedule.final.append(SentQuery(query, host))
+    schedule.driver.inject(host, events.QueryReceived(query))
+
+
+def list_upstream(schedule: Schedule, victim: str, leaving: bool) -> None:
+    """Has the host list, at every host, say whether a searcher is leaving."""
+    searcher = schedule.configuration.searchers[victim]
+    host = Host(victim, searcher.zone, searcher.address, leaving, "upstream")
+    for name in schedule.driver.settings:
+        schedule.driver.inject(name, events.HostsListed((host,)))
+
+
+def _send_query(schedule: Schedule, request_id: str) -> None:
     driver, rng = schedule.driver, schedule.rng
-    final = bool(host)
-    live = sorted(set(driver.nodes) - driver.frozen_nodes)
-    host = host or rng.choice(live)
-    wanted = () if final or rng.random() < 0.7 else ("a/0", "a/1")
+    host = rng.choice(sorted(set(driver.nodes) - driver.frozen_nodes))
     query = Query(
         request_id,
         SERVICE,
         json.dumps(request_id),
         100,
-        driver.now + (0.3 if final else rng.choice(DEADLINES_S)),
-        repeatable=final or rng.random() < 0.7,
-        shards=wanted,
+        driver.now + rng.choice(DEADLINES_S),
+        repeatable=rng.random() < 0.7,
+        shards=() if rng.random() < 0.7 else ("a/0", "a/1"),
     )
-    sent = SentQuery(query, host)
-    (schedule.final if final else schedule.sent).append(sent)
+    schedule.sent.append(SentQuery(query, host))
     driver.inject(host, events.QueryReceived(query))
 
 
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -33,6 +33,8 @@
         frozen: Execute nothing and never answer.
         lose_answers: Execute, then break the connection.
         draining: Decline all work and say so.
+        hides_draining: Tell status probes that it is not draining.
+        refuse_calls: Coming requests refused while probes are answered.
         executed: The items executed, in order.
         called_at: The times at which requests arrived.
         declined: The items declined, with the reason.
@@ -44,6 +46,8 @@
     frozen: bool = False
     lose_answers: bool = False
     draining: bool = False
+    hides_draining: bool = False
+    refuse_calls: int = 0
     executed: list = dataclasses.field(default_factory=list)
     called_at: list = dataclasses.field(default_factory=list)
     declined: list = dataclasses.field(default_factory=list)
@@ -214,15 +218,17 @@
         if fake.down or fake.frozen:
             event = events.ProbeFailed(action.searcher.name)
         else:
+            draining = fake.draining and not fake.hides_draining
             event = events.ProbeAnswered(
-                action.searcher.name, fake.held, fake.draining, 0
+                action.searcher.name, fake.held, draining, 0
             )
         self.after(PEER_DELAY_S, name, event)
 
     def _on_CallUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
         call_id = action.call_id
-        if fake.down:
+        if fake.down or fake.refuse_calls:
+            fake.refuse_calls = max(0, fake.refuse_calls - 1)
             event = events.UpstreamFailed(
                 call_id, Phase.CONNECTING, Outcome.FAILED
             )
