--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -111,7 +111,9 @@
         revision=board.configuration.revision,
         leaving=board.stopping,
         reports=tuple(
-            owner.build_report(board.queues[name]) for name in sorted(names)
+            owner.build_report(board.queues[name])
+            for name in sorted(names)
+            if owner.is_known(board.queues[name])
         ),
     )
     return [
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -300,6 +300,11 @@
     return found
 
 
+def is_known(queue: SearcherQueue) -> bool:
+    """Returns whether anything was heard from or of a searcher."""
+    return queue.reachable or bool(queue.held)
+
+
 def build_report(queue: SearcherQueue) -> messages.SearcherReport:
     """Builds the report of an owned searcher.
 
@@ -438,7 +443,7 @@
     reports = tuple(
         build_report(board.queues[name])
         for name in names
-        if name in board.queues
+        if name in board.queues and is_known(board.queues[name])
     )
     state.ready = []
     answer = messages.SubAnswer(
@@ -506,7 +511,7 @@
     changed = changed or draining != queue.draining
     queue.draining = draining
     report = build_report(queue)
-    if report.searcher in board.configuration.searchers:
+    if is_known(queue) and report.searcher in board.configuration.searchers:
         board.reports[report.searcher] = KnownReport(report, now)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -207,7 +207,7 @@
 
 def _abandon_snapshot(state: QueryState) -> None:
     state.rechosen = True
-    state.fallback = _settle(state)
+    state.fallback = _settle(state, Reason.SNAPSHOT_ABANDONED)
     state.past_verdicts = {
         shard: _shard_verdict(state, shard) for shard in state.attempts
     }
@@ -220,11 +220,11 @@
     state.results.clear()
 
 
-def _settle(state: QueryState) -> SnapshotResults:
-    """Returns the results at the present snapshot; what lacks is late."""
+def _settle(state: QueryState, unfinished: Reason) -> SnapshotResults:
+    """Returns the results at the present snapshot, with a reason for gaps."""
     results = tuple(
         state.results.get(shard)
-        or ShardResult(shard, "", Verdict.MAY_HAVE_RUN, Reason.TIMED_OUT)
+        or ShardResult(shard, "", Verdict.MAY_HAVE_RUN, unfinished)
         for shard in replica_selection.wanted_shards(state)
     )
     return SnapshotResults(state.snapshot, results)
@@ -251,8 +251,8 @@
     query = state.query
     del board.queries[query.request_id]
     found = query_scatter.cancel_unfinished(board, state)
-    choices = filter(None, (_settle(state), state.fallback))
-    best = max(choices, key=_covered_share)
+    latest = _settle(state, Reason.TIMED_OUT)
+    best = max(filter(None, (latest, state.fallback)), key=_covered_share)
     results = [_with_verdict(state, result) for result in best.results]
     answer = build_answer(query.request_id, best.snapshot, query.limit, results)
     if answer.covered:
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -183,13 +183,16 @@
 def _obstacle(
     board: Blackboard, state: QueryState, searcher: Searcher, now: float
 ) -> Reason | None:
-    if is_leaving(board, searcher.name):
+    if placement.is_withdrawn(board, searcher.name):
         return Reason.REFUSED
     if not placement.ranked_owners(board, searcher, now):
         return Reason.ZONE_UNREACHABLE
     known = board.reports.get(searcher.name)
     if known is None:
         return Reason.NO_REPLICA
+    if known.report.draining:
+        reachable = known.report.reachable
+        return Reason.REFUSED if reachable else Reason.UPSTREAM_FAILED
     if state.snapshot not in known.report.held:
         return Reason.SNAPSHOT_NOT_HELD
     return None
--- a/kumquatspur/core/reason.py
+++ b/kumquatspur/core/reason.py
@@ -12,6 +12,7 @@
     OVERLOADED = "overloaded"
     ZONE_UNREACHABLE = "zone_unreachable"
     SNAPSHOT_NOT_HELD = "snapshot_not_held"
+    SNAPSHOT_ABANDONED = "snapshot_abandoned"
     UPSTREAM_FAILED = "upstream_failed"
     PEER_LOST = "peer_lost"
     NO_SNAPSHOT = "no_snapshot"
--- a/kumquatspur/policy/coverage.py
+++ b/kumquatspur/policy/coverage.py
@@ -11,6 +11,7 @@
 _CAUSES = (
     Reason.SNAPSHOT_NOT_HELD,
     Reason.REFUSED,
+    Reason.UPSTREAM_FAILED,
     Reason.NO_REPLICA,
     Reason.ZONE_UNREACHABLE,
 )
--- a/standins/fault_schedules.py
+++ b/standins/fault_schedules.py
@@ -100,6 +100,11 @@
         self.driver.configure(configuration)
         self.configuration = configuration
 
+    def give_configuration(self, name: str) -> None:
+        """Gives a host the configuration in force."""
+        event = events.ConfigurationReceived(self.configuration)
+        self.driver.inject(name, event)
+
 
 def build_configuration(
     revision: int, repartitioned: bool, services, removed, drained
@@ -183,13 +188,17 @@
         load = schedule.rng.uniform(now, until)
         drop = schedule.rng.uniform(load, until)
         schedule.at(load, lambda f=fake: _hold(f, (*f.held, *snapshots)))
-        schedule.at(drop, lambda f=fake: _hold(f, snapshots))
+        schedule.at(drop, lambda f=fake: _drop_before(f, snapshots[-1]))
 
 
 def _hold(fake: FakeSearcher, snapshots) -> None:
     fake.held = tuple(sorted(set(snapshots)))
 
 
+def _drop_before(fake: FakeSearcher, snapshot: int) -> None:
+    _hold(fake, [held for held in fake.held if held >= snapshot])
+
+
 def _repartition(schedule: Schedule, until: float) -> None:
     if schedule.repartitioned:
         return
@@ -214,8 +223,7 @@
 
 def _restart(schedule: Schedule, name: str) -> None:
     schedule.driver.start(name)
-    event = events.ConfigurationReceived(schedule.configuration)
-    schedule.driver.inject(name, event)
+    schedule.give_configuration(name)
 
 
 def _bounce(schedule: Schedule, until: float) -> None:
@@ -340,6 +348,43 @@
     return schedule
 
 
+_ANY_HOST = {"host_killed", "host_restarted", "host_frozen"}
+_ANY_CUT = {"zone_cut", "link_cut_one_way"}
+_ROLLS = {"snapshot_roll", "repartition"}
+
+# The faults of which one must have happened where a reason is given.
+CAUSES = {
+    Reason.NO_REPLICA: _ANY_HOST | {"repartition", "searcher_removed"},
+    Reason.REFUSED: {
+        "searcher_draining",
+        "searcher_drained",
+        "searcher_down",
+        "host_list_says_leaving",
+    },
+    Reason.OVERLOADED: {"searcher_slow", "searcher_frozen"},
+    Reason.ZONE_UNREACHABLE: _ANY_HOST | _ANY_CUT,
+    Reason.SNAPSHOT_NOT_HELD: _ROLLS,
+    Reason.SNAPSHOT_ABANDONED: _ROLLS,
+    Reason.UPSTREAM_FAILED: {"searcher_down", "searcher_loses_answers"},
+    Reason.PEER_LOST: _ANY_HOST,
+    Reason.TIMED_OUT: _ANY_HOST
+    | _ANY_CUT
+    | {"searcher_slow", "searcher_frozen"},
+    Reason.UNKNOWN_SHARD: {"repartition"},
+    Reason.NO_SNAPSHOT: _ANY_HOST | _ANY_CUT,
+    Reason.NO_CONFIGURATION: _ANY_HOST,
+    Reason.UNKNOWN_SERVICE: {"service_removed"},
+}
+# Under these alone every answer is whole.
+HARMLESS = {
+    "store_down",
+    "store_loses_answers",
+    "searcher_removed",
+    "searcher_drained",
+    "host_list_says_leaving",
+}
+
+
 def run_schedule(seed: int) -> Schedule:
     """Runs the schedule of a seed.
 
@@ -425,6 +470,7 @@
     for sent in schedule.sent + schedule.final:
         runs = executed[sent.query.content]
         faults = _check_query(schedule.driver, sent, runs)
+        faults += _check_reasons(schedule, sent)
         found += [f"{sent.query.request_id}: {text}" for text in faults]
     for sent in schedule.final:
         (action,) = schedule.driver.outcomes[sent.query.request_id] or (None,)
@@ -437,6 +483,23 @@
     return found
 
 
+def _check_reasons(schedule: Schedule, sent: SentQuery) -> list[str]:
+    reasons = set()
+    for action in schedule.driver.outcomes[sent.query.request_id]:
+        if isinstance(action, actions.RefuseCaller):
+            reasons.add(action.refusal.reason)
+        else:
+            reasons.update(entry.reason for entry in action.answer.missing)
+    found = [
+        f"{reason} without a cause"
+        for reason in reasons
+        if CAUSES[reason].isdisjoint(schedule.faults)
+    ]
+    if reasons and HARMLESS.issuperset(schedule.faults):
+        found.append(f"not whole: {reasons}")
+    return found
+
+
 def _check_query(driver: NodeDriver, sent: SentQuery, runs) -> list[str]:
     query = sent.query
     outcomes = driver.outcomes[query.request_id]
