Configuration test: keep the query running past its hedge

Now with 30 ms searchers. On: KeyError 'desk' in the case 'service removed'; the two other cases pass there.

--- a/kumquatspur/controllers/coordinator_test.py
+++ b/kumquatspur/controllers/coordinator_test.py
@@ -110,7 +110,7 @@
         ]
         for name, change in cases:
             with self.subTest(name):
-                schedule, _ = self.ask(_set((), service_s=0.01), change)
+                schedule, _ = self.ask(_set((), service_s=0.03), change)
                 self.assertEqual(check_schedule(schedule), [])
 
 
