Retire silent connections to searchers within one deadline

Cause: a request on a kept connection that went silent waited until its deadline, idle connections as old were used next, and new connections were unbounded. Shell told a cancelled call SENT whatever its phase.

Change: own pool of urllib3 connections; decisions in policy/connection_health.py (patience, verification over a new connection, generations, token bucket). The stand-in searcher now enforces its connection limit and the items' deadlines, and stops work whose client has gone; a crash breaks its connections instead of answering with status 500.

Ruled out: socket time-outs below the deadline (cannot tell a slow searcher from a silent connection); TCP_USER_TIMEOUT (a relay acknowledges bytes).

--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -10,7 +10,7 @@
 from kumquatspur.border.config_files import load_configuration
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
-from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.core.verdict import Outcome
 from kumquatspur.wire.admin_server import AdminServer
 from kumquatspur.wire.caller_server import CallerServer
 from kumquatspur.wire.config_store import ConfigStore, decode_head
@@ -165,10 +165,9 @@
         thread = self._calls.pop(action.call_id, None)
         if thread is None:
             return
+        phase = self._upstreams.phase(action.call_id)
         thread.kill()
-        event = events.UpstreamFailed(
-            action.call_id, Phase.SENT, Outcome.CANCELLED
-        )
+        event = events.UpstreamFailed(action.call_id, phase, Outcome.CANCELLED)
         eventlet.spawn_n(self.deliver, event)
 
     def _probe_upstream(self, action: actions.ProbeUpstream) -> None:
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -1,7 +1,10 @@
 """HTTP client of the searchers: one connection pool a searcher."""
 
+import collections
+import logging
 import time
 
+import eventlet
 import pydantic
 import urllib3
 
@@ -10,14 +13,16 @@
 from kumquatspur.core.actions import CallUpstream
 from kumquatspur.core.records import Searcher
 from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.wire.upstream_pool import Exchange, UpstreamPool
 
-_JSON = {"Content-Type": "application/json"}
+_log = logging.getLogger(__name__)
 
-# Failures before the first byte of the request was handed to the kernel.
-_NOT_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
+PROBE_S = 1.0
+VERIFY_S = 0.25
+VERIFY_POLL_S = 0.002
+
+_FAILURES = (urllib3.exceptions.HTTPError, OSError)
+_TIMEOUTS = (urllib3.exceptions.TimeoutError, TimeoutError)
 
 
 class UpstreamClient:
@@ -25,10 +30,14 @@
 
     Attributes:
         connect_s: Time-out of a new connection, in seconds.
+        exchanges: The calls under way, by call id.
+        counters: Counts of connection events by name.
     """
 
     def __init__(self, connect_s: float):
         self.connect_s = connect_s
+        self.exchanges = {}
+        self.counters = collections.Counter()
         self._pools = {}
 
     def search(self, call: CallUpstream):
@@ -41,34 +50,28 @@
             `UpstreamAnswered` or `UpstreamFailed`.
         """
         now = time.monotonic()
-        left = call.deadline - now
-        if left <= 0:
-            return events.UpstreamFailed(
-                call.call_id, Phase.QUEUED, Outcome.TIMED_OUT
-            )
+        if call.deadline <= now:
+            return _failed(call, Phase.QUEUED, Outcome.TIMED_OUT)
         body = upstream_api.request_body(call.items, now)
+        exchange = Exchange(
+            "POST", "/v1/search", body, len(call.items), call.deadline
+        )
+        repeatable = all(item.repeatable for item in call.items)
+        self.exchanges[call.call_id] = exchange
         try:
-            response = self._pool(call.searcher).urlopen(
-                "POST",
-                "/v1/search",
-                body=body,
-                headers=_JSON,
-                retries=False,
-                timeout=self._timeout(left),
-            )
-        except _NOT_SENT:
-            return events.UpstreamFailed(
-                call.call_id, Phase.CONNECTING, Outcome.FAILED
-            )
-        except urllib3.exceptions.TimeoutError:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.TIMED_OUT
-            )
-        except (urllib3.exceptions.HTTPError, OSError):
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
-            )
-        return self._parse(call, response)
+            status, data = self._exchange(call.searcher, exchange, repeatable)
+        except _TIMEOUTS:
+            return _failed(call, exchange.phase, Outcome.TIMED_OUT)
+        except _FAILURES:
+            return _failed(call, exchange.phase, Outcome.FAILED)
+        finally:
+            del self.exchanges[call.call_id]
+        return _parse(call, status, data)
+
+    def phase(self, call_id: str) -> Phase:
+        """Returns how far a call under way has come."""
+        exchange = self.exchanges.get(call_id)
+        return exchange.phase if exchange else Phase.QUEUED
 
     def probe(self, searcher: Searcher):
         """Asks a searcher for its status.
@@ -79,57 +82,113 @@
         Returns:
             `ProbeAnswered` or `ProbeFailed`.
         """
+        exchange = _status_request(PROBE_S)
         try:
-            response = self._pool(searcher).urlopen(
-                "GET",
-                "/v1/status",
-                retries=False,
-                timeout=urllib3.Timeout(connect=self.connect_s, read=1.0),
-            )
-            reply = upstream_api.StatusReply.model_validate_json(response.data)
-        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            _, data = self._exchange(searcher, exchange, True)
+            reply = upstream_api.StatusReply.model_validate_json(data)
+        except (*_FAILURES, ValueError):
             return events.ProbeFailed(searcher.name)
         held = tuple(sorted(reply.held))
         return events.ProbeAnswered(
             searcher.name, held, reply.draining, reply.load
         )
 
-    def _parse(self, call: CallUpstream, response):
-        if response.status != 200:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
-            )
+    def close(self) -> None:
+        """Closes all connections that carry no request."""
+        for pool in self._pools.values():
+            pool.close_idle()
+        self._pools.clear()
+
+    def _exchange(self, searcher, exchange: Exchange, repeatable: bool):
+        pool = self._pool(searcher)
         try:
-            reply = upstream_api.SearchReply.model_validate_json(response.data)
-        except pydantic.ValidationError:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
+            pool.start(exchange)
+            if not self._wait(pool, exchange):
+                self._replace_silent(pool, exchange, repeatable)
+            return pool.finish(exchange)
+        finally:
+            pool.discard(exchange)
+
+    def _wait(self, pool: UpstreamPool, exchange: Exchange) -> bool:
+        """Waits for an answer; False if the connection may be silent."""
+        left = exchange.left_s()
+        if not exchange.connection.kept:
+            return pool.wait(exchange, left) or True
+        wait_s = pool.health.patience_s(exchange.items, left)
+        while wait_s > 0.0:
+            if pool.wait(exchange, wait_s):
+                return True
+            wait_s = pool.health.verify_wait_s(
+                exchange.sent, exchange.items, time.monotonic()
             )
-        results = upstream_api.item_results(
-            call.searcher.name, call.items, reply
-        )
-        return events.UpstreamAnswered(
-            call.call_id,
-            results,
-            reply.load,
-            reply.draining,
-            tuple(sorted(reply.held)),
-        )
-
-    def _timeout(self, left: float) -> urllib3.Timeout:
-        return urllib3.Timeout(
-            connect=min(self.connect_s, left), read=left, total=left
-        )
-
-    def _pool(self, searcher: Searcher) -> urllib3.HTTPConnectionPool:
-        key = (searcher.address, searcher.connections)
+            wait_s = min(wait_s, exchange.left_s())
+        return False
+
+    def _replace_silent(self, pool, exchange: Exchange, repeatable: bool):
+        """Retires the old connections if a new one works; may send again."""
+        self.counters["upstream_overdue"] += 1
+        verifier = eventlet.spawn(self._verify, pool, exchange)
+        while not verifier.dead:
+            if pool.wait(exchange, VERIFY_POLL_S):
+                verifier.kill()
+                return
+        if verifier.wait() and exchange.connection.is_quiet():
+            self._retire(pool, exchange)
+            if repeatable:
+                pool.discard(exchange)
+                self.counters["upstream_resent"] += 1
+                pool.start(exchange)
+        pool.wait(exchange, exchange.left_s())
+
+    def _retire(self, pool: UpstreamPool, exchange: Exchange) -> None:
+        now = time.monotonic()
+        pool.health.on_answer(exchange.sent, exchange.items, False, now)
+        if pool.retire(exchange):
+            self.counters["upstream_retired"] += 1
+            fields = {"searcher": pool.searcher.name}
+            _log.warning("silent connections retired", extra=fields)
+
+    def _verify(self, pool: UpstreamPool, exchange: Exchange) -> bool:
+        """Returns whether a new connection works."""
+        probe = _status_request(min(VERIFY_S, exchange.left_s() / 2.0))
+        try:
+            pool.start(probe, fresh=True)
+            pool.finish(probe)
+        except _FAILURES:
+            return False
+        finally:
+            pool.discard(probe)
+        return True
+
+    def _pool(self, searcher: Searcher) -> UpstreamPool:
         pool = self._pools.get(searcher.name)
-        if pool is None or pool.kumquatspur_key != key:
-            pool = urllib3.HTTPConnectionPool(
-                searcher.address.host,
-                searcher.address.port,
-                maxsize=min(searcher.slots + 1, searcher.connections),
-            )
-            pool.kumquatspur_key = key
+        if pool is None or pool.searcher != searcher:
+            if pool is not None:
+                pool.close_idle()
+            pool = UpstreamPool(searcher, self.connect_s)
             self._pools[searcher.name] = pool
         return pool
+
+
+def _status_request(seconds: float) -> Exchange:
+    return Exchange("GET", "/v1/status", None, 0, time.monotonic() + seconds)
+
+
+def _failed(call: CallUpstream, phase: Phase, outcome: Outcome):
+    return events.UpstreamFailed(call.call_id, phase, outcome)
+
+
+def _parse(call: CallUpstream, status: int, data: bytes):
+    if status != 200:
+        return _failed(call, Phase.SENT, Outcome.FAILED)
+    try:
+        reply = upstream_api.SearchReply.model_validate_json(data)
+    except pydantic.ValidationError:
+        return _failed(call, Phase.SENT, Outcome.FAILED)
+    return events.UpstreamAnswered(
+        call.call_id,
+        upstream_api.item_results(call.searcher.name, call.items, reply),
+        reply.load,
+        reply.draining,
+        tuple(sorted(reply.held)),
+    )
--- /dev/null
+++ b/kumquatspur/wire/upstream_client_test.py
@@ -0,0 +1,150 @@
+import eventlet
+
+eventlet.monkey_patch()
+
+import itertools  # noqa: E402
+import time  # noqa: E402
+import unittest  # noqa: E402
+
+from kumquatspur.core import actions, events, records  # noqa: E402
+from kumquatspur.core.verdict import Outcome, Phase  # noqa: E402
+from kumquatspur.wire.upstream_client import UpstreamClient  # noqa: E402
+from standins.deployment import find_free_base_port  # noqa: E402
+from standins.relay import Relay  # noqa: E402
+from standins.searcher import Searcher  # noqa: E402
+
+DEADLINE_S = 1.0
+
+
+class UpstreamClientTest(unittest.TestCase):
+    """One searcher behind a relay."""
+
+    def setUp(self):
+        self.ids = itertools.count()
+        self.client = UpstreamClient(0.5)
+        # Forgets the listeners of sockets that the other cleanups close.
+        self.addCleanup(eventlet.hubs.use_hub)
+        self.addCleanup(lambda: self.client.close())
+
+    def open(self, slots=2, connections=25, service_ms=1.0):
+        spec = {
+            "name": "s",
+            "port": find_free_base_port(1),
+            "slots": slots,
+            "connections": connections,
+            "held": [1],
+            "service_ms": service_ms,
+        }
+        self.standin = Searcher(spec)
+        self.standin.start()
+        self.addCleanup(self.standin.listener.close)
+        eventlet.sleep(0)
+        self.relay = Relay(spec["port"])
+        self.addCleanup(self.relay.close)
+        address = records.Address("127.0.0.1", self.relay.port)
+        self.searcher = records.Searcher(
+            "s", address, "z", slots, connections, ("a",), "g"
+        )
+
+    def call(self, repeatable=True, deadline_s=DEADLINE_S):
+        call_id = str(next(self.ids))
+        deadline = time.monotonic() + deadline_s
+        item = actions.Item(
+            call_id, "a", "1", 3, 1, deadline, repeatable, False, "q"
+        )
+        return actions.CallUpstream(call_id, self.searcher, (item,), deadline)
+
+    def search_together(self, count, **kwargs):
+        threads = [
+            eventlet.spawn(self.client.search, self.call(**kwargs))
+            for _ in range(count)
+        ]
+        return [thread.wait() for thread in threads]
+
+    def assert_answered(self, found):
+        for event in found:
+            self.assertIsInstance(event, events.UpstreamAnswered)
+
+    def test_silent_connections_are_replaced_within_one_deadline(self):
+        self.open()
+        self.assert_answered(self.search_together(2))
+        self.relay.set_mode("silent")
+        self.assert_answered(self.search_together(2))
+        opened = self.relay.accepted
+        self.assert_answered(self.search_together(2))
+        self.assertEqual(self.relay.accepted, opened)
+        self.assertEqual(self.client.counters["upstream_retired"], 1)
+        self.assertLessEqual(opened, 2 + 2 + 2)
+
+    def test_idle_connections_retire_with_the_one_found_silent(self):
+        self.open()
+        self.assert_answered(self.search_together(2))
+        self.relay.set_mode("silent")
+        found = self.client.probe(self.searcher)
+        self.assertIsInstance(found, events.ProbeAnswered)
+        found = self.search_together(2, repeatable=False)
+        self.assert_answered(found)
+
+    def test_work_that_must_not_repeat_is_sent_once(self):
+        self.open()
+        self.assert_answered(self.search_together(1))
+        self.relay.set_mode("silent")
+        found = self.client.search(self.call(repeatable=False, deadline_s=0.3))
+        self.assertEqual(found.phase, Phase.SENT)
+        self.assertEqual(found.outcome, Outcome.TIMED_OUT)
+        self.assertEqual(len(self.standin.executed), 1)
+        self.assert_answered(self.search_together(1, repeatable=False))
+
+    def test_slow_searcher_keeps_its_connections_while_others_progress(self):
+        self.open(service_ms=40.0)
+        for _ in range(8):
+            self.assert_answered(self.search_together(2))
+        self.assertLessEqual(self.client.counters["upstream_retired"], 1)
+        self.assertLessEqual(self.relay.accepted, 10)
+
+    def test_reconnects_and_connections_are_bounded(self):
+        self.open(slots=2, connections=4)
+        end = time.monotonic() + 1.0
+        while time.monotonic() < end:
+            self.relay.set_mode("silent")
+            self.search_together(2, deadline_s=0.1)
+            self.assertLessEqual(self.relay.accepted, 2 + 10 * 1.2)
+        self.assertLessEqual(self.standin.pool.most, 4)
+
+    def test_abandoned_request_closes_its_connection_and_frees_the_slot(self):
+        cases = {"killed": (30.0, True), "timed out": (0.1, False)}
+        for name, (deadline_s, kill) in cases.items():
+            with self.subTest(name):
+                self.open(slots=1, service_ms=60_000.0)
+                self.client.close()
+                call = self.call(deadline_s=deadline_s)
+                thread = eventlet.spawn(self.client.search, call)
+                self.wait_until(lambda: self.standin.executed)
+                self.assertEqual(self.client.phase(call.call_id), Phase.SENT)
+                if kill:
+                    thread.kill()
+                self.wait_until(lambda: self.standin.stopped)
+                self.assertEqual(self.standin.waiting, 0)
+                self.assertEqual(self.standin.slots.balance, 1)
+                self.standin.spec["service_ms"] = 1.0
+                event = self.client.search(self.call())
+                self.assert_answered([event])
+                answered = event.results[0].item_id
+                self.assertNotEqual(answered, call.call_id)
+
+    def test_phase_of_calls_that_were_not_sent(self):
+        self.open()
+        self.relay.close()
+        found = self.client.search(self.call())
+        self.assertEqual(found.phase, Phase.CONNECTING)
+        found = self.client.search(self.call(deadline_s=-1.0))
+        self.assertEqual(found.phase, Phase.QUEUED)
+
+    def wait_until(self, condition):
+        with eventlet.Timeout(10.0):
+            while not condition():
+                eventlet.sleep(0.005)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatspur/wire/upstream_pool.py
@@ -0,0 +1,246 @@
+"""Kept HTTP connections to one searcher."""
+
+import contextlib
+import socket
+import time
+
+import eventlet
+import urllib3
+from eventlet import hubs
+from urllib3.connection import HTTPConnection
+
+from kumquatspur.core.records import Searcher
+from kumquatspur.core.verdict import Phase
+from kumquatspur.policy.connection_health import ConnectionHealth
+
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+_JSON = {"Content-Type": "application/json"}
+
+
+class Exchange:
+    """One request and how far it has come.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path.
+        body: The request's body.
+        items: The number of items in it; 0 for a status request.
+        deadline: When the answer is due.
+        phase: How far it has come.
+        sent: When it was sent.
+        connection: The connection that carries it.
+    """
+
+    def __init__(self, method, path, body, items: int, deadline: float):
+        self.method = method
+        self.path = path
+        self.body = body
+        self.items = items
+        self.deadline = deadline
+        self.phase = Phase.QUEUED
+        self.sent = 0.0
+        self.connection = None
+
+    def left_s(self) -> float:
+        """Returns the time left, in seconds."""
+        return self.deadline - time.monotonic()
+
+
+class Connection(HTTPConnection):
+    """A connection to a searcher.
+
+    Attributes:
+        generation: The pool's generation when it was opened.
+        kept: Whether a request was answered on it before.
+    """
+
+    generation = 0
+    kept = False
+
+    def is_quiet(self) -> bool:
+        """Returns whether it is open and has no unread bytes."""
+        if self.sock is None:
+            return False
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class UpstreamPool:
+    """Connections to one searcher.
+
+    A connection is reused only after its answer was read whole; any other end
+    of an exchange, also the kill of its green thread, closes it.
+
+    Attributes:
+        searcher: The searcher.
+        health: The decisions about its connections.
+        idle: Connections that wait for a request, latest used last.
+        open_count: Connections open or being opened.
+    """
+
+    def __init__(self, searcher: Searcher, connect_s: float):
+        self.searcher = searcher
+        self.connect_s = connect_s
+        self.health = ConnectionHealth(searcher.slots, searcher.connections)
+        self.idle = []
+        self.open_count = 0
+
+    def start(self, exchange: Exchange, fresh: bool = False) -> None:
+        """Obtains a connection and sends a request on it.
+
+        Args:
+            exchange: The request.
+            fresh: Whether the connection must be a new one.
+
+        Raises:
+            OSError: The request could not be sent.
+            urllib3.exceptions.HTTPError: The same.
+            TimeoutError: No connection may be opened before the deadline.
+        """
+        connection = None if fresh else self._take_idle()
+        if connection is None:
+            connection = self._open(exchange, fresh)
+        exchange.connection = connection
+        try:
+            if connection.sock is None:
+                # A request that was sent before may have run already.
+                if exchange.phase is Phase.QUEUED:
+                    exchange.phase = Phase.CONNECTING
+                connection.connect()
+            exchange.phase = Phase.SENT
+            exchange.sent = time.monotonic()
+            connection.sock.settimeout(max(0.001, exchange.left_s()))
+            connection.request(
+                exchange.method,
+                exchange.path,
+                body=exchange.body,
+                headers=_JSON,
+                preload_content=False,
+            )
+        except BaseException:
+            self.discard(exchange)
+            raise
+
+    def wait(self, exchange: Exchange, seconds: float) -> bool:
+        """Waits for the first byte of the answer.
+
+        Args:
+            exchange: A request that was sent.
+            seconds: The longest time to wait.
+
+        Returns:
+            False if none came.
+        """
+        try:
+            hubs.trampoline(
+                exchange.connection.sock,
+                read=True,
+                timeout=max(0.0, seconds),
+                timeout_exc=TimeoutError,
+            )
+        except TimeoutError:
+            return False
+        return True
+
+    def finish(self, exchange: Exchange) -> tuple[int, bytes]:
+        """Reads the answer and keeps the connection for the next request.
+
+        Args:
+            exchange: A request whose answer has begun.
+
+        Returns:
+            The HTTP status and the body.
+
+        Raises:
+            OSError: The answer could not be read, or not in time.
+            urllib3.exceptions.HTTPError: The same, or it is too long.
+        """
+        connection = exchange.connection
+        with eventlet.Timeout(max(0.0, exchange.left_s()), TimeoutError):
+            response = connection.getresponse()
+            body = response.read(MAX_REPLY_BYTES + 1)
+            if len(body) > MAX_REPLY_BYTES or response.read(1):
+                raise urllib3.exceptions.HTTPError("the answer is too long")
+        now = time.monotonic()
+        self.health.on_answer(
+            exchange.sent, exchange.items, connection.kept, now
+        )
+        self._keep(exchange, response)
+        return response.status, body
+
+    def retire(self, exchange: Exchange) -> bool:
+        """Retires the connections as old as the one that was found silent.
+
+        Args:
+            exchange: The request that found it.
+
+        Returns:
+            False if they were retired before.
+        """
+        if not self.health.retire(exchange.connection.generation):
+            return False
+        for connection in self.idle:
+            self._close(connection)
+        self.idle.clear()
+        return True
+
+    def discard(self, exchange: Exchange) -> None:
+        """Closes the connection of an exchange, if it still has one."""
+        if exchange.connection is not None:
+            self._close(exchange.connection)
+            exchange.connection = None
+
+    def close_idle(self) -> None:
+        """Closes all connections that wait for a request."""
+        for connection in self.idle:
+            self._close(connection)
+        self.idle.clear()
+
+    def _take_idle(self) -> Connection | None:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_quiet():
+                return connection
+            self._close(connection)
+        return None
+
+    def _open(self, exchange: Exchange, fresh: bool) -> Connection:
+        while wait_s := self.health.open_wait_s(
+            self.open_count, time.monotonic()
+        ):
+            if wait_s >= exchange.left_s():
+                raise TimeoutError("no connection may be opened in time")
+            eventlet.sleep(wait_s)
+            connection = None if fresh else self._take_idle()
+            if connection is not None:
+                return connection
+        address = self.searcher.address
+        connection = Connection(
+            address.host,
+            address.port,
+            timeout=max(0.001, min(self.connect_s, exchange.left_s())),
+        )
+        connection.generation = self.health.generation
+        self.open_count += 1
+        return connection
+
+    def _keep(self, exchange: Exchange, response) -> None:
+        connection = exchange.connection
+        exchange.connection = None
+        connection.kept = True
+        closing = response.headers.get("Connection", "").lower() == "close"
+        old = connection.generation != self.health.generation
+        if closing or old or connection.sock is None:
+            self._close(connection)
+        else:
+            self.idle.append(connection)
+
+    def _close(self, connection: Connection) -> None:
+        self.open_count -= 1
+        with contextlib.suppress(OSError):
+            connection.close()
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,12 +23,13 @@
     return [data]
 
 
-def serve(port: int, application):
+def serve(port: int, application, pool=None):
     """Serves a WSGI application on loopback.
 
     Args:
         port: The TCP port.
         application: The application.
+        pool: The green pool that serves the connections.
 
     Returns:
         The listening socket.
@@ -37,6 +38,10 @@
         ("127.0.0.1", port), backlog=1024, reuse_port=False
     )
     eventlet.spawn_n(
-        eventlet.wsgi.server, listener, application, log_output=False
+        eventlet.wsgi.server,
+        listener,
+        application,
+        log_output=False,
+        custom_pool=pool,
     )
     return listener
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -24,16 +24,47 @@
 import json  # noqa: E402
 import pathlib  # noqa: E402
 import random  # noqa: E402
+import socket  # noqa: E402
 import time  # noqa: E402
 
+from eventlet import hubs  # noqa: E402
+
 from standins.faults import read_json, send_json, serve  # noqa: E402
 
 OK = "200 OK"
 UNAVAILABLE = "503 Service Unavailable"
 COLD_FACTOR = 5.0
+SLOT_POLL_S = 0.002
 FOREVER_S = 3600.0
 
 
+class ClientGoneError(Exception):
+    """The client closed its connection, which cancels its request."""
+
+
+class LimitedPool(eventlet.GreenPool):
+    """Closes connections above the limit.
+
+    Attributes:
+        refused: Connections closed so.
+        most: The most connections open at once.
+    """
+
+    def __init__(self, size):
+        super().__init__(size + 1)
+        self.limit = size
+        self.refused = 0
+        self.most = 0
+
+    def spawn(self, function, connection):
+        """Serves a connection, or closes it."""
+        if self.running() >= self.limit:
+            self.refused += 1
+            return super().spawn(connection[1].close)
+        self.most = max(self.most, self.running() + 1)
+        return super().spawn(function, connection)
+
+
 class Searcher:
     """One searcher.
 
@@ -41,6 +72,9 @@
         spec: Its description: name, port, slots, connections, shards, held,
             service_ms.
         executed: Item id of every item executed, in order.
+        stopped: Item id of every item given up because its client had gone.
+        pool: Serves its connections.
+        clients: Sockets of the requests under way.
     """
 
     def __init__(self, spec):
@@ -48,10 +82,13 @@
         self.rng = random.Random(spec["name"])
         self.slots = eventlet.semaphore.Semaphore(spec["slots"])
         self.executed = []
+        self.stopped = []
+        self.pool = LimitedPool(spec["connections"])
         self.waiting = 0
         self.started = 0.0
         self.silent_connections = set()
         self.open_connections = set()
+        self.clients = set()
         self.listener = None
         self.faults = {
             "slow_factor": 1.0,
@@ -69,7 +106,7 @@
 
     def start(self):
         """Starts listening."""
-        self.listener = serve(self.spec["port"], self)
+        self.listener = serve(self.spec["port"], self, self.pool)
 
     def __call__(self, environ, start_response):
         """Serves one HTTP request."""
@@ -80,14 +117,20 @@
             self.set_faults(read_json(environ))
             return send_json(start_response, OK, self.faults)
         if path == "/executed":
-            return send_json(start_response, OK, {"items": self.executed})
+            return send_json(start_response, OK, self.record())
+        client = environ["eventlet.input"].get_socket()
         if self.faults["down"]:
+            client.shutdown(socket.SHUT_RDWR)
             raise ConnectionResetError("down")
         if self.faults["frozen"] or connection in self.silent_connections:
             eventlet.sleep(FOREVER_S)
         if path == "/v1/status":
             return send_json(start_response, OK, self.status())
-        return self.search(environ, start_response)
+        self.clients.add(client)
+        try:
+            return self.search(environ, start_response, client)
+        finally:
+            self.clients.discard(client)
 
     def set_faults(self, faults):
         """Sets fault switches."""
@@ -105,7 +148,7 @@
             "load": self.waiting if reported is None else reported,
         }
 
-    def search(self, environ, start_response):
+    def search(self, environ, start_response, client):
         """Executes the items of a request in one slot."""
         body = read_json(environ)
         if self.faults["draining"] or self.rng.random() < self.faults["shed"]:
@@ -115,23 +158,41 @@
             ]
             reply = {"items": items, **self.status()}
             return send_json(start_response, OK, reply)
+        received = time.monotonic()
+        done = []
         self.waiting += 1
         try:
-            with self.slots:
-                items = [self.execute(item) for item in body["items"]]
+            self.take_slot(client)
+            try:
+                for item in body["items"]:
+                    done.append(self.execute(item, received, client))
+            finally:
+                self.slots.release()
+        except ClientGoneError:
+            rest = body["items"][len(done) :]
+            self.stopped += [item["item_id"] for item in rest]
+            raise
         finally:
             self.waiting -= 1
-        return send_json(start_response, OK, {"items": items, **self.status()})
+        return send_json(start_response, OK, {"items": done, **self.status()})
+
+    def take_slot(self, client):
+        """Waits for a slot, unless the client goes."""
+        while not self.slots.acquire(blocking=False):
+            pause(client, SLOT_POLL_S)
 
-    def execute(self, item):
+    def execute(self, item, received, client):
         """Executes one item and records it."""
+        age_ms = (time.monotonic() - received) * 1000.0
+        if age_ms >= item["deadline_ms"]:
+            return {"item_id": item["item_id"], "status": "not_run"}
         if item["snapshot"] not in self.faults["held"]:
             return {"item_id": item["item_id"], "status": "snapshot_not_held"}
         text = json.dumps(item["query"])
         self.executed.append({"item_id": item["item_id"], "query": text})
         if self.faults["crash_on"] and self.faults["crash_on"] in text:
             self.crash()
-        eventlet.sleep(self.service_s())
+        pause(client, self.service_s())
         return {
             "item_id": item["item_id"],
             "status": "ok",
@@ -140,6 +201,15 @@
             "hits": self.hits(item, text),
         }
 
+    def record(self):
+        """Returns what was executed, and of its connections."""
+        return {
+            "items": self.executed,
+            "stopped": self.stopped,
+            "refused_connections": self.pool.refused,
+            "most_connections": self.pool.most,
+        }
+
     def service_s(self):
         """Returns the service time of one item, in seconds."""
         seconds = self.spec["service_ms"] / 1000.0
@@ -164,8 +234,10 @@
         ]
 
     def crash(self):
-        """Stops answering until the restart."""
+        """Breaks all connections and answers nothing until the restart."""
         self.faults["down"] = True
+        for client in self.clients:
+            client.shutdown(socket.SHUT_RDWR)
         eventlet.spawn_after(self.faults["restart_ms"] / 1000.0, self.restart)
         raise ConnectionResetError("crashed")
 
@@ -175,6 +247,27 @@
         self.faults["down"] = False
 
 
+def pause(client, seconds):
+    """Sleeps, unless the client closes its connection.
+
+    Raises:
+        ClientGoneError: The client closed it.
+    """
+    try:
+        hubs.trampoline(
+            client, read=True, timeout=seconds, timeout_exc=TimeoutError
+        )
+    except TimeoutError:
+        return
+    try:
+        gone = not client.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        gone = True
+    if gone:
+        raise ClientGoneError
+    eventlet.sleep(seconds)
+
+
 def main():
     """Serves searchers until killed."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
