Notice and replace peer streams that went silent

Cause: a sender only wrote, so a stream without reset was noticed by nobody; half-open inbound streams stayed for ever; reconnects had no backoff; a peer's name could be taken with another zone; a NaN duration was accepted.

Change: the receiver acknowledges frames on the same stream (StreamAck); policy/stream_health.py decides silence and jittered exponential backoff; inbound streams close after silence; the handshake has one time-out and a length, and names and zones are checked. The test runner patches eventlet first, because patching after other imports logs an error.

Ruled out: a write time-out alone (a silent path takes bytes until the buffers are full); heartbeats received from the peer (say nothing of this direction).

--- a/kumquatspur/border/peer_codec.py
+++ b/kumquatspur/border/peer_codec.py
@@ -11,9 +11,15 @@
 from kumquatspur.core import messages
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_ENTRIES = 100_000
 
+# Inside a tuple, because an adapter of a plain data class takes no
+# configuration; that of the tuple holds for the classes within.
+_STRICT = pydantic.ConfigDict(allow_inf_nan=False)
 _ADAPTERS = {
-    message_type.__name__: pydantic.TypeAdapter(message_type)
+    message_type.__name__: pydantic.TypeAdapter(
+        tuple[message_type], config=_STRICT
+    )
     for message_type in messages.MESSAGE_TYPES
 }
 
@@ -32,7 +38,7 @@
         One msgpack frame.
     """
     name = type(message).__name__
-    fields = _ADAPTERS[name].dump_python(message, mode="json")
+    (fields,) = _ADAPTERS[name].dump_python((message,), mode="json")
     return msgpack.packb([name, fields])
 
 
@@ -54,11 +60,15 @@
     if adapter is None:
         raise CodecError("unknown message type")
     try:
-        return adapter.validate_python(frame[1])
+        return adapter.validate_python((frame[1],))[0]
     except pydantic.ValidationError as error:
         raise CodecError(str(error)) from error
 
 
 def new_unpacker() -> msgpack.Unpacker:
     """Returns an incremental decoder of frames."""
-    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+    return msgpack.Unpacker(
+        max_buffer_size=MAX_FRAME_BYTES,
+        max_array_len=MAX_ENTRIES,
+        max_map_len=MAX_ENTRIES,
+    )
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -137,6 +137,17 @@
     shards: tuple[str, ...]
 
 
+@record
+class StreamAck:
+    """Acknowledges the frames received on a stream, to its sender.
+
+    Attributes:
+        received: All frames received on this stream, without the `Hello`.
+    """
+
+    received: int
+
+
 @record
 class ProtocolError:
     """The receiver closes the stream because of a bad message."""
@@ -151,5 +162,6 @@
     SubQuery,
     SubAnswer,
     CancelSubQuery,
+    StreamAck,
     ProtocolError,
 )
--- a/kumquatspur/wire/peer_stream.py
+++ b/kumquatspur/wire/peer_stream.py
@@ -1,23 +1,46 @@
-"""msgpack streams between entry hosts."""
+"""msgpack streams between entry hosts.
+
+Each node sends over the streams that it opened and receives over those that
+its peers opened. The receiver acknowledges on the same stream the frames that
+it has taken, so that the sender notices a stream that went silent.
+"""
 
 import collections
+import contextlib
 import hmac
 import logging
+import random
+import time
 
 import eventlet
+import msgpack
 from eventlet.green import socket
 
 from kumquatspur.border import peer_codec
 from kumquatspur.core import events, messages
 from kumquatspur.core.records import Address
+from kumquatspur.policy.stream_health import ReconnectBackoff, StreamHealth
 
 _log = logging.getLogger(__name__)
 
 READ_BYTES = 65536
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
+MAX_HELLO_BYTES = 4096
 CONNECT_S = 0.5
 HANDSHAKE_S = 2.0
-MIN_RECONNECT_S = 0.2
+SWEEP_S = 0.1
+ACCEPT_RETRY_S = 0.1
+# Shares of the time after which a silent host is suspected.
+STALL_SHARE = 0.5
+INBOUND_SILENCE_FACTOR = 2.0
+
+_STREAM_ERRORS = (
+    OSError,
+    EOFError,
+    ValueError,
+    msgpack.UnpackException,
+    peer_codec.CodecError,
+)
 
 
 class OutboundStream:
@@ -26,66 +49,113 @@
     Attributes:
         peer: The peer's name.
         address: Where it listens.
+        health: Frames sent and acknowledged.
+        closed: Whether it has ended.
     """
 
-    def __init__(self, peer: str, address: Address, hello: bytes, deliver):
+    def __init__(self, peer: str, address: Address, hello: bytes, on_end):
         self.peer = peer
         self.address = address
+        self.health = StreamHealth()
+        self.closed = False
         self._hello = hello
-        self._deliver = deliver
+        self._on_end = on_end
         self._queue = collections.deque()
         self._queued_bytes = 0
         self._wake = eventlet.semaphore.Semaphore(0)
-        self.closed = False
-        eventlet.spawn(self._run)
+        self._connection = None
+        self._writer = eventlet.spawn(self._run)
 
-    def send(self, frame: bytes) -> None:
+    def send(self, frame: bytes, now: float) -> None:
         """Queues a frame; closes the stream if the peer does not read."""
+        self.health.on_sent(now)
         self._queue.append(frame)
         self._queued_bytes += len(frame)
         if self._queued_bytes > MAX_QUEUED_BYTES:
-            self.closed = True
-        if len(self._queue) == 1:
+            self.close("the peer does not read")
+        elif len(self._queue) == 1:
             self._wake.release()
 
+    def close(self, cause: str) -> None:
+        """Ends the stream.
+
+        Args:
+            cause: Why, for the log.
+        """
+        if self.closed:
+            return
+        self.closed = True
+        if self._connection is not None:
+            with contextlib.suppress(OSError):
+                self._connection.shutdown(socket.SHUT_RDWR)
+        # A new green thread, because the caller may be the writer.
+        eventlet.spawn_n(self._end, cause)
+
+    def _end(self, cause: str) -> None:
+        self._writer.kill()
+        if self._connection is not None:
+            self._connection.close()
+        self._on_end(self, cause)
+
     def _run(self) -> None:
         try:
-            connection = socket.create_connection(
+            self._connection = socket.create_connection(
                 (self.address.host, self.address.port), CONNECT_S
             )
-            connection.settimeout(None)
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.sendall(self._hello)
-            self._write(connection)
-        except OSError as error:
-            _log.info(
-                "peer stream broke",
-                extra={"peer": self.peer, "error": str(error)},
+            self._connection.settimeout(None)
+            self._connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
             )
-        self.closed = True
-        self._deliver(events.PeerLost(self.peer))
+            eventlet.spawn_n(self._read, self._connection)
+            self._connection.sendall(self._hello)
+            self._write()
+        except OSError as error:
+            self.close(str(error))
 
-    def _write(self, connection) -> None:
+    def _write(self) -> None:
         while not self.closed:
             self._wake.acquire()
             data = b"".join(self._queue)
             self._queue.clear()
             self._queued_bytes = 0
-            connection.sendall(data)
+            self._connection.sendall(data)
+
+    def _read(self, connection) -> None:
+        unpacker = peer_codec.new_unpacker()
+        cause = "closed by the peer"
+        try:
+            while data := connection.recv(READ_BYTES):
+                unpacker.feed(data)
+                for frame in unpacker:
+                    self._take_acknowledgement(peer_codec.decode(frame))
+        except _STREAM_ERRORS as error:
+            cause = str(error)
+        self.close(cause)
+
+    def _take_acknowledgement(self, message) -> None:
+        if not isinstance(message, messages.StreamAck):
+            raise peer_codec.CodecError("only acknowledgements are expected")
+        self.health.on_acknowledged(message.received, time.monotonic())
 
 
 class PeerStreams:
     """All streams of one node.
 
-    Each node sends over the streams that it opened and receives over those
-    that its peers opened.
+    Attributes:
+        settings: The daemon's settings.
+        counters: Counts of stream events by name.
+        inbound: The open inbound connections.
     """
 
-    def __init__(self, settings, incarnation: int, deliver):
+    def __init__(self, settings, incarnation: int, deliver, known_zone=None):
         self.settings = settings
+        self.counters = collections.Counter()
+        self.inbound = set()
         self._deliver = deliver
+        self._known_zone = known_zone or (lambda name: None)
+        self._rng = random.Random()
         self._outbound = {}
-        self._retry_at = {}
+        self._backoff = collections.defaultdict(ReconnectBackoff)
         self._hello = peer_codec.encode(
             messages.Hello(
                 settings.name,
@@ -109,45 +179,124 @@
             False if the peer could not be reached a moment ago.
         """
         stream = self._outbound.get(peer)
-        if stream is None or stream.closed or stream.address != address:
-            if now < self._retry_at.get(peer, 0.0):
+        if stream is not None and stream.address != address:
+            stream.close("the address changed")
+        if stream is None or stream.closed:
+            if not self._backoff[peer].try_connect(now, self._rng):
                 return False
-            self._retry_at[peer] = now + MIN_RECONNECT_S
-            stream = OutboundStream(peer, address, self._hello, self._deliver)
+            self.counters["peer_connects"] += 1
+            stream = OutboundStream(peer, address, self._hello, self._on_end)
             self._outbound[peer] = stream
-        stream.send(peer_codec.encode(message))
+        stream.send(peer_codec.encode(message), now)
         return True
 
     def serve(self, listener) -> None:
         """Accepts streams for ever."""
+        eventlet.spawn_n(self._sweep)
         while True:
-            connection, _ = listener.accept()
+            try:
+                connection, _ = listener.accept()
+            except OSError as error:
+                _log.warning("accept failed", extra={"error": str(error)})
+                eventlet.sleep(ACCEPT_RETRY_S)
+                continue
             eventlet.spawn_n(self._receive, connection)
 
+    def pending(self) -> int:
+        """Returns the number of frames that live peers have not taken yet."""
+        return sum(
+            stream.health.sent - stream.health.acknowledged
+            for stream in self._outbound.values()
+            if not stream.closed
+        )
+
+    def _sweep(self) -> None:
+        """Closes streams whose receiver takes nothing."""
+        stall_s = self.settings.timing.suspect_s * STALL_SHARE
+        while True:
+            eventlet.sleep(SWEEP_S)
+            now = time.monotonic()
+            for stream in list(self._outbound.values()):
+                if not stream.closed and stream.health.is_silent(stall_s, now):
+                    self.counters["peer_streams_silent"] += 1
+                    stream.close("the stream went silent")
+                elif stream.health.acknowledged:
+                    self._backoff[stream.peer].reset()
+
+    def _on_end(self, stream: OutboundStream, cause: str) -> None:
+        if self._outbound.get(stream.peer) is stream:
+            del self._outbound[stream.peer]
+        fields = {"peer": stream.peer, "error": cause}
+        _log.info("peer stream broke", extra=fields)
+        idle_s = self.settings.timing.suspect_s
+        if not stream.health.is_idle(idle_s, time.monotonic()):
+            self._deliver(events.PeerLost(stream.peer))
+
     def _receive(self, connection) -> None:
-        connection.settimeout(HANDSHAKE_S)
-        unpacker = peer_codec.new_unpacker()
+        self.inbound.add(connection)
         peer = ""
         try:
-            while data := connection.recv(READ_BYTES):
-                unpacker.feed(data)
-                for frame in unpacker:
-                    message = peer_codec.decode(frame)
-                    if peer:
-                        self._deliver(events.PeerMessageReceived(peer, message))
-                        continue
-                    peer = self._authenticate(message)
-                    connection.settimeout(None)
-        except (OSError, ValueError, peer_codec.CodecError) as error:
-            _log.warning(
-                "peer stream closed", extra={"peer": peer, "error": str(error)}
-            )
+            unpacker = peer_codec.new_unpacker()
+            with eventlet.Timeout(HANDSHAKE_S, TimeoutError("no handshake")):
+                hello = _read_hello(connection, unpacker)
+            self._authenticate(hello)
+            peer = hello.name
+            silence_s = self.settings.timing.suspect_s * INBOUND_SILENCE_FACTOR
+            connection.settimeout(silence_s)
+            self._take_frames(connection, unpacker, hello)
+        except _STREAM_ERRORS as error:
+            self.counters["peer_streams_rejected"] += 1
+            fields = {"peer": peer, "error": str(error)[:200]}
+            _log.warning("peer stream closed", extra=fields)
         finally:
+            self.inbound.discard(connection)
             connection.close()
 
-    def _authenticate(self, message) -> str:
-        if not isinstance(message, messages.Hello) or not hmac.compare_digest(
-            message.key.encode(), self.settings.peer_key.encode()
-        ):
+    def _take_frames(self, connection, unpacker, hello) -> None:
+        received = 0
+        while True:
+            taken = received
+            for frame in unpacker:
+                message = peer_codec.decode(frame)
+                _check_sender(hello, message)
+                self._deliver(events.PeerMessageReceived(hello.name, message))
+                received += 1
+            if received > taken:
+                acknowledgement = messages.StreamAck(received)
+                connection.sendall(peer_codec.encode(acknowledgement))
+            data = connection.recv(READ_BYTES)
+            if not data:
+                return
+            unpacker.feed(data)
+
+    def _authenticate(self, hello) -> None:
+        wanted = self.settings.peer_key.encode()
+        given = hello.key.encode(errors="replace")
+        if not hmac.compare_digest(given, wanted):
             raise peer_codec.CodecError("handshake rejected")
-        return message.name
+        zone = self._known_zone(hello.name)
+        if zone is not None and zone != hello.zone:
+            raise peer_codec.CodecError("the name belongs to another zone")
+
+
+def _read_hello(connection, unpacker):
+    received = 0
+    while received <= MAX_HELLO_BYTES:
+        data = connection.recv(READ_BYTES)
+        if not data:
+            raise EOFError("closed before the handshake")
+        received += len(data)
+        unpacker.feed(data)
+        for frame in unpacker:
+            message = peer_codec.decode(frame)
+            if isinstance(message, messages.Hello):
+                return message
+            raise peer_codec.CodecError("handshake rejected")
+    raise peer_codec.CodecError("the handshake is too long")
+
+
+def _check_sender(hello, message) -> None:
+    if not isinstance(message, messages.Heartbeat):
+        return
+    if (message.name, message.zone) != (hello.name, hello.zone):
+        raise peer_codec.CodecError("a heartbeat names another sender")
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -52,7 +52,9 @@
         self.callers = CallerServer(self)
         self._admin = AdminServer(self)
         self._upstreams = UpstreamClient(settings.timing.connect_s)
-        self._peers = PeerStreams(settings, incarnation, self.deliver)
+        self._peers = PeerStreams(
+            settings, incarnation, self.deliver, self._known_zone
+        )
         self._store = StoreClient(settings.store.address())
         self._calls = {}
         self._wakeup_at = None
@@ -145,6 +147,12 @@
     def _refuse_caller(self, action: actions.RefuseCaller) -> None:
         self.callers.finish(action.refusal.request_id, action)
 
+    def _known_zone(self, name: str) -> str | None:
+        if name == self.settings.name:
+            return ""
+        member = self.node.board.members.get(name)
+        return member.zone if member else None
+
     def _send_peer(self, action: actions.SendPeer) -> None:
         sent = self._peers.send(
             action.peer, action.address, action.message, self.now()
--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -1,10 +1,14 @@
 """Runs all tests; only failures listed in KNOWN-RED.txt are passed over."""
 
-import pathlib
-import sys
-import unittest
+import eventlet
 
-from testing.known_red import KnownRed, parse_known_red
+eventlet.monkey_patch()
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+import unittest  # noqa: E402
+
+from testing.known_red import KnownRed, parse_known_red  # noqa: E402
 
 LIST = pathlib.Path("KNOWN-RED.txt")
 
