--- a/kumquatspur/controllers/configuration.py
+++ b/kumquatspur/controllers/configuration.py
@@ -51,10 +51,21 @@
     Returns:
         Actions.
     """
-    if event.configuration.revision <= board.configuration.revision:
+    configuration = event.configuration
+    if configuration.revision <= board.configuration.revision:
         return []
-    revision = Revision(event.configuration.revision, event.configuration.files)
-    return _put_in_force(board, event.configuration, revision)
+    state = board.distribution
+    wanted, origin = state.wanted, ""
+    if wanted is not None and wanted.revision.number <= configuration.revision:
+        state.wanted, origin = None, wanted.origin
+    revision = Revision(configuration.revision, configuration.files)
+    state.put_in_force(revision)
+    state.prune_contents()
+    board.configuration = configuration
+    board.gossip.keep_reports(configuration.searchers.keys())
+    fields = (("revision", configuration.revision),)
+    in_force = actions.LogEvent("configuration_in_force", fields)
+    return [in_force, *_push(board, origin, now)]
 
 
 def on_configuration_due(
@@ -217,31 +228,26 @@
     missing = state.missing()
     if missing:
         return _fetch(board, missing, now)
-    wanted, state.wanted = state.wanted, None
+    wanted = state.wanted
+    if wanted.loaded:
+        return []
     configuration, errors = state.loader.load(
         wanted.revision.files,
         lambda digest: unpack_text(state.contents[digest]),
         wanted.revision.number,
     )
-    if configuration is None:
-        state.rejected = wanted.revision.number
-        state.prune_contents()
-        fields = (
-            ("revision", wanted.revision.number),
-            ("errors", [str(error) for error in errors[:10]]),
-        )
-        return [actions.LogEvent("configuration_rejected", fields)]
-    found = _put_in_force(board, configuration, wanted.revision)
-    return found + _push(board, wanted.origin, now)
-
-
-def _put_in_force(board: Blackboard, configuration, revision: Revision):
-    state = board.distribution
-    state.put_in_force(revision)
+    if configuration is not None:
+        wanted.loaded = True
+        board.schedule(now, events.ConfigurationReceived(configuration))
+        return []
+    state.wanted = None
+    state.rejected = wanted.revision.number
     state.prune_contents()
-    board.configuration = configuration
-    fields = (("revision", configuration.revision),)
-    return [actions.LogEvent("configuration_in_force", fields)]
+    fields = (
+        ("revision", wanted.revision.number),
+        ("errors", [str(error) for error in errors[:10]]),
+    )
+    return [actions.LogEvent("configuration_rejected", fields)]
 
 
 def _push(board: Blackboard, origin: str, now: float):
--- a/kumquatspur/controllers/distribution.py
+++ b/kumquatspur/controllers/distribution.py
@@ -27,12 +27,14 @@
         source: The peer that announced it; "" for the store.
         origin: Root of the tree along which it is sent on; "" for nowhere.
         asks: Ticks for which its contents have been missing.
+        loaded: Whether it is valid and about to be put in force.
     """
 
     revision: Revision
     source: str
     origin: str
     asks: int = 0
+    loaded: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/kumquatspur/controllers/gossip.py
+++ b/kumquatspur/controllers/gossip.py
@@ -95,6 +95,12 @@
         self.digests[topic] ^= _report_hash(entry)
         self.reports[entry.searcher] = entry
 
+    def keep_reports(self, searchers) -> None:
+        """Drops the entries of searchers that are no longer configured."""
+        for name in self.reports.keys() - searchers:
+            entry = self.reports.pop(name)
+            self.digests[report_topic(name)] ^= _report_hash(entry)
+
     def toggle_member(self, entry: MemberEntry) -> None:
         """Adds a live host's entry to its zone's digest, or removes it."""
         if entry.status in (Status.ALIVE, Status.SUSPECT):
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -125,3 +125,19 @@
     if not board.stopping:
         live[board.settings.zone].append(board.settings.name)
     return dict(live)
+
+
+def is_withdrawn(board: Blackboard, name: str) -> bool:
+    """Returns whether operators or the host list ask for no new work.
+
+    Args:
+        board: The blackboard.
+        name: The searcher's name.
+
+    Returns:
+        True if it is not configured, drained, or leaving by the host list.
+    """
+    searcher = board.configuration.searchers.get(name)
+    if searcher is None or name in board.configuration.drained:
+        return True
+    return bool(board.listed_leaving & {name, searcher.address})
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from kumquatspur.controllers import view
+from kumquatspur.controllers import owner, view
 from kumquatspur.controllers.blackboard import (
     Blackboard,
     KnownReport,
@@ -19,6 +19,7 @@
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
 from kumquatspur.policy.members import damping_s, is_return, supersedes
+from kumquatspur.policy.searcher_queue import INITIAL_LATENCY_S
 
 PIGGYBACK_ENTRIES = 4
 ENTRIES_PER_UPDATE = 200
@@ -28,6 +29,15 @@
 CONTEST_INTERVAL = 4
 # Suspicion lasts this share of the setting `suspect_s`.
 SUSPICION_SHARE = 0.4
+_UNKNOWN_LOAD = messages.SearcherReport(
+    searcher="",
+    held=(),
+    draining=False,
+    reachable=True,
+    backlog=0,
+    latency_ms=INITIAL_LATENCY_S * 1000.0,
+    slow_ms=INITIAL_LATENCY_S * 1000.0 * owner.SLOW_FACTOR,
+)
 
 
 def delivery_from(board: Blackboard, zone: str, origin: str) -> Delivery:
@@ -285,14 +295,13 @@
     if entry.searcher in board.queues:
         return
     known = board.reports.get(entry.searcher)
-    report = messages.SearcherReport(
+    load = known.report if known else _UNKNOWN_LOAD
+    report = dataclasses.replace(
+        load,
         searcher=entry.searcher,
         held=entry.held,
         draining=entry.draining,
         reachable=entry.reachable,
-        backlog=known.report.backlog if known else 0,
-        latency_ms=known.report.latency_ms if known else 0.0,
-        slow_ms=known.report.slow_ms if known else 0.0,
     )
     board.reports[entry.searcher] = KnownReport(report, now)
 
@@ -318,10 +327,10 @@
     """Passes on what changed of the searchers that this node owns."""
     state = board.gossip
     for name in board.changed_reports:
-        known = board.reports.get(name)
-        if known is None or name not in board.queues:
+        queue = board.queues.get(name)
+        if queue is None or not owner.is_known(queue):
             continue
-        report = known.report
+        report = owner.build_report(queue)
         old = state.reports.get(name)
         entry = ReportEntry(
             name,
@@ -445,7 +454,9 @@
     entries, reports = [], []
     for key in keys:
         if key.kind == REPORT:
-            reports.append(board.gossip.reports[key.name])
+            entry = board.gossip.reports.get(key.name)
+            if entry is not None:
+                reports.append(entry)
         elif key.name == board.settings.name:
             entries.append(view.own_entry(board))
         elif key.name in board.members:
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -9,7 +9,7 @@
 
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
-from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.core.verdict import Outcome
 from kumquatspur.wire.admin_server import AdminServer
 from kumquatspur.wire.caller_server import CallerServer
 from kumquatspur.wire.metrics import Metrics
@@ -48,7 +48,9 @@
         self.callers = CallerServer(self)
         self._admin = AdminServer(self)
         self._upstreams = UpstreamClient(settings.timing.connect_s)
-        self._peers = PeerStreams(settings, incarnation, self.deliver)
+        self._peers = PeerStreams(
+            settings, incarnation, self.deliver, self._known_zone
+        )
         self._store = StoreClient(settings.store.address())
         self._calls = {}
         self._wakeup_at = None
@@ -140,6 +142,12 @@
     def _refuse_caller(self, action: actions.RefuseCaller) -> None:
         self.callers.finish(action.refusal.request_id, action)
 
+    def _known_zone(self, name: str) -> str | None:
+        if name == self.settings.name:
+            return ""
+        member = self.node.board.members.get(name)
+        return member.zone if member else None
+
     def _send_peer(self, action: actions.SendPeer) -> None:
         sent = self._peers.send(
             action.peer, action.address, action.message, self.now()
@@ -160,10 +168,9 @@
         thread = self._calls.pop(action.call_id, None)
         if thread is None:
             return
+        phase = self._upstreams.phase(action.call_id)
         thread.kill()
-        event = events.UpstreamFailed(
-            action.call_id, Phase.SENT, Outcome.CANCELLED
-        )
+        event = events.UpstreamFailed(action.call_id, phase, Outcome.CANCELLED)
         eventlet.spawn_n(self.deliver, event)
 
     def _probe_upstream(self, action: actions.ProbeUpstream) -> None:
