make slopes; fewer probes; a stop without polling

Cause: 9 daemons with 12 searchers spent 3.3% of a core each while idle, in system calls of 12 heartbeats a second and their acknowledgements, and in 50 wake-ups a second that looked for the stop flag. Change: the stop is an event; a host that was heard from within 0.8 of the interval is not probed; hosts that this node alone cannot reach are probed at every heartbeat, without which a first try left one of them out after a cut (membership_test, zone cut).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 RUN = $(VENV)/bin/python -W ignore
 
-.PHONY: demo test lint format clean
+.PHONY: demo slopes test lint format clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +12,9 @@
 demo: $(VENV)/installed
 	$(RUN) -m standins.demo $(if $(KEEP),--keep)
 
+slopes: $(VENV)/installed
+	$(RUN) -m bench.slopes
+
 test: lint
 	$(RUN) -m testing
 
--- /dev/null
+++ b/bench/slopes_decisions.py
@@ -0,0 +1,348 @@
+"""Measures the decision code alone, for sizes beyond one machine."""
+
+import collections
+import gc
+import heapq
+import json
+import os
+import random
+import time
+
+from bench.slopes_fleet import rss_mb
+from kumquatspur.border import peer_codec
+from kumquatspur.border.config_files import content_hash
+from kumquatspur.border.config_head import Head, encode_head
+from kumquatspur.border.settings import Settings
+from kumquatspur.controllers import placement, replication
+from kumquatspur.controllers.node import Node
+from kumquatspur.core import events
+from kumquatspur.core.messages import (
+    MemberEntry,
+    ReportEntry,
+    StateUpdate,
+    Status,
+)
+from kumquatspur.core.records import Address
+from kumquatspur.policy.ownership import assign_pieces, cut_groups
+from standins.node_driver import NodeDriver
+
+WARM_UP_S = 20.0
+WINDOW_S = 10.0
+START_SPREAD_S = 2.0
+HOST = "127.0.0.1"
+TARGET_ZONES = 22
+SEARCHERS_PER_FILE = 100
+
+
+def node_settings(name: str, zone: str, port: int) -> Settings:
+    """Returns the settings of a node that is not reached over a socket."""
+    endpoint = {"host": HOST, "port": 1 + port % 60_000}
+    roles = ("caller", "peer", "admin", "store", "host_list")
+    return Settings.model_validate(
+        {
+            "name": name,
+            "zone": zone,
+            "peer_key": "slopes-peer-key",
+            "admin_key": "slopes-admin-key",
+            **dict.fromkeys(roles, endpoint),
+        }
+    )
+
+
+class CountingDriver(NodeDriver):
+    """Counts encoded bytes and processor time, and runs many nodes.
+
+    Attributes:
+        bytes_sent: Bytes by message type.
+        sent: Messages by message type.
+        cpu_s: Processor time of decisions, encoding and decoding.
+    """
+
+    def __init__(self, settings, seed: int = 0):
+        super().__init__(settings, seed)
+        self.bytes_sent = collections.Counter()
+        self.sent = collections.Counter()
+        self.cpu_s = 0.0
+        self._wakeups = []
+
+    def inject(self, name: str, event) -> None:
+        """Hands an event to a node and measures it."""
+        started = time.process_time()
+        super().inject(name, event)
+        self.cpu_s += time.process_time() - started
+        node = self.nodes.get(name)
+        wakeup = node.next_wakeup() if node else None
+        if wakeup is not None:
+            heapq.heappush(self._wakeups, (wakeup, name))
+
+    def run(self, seconds: float) -> None:
+        """Advances the time, looking only at nodes that are due."""
+        end = self.now + seconds
+        while True:
+            at = self._queue[0][0] if self._queue else float("inf")
+            wakeup = self._wakeups[0][0] if self._wakeups else float("inf")
+            if min(at, wakeup) > end:
+                break
+            self.now = max(self.now, min(at, wakeup))
+            if at <= wakeup:
+                _, _, name, event = heapq.heappop(self._queue)
+                if name:
+                    self.inject(name, event)
+                else:
+                    event()
+            else:
+                self._fire(heapq.heappop(self._wakeups)[1])
+        self.now = end
+
+    def _fire(self, name: str) -> None:
+        node = self.nodes.get(name)
+        due = node.next_wakeup() if node else None
+        if due is not None and due <= self.now:
+            self.inject(name, events.TimerFired())
+
+    def _on_SendPeer(self, name, action):  # noqa: N802
+        frame = peer_codec.encode(action.message)
+        kind = type(action.message).__name__
+        self.bytes_sent[kind] += len(frame)
+        self.sent[kind] += 1
+        super()._on_SendPeer(name, action)
+
+    def accept(self, revision: int, files: dict[str, str]) -> None:
+        """Accepts a revision as an operator's tool does."""
+        hashes = {name: content_hash(text) for name, text in files.items()}
+        for name, digest in hashes.items():
+            key = f"kumquatspur/content/{digest}"
+            if key not in self.store.values:
+                self.write_store(key, files[name])
+        head = encode_head(Head(revision, hashes))
+        self.write_store("kumquatspur/head", head)
+
+
+def measure_gossip(zones: int, hosts: int) -> dict:
+    """Measures idle cost, and a change, over the decision code.
+
+    Args:
+        zones: Number of availability zones.
+        hosts: Hosts a zone.
+
+    Returns:
+        The figures, each a node.
+    """
+    settings = [
+        node_settings(f"z{zone}-{host}", f"z{zone}", zone * hosts + host)
+        for zone in range(zones)
+        for host in range(hosts)
+    ]
+    driver = CountingDriver(settings)
+    for entry in settings:
+        # All at once would measure a start of the whole fleet.
+        driver.start(entry.name)
+        driver.run(START_SPREAD_S / len(settings))
+    driver.run(WARM_UP_S)
+    count = len(settings)
+    figures = {"zones": zones, "hosts_per_zone": hosts}
+    figures.update(_window(driver, count))
+    text = json.dumps({"drain": []})
+    driver.accept(1, {"a": text})
+    driver.run(5.0)
+    before = sum(driver.bytes_sent.values())
+    changed = collections.Counter(driver.bytes_sent)
+    for revision in range(2, 12):
+        driver.accept(revision, {"a": text + " " * revision})
+        driver.run(1.0)
+    kinds = ("ConfigurationUpdate", "ConfigurationRequest")
+    used = sum(driver.bytes_sent[kind] - changed[kind] for kind in kinds)
+    figures["bytes_per_change"] = used / 10 / count
+    figures["bytes_total"] = before
+    revisions = {n.board.configuration.revision for n in driver.nodes.values()}
+    figures["all_in_force"] = revisions == {11}
+    return figures
+
+
+def _window(driver: CountingDriver, count: int) -> dict:
+    before_bytes = sum(driver.bytes_sent.values())
+    before_sent = sum(driver.sent.values())
+    before_calls = sum(driver.store.calls.values())
+    before_cpu = driver.cpu_s
+    driver.run(WINDOW_S)
+    share = WINDOW_S * count
+    sent = sum(driver.sent.values()) - before_sent
+    calls = sum(driver.store.calls.values()) - before_calls
+    return {
+        "bytes_sent_per_s": (sum(driver.bytes_sent.values()) - before_bytes)
+        / share,
+        "messages_per_s": sent / share,
+        "store_calls_per_s": calls / WINDOW_S,
+        "decision_cpu_share": (driver.cpu_s - before_cpu) / share,
+    }
+
+
+def target_files(searchers: int) -> dict[str, str]:
+    """Returns a configuration folder of many searchers."""
+    files = {}
+    for start in range(0, searchers, SEARCHERS_PER_FILE):
+        number = start // SEARCHERS_PER_FILE
+        names = [f"c{number}/{i}" for i in range(SEARCHERS_PER_FILE)]
+        content = {
+            "services": {f"s{number}": {"catalogues": [f"c{number}"]}},
+            "catalogues": {f"c{number}": {"layouts": [{"shards": names}]}},
+            "searchers": {
+                f"{name}-0": {
+                    "host": HOST,
+                    "port": 9000,
+                    "zone": f"z{number % TARGET_ZONES}",
+                    "slots": 2,
+                    "connections": 25,
+                    "shards": [name],
+                    "group": f"c{number}",
+                }
+                for name in names
+            },
+        }
+        files[f"{number:05d}.json"] = json.dumps(content)
+    return files
+
+
+def measure_node(searchers: int, zones: int, hosts: int) -> dict:
+    """Measures one node that knows a whole fleet. Run it in a new process.
+
+    Args:
+        searchers: Number of searchers.
+        zones: Number of availability zones.
+        hosts: Hosts a zone.
+
+    Returns:
+        Memory and processor time.
+    """
+    gc.collect()
+    start_mb = rss_mb_self()
+    figures = {"searchers": searchers, "zones": zones, "hosts_per_zone": hosts}
+    node = Node(node_settings("z0-0", "z0", 1), random.Random(0), 1, 0.0)
+    _add_members(node, zones, hosts)
+    figures["members_mb"] = rss_mb_self() - start_mb
+    figures.update(_load(node, searchers))
+    figures["configuration_mb"] = rss_mb_self() - start_mb
+    figures.update(_add_reports(node))
+    figures["all_mb"] = rss_mb_self() - start_mb
+    figures.update(_place(node))
+    figures["increment_mb"] = rss_mb_self() - start_mb
+    return figures
+
+
+def rss_mb_self() -> float:
+    """Returns the resident memory of this process, in MB."""
+    return rss_mb(os.getpid())
+
+
+def _add_members(node: Node, zones: int, hosts: int) -> None:
+    entries = [
+        MemberEntry(
+            f"z{zone}-{host}",
+            f"z{zone}",
+            Address(HOST, 7000),
+            1,
+            0,
+            int(Status.ALIVE),
+            False,
+        )
+        for zone in range(zones)
+        for host in range(hosts)
+    ]
+    replication.take_entries(node.board, entries, (), None, 0.0)
+
+
+def _load(node: Node, searchers: int) -> dict:
+    files = target_files(searchers)
+    hashes = {name: content_hash(text) for name, text in files.items()}
+    texts = {hashes[name]: text for name, text in files.items()}
+    loader = node.board.distribution.loader
+    first = _timed(lambda: loader.load(hashes, texts.__getitem__, 1))
+    name = min(files)
+    text = files[name] + " "
+    hashes = {**hashes, name: content_hash(text)}
+    texts[hashes[name]] = text
+    loaded = []
+    change = _timed(
+        lambda: loaded.append(loader.load(hashes, texts.__getitem__, 2)[0])
+    )
+    head_bytes = len(encode_head(Head(1, hashes)))
+    texts.clear()
+    files.clear()
+    node.handle(events.ConfigurationReceived(loaded[0]), 0.0)
+    return {
+        "files": len(hashes),
+        "first_load_s": first,
+        "change_load_s": change,
+        "head_bytes": head_bytes,
+    }
+
+
+def _add_reports(node: Node) -> dict:
+    names = list(node.board.configuration.searchers)
+    entries = [ReportEntry(name, 1, (1, 2), False, True) for name in names]
+    seconds = _timed(
+        lambda: replication.take_entries(node.board, (), entries, None, 0.0)
+    )
+    update = StateUpdate("", (), tuple(entries[:1000]))
+    size = len(peer_codec.encode(update)) / len(update.reports)
+    return {
+        "report_entry_cpu_us": seconds / max(1, len(names)) * 1e6,
+        "report_entry_bytes": size,
+    }
+
+
+def _place(node: Node) -> dict:
+    """Measures placement of a zone anew and after a host was lost."""
+    board = node.board
+    searchers = [
+        s for s in board.configuration.searchers.values() if s.zone == "z1"
+    ]
+    members = [m.name for m in board.members.values() if m.zone == "z1"]
+    pieces = cut_groups(searchers)
+    whole = assign_pieces(pieces, members)
+    fresh = _timed(lambda: assign_pieces(pieces, members))
+    again = _timed(lambda: assign_pieces(pieces, members[1:], whole))
+    first = searchers[0]
+    placement.ranked_owners(board, first, 0.0)
+    lookup = _timed(
+        lambda: [
+            placement.ranked_owners(board, first, 0.0) for _ in range(1000)
+        ]
+    )
+    for searcher in board.configuration.searchers.values():
+        placement.ranked_owners(board, searcher, 0.0)
+    return {
+        "place_zone_s": fresh,
+        "place_zone_after_loss_s": again,
+        "owner_lookup_us": lookup / 1000 * 1e6,
+        **_moves(pieces, members),
+    }
+
+
+def _moves(pieces, members) -> dict:
+    def owners(names):
+        found = assign_pieces(pieces, names).owners
+        return {searcher: ranking[0] for searcher, ranking in found.items()}
+
+    before = owners(members)
+    loads = collections.Counter(before.values())
+    fair = len(before) / len(members)
+    moved, lost_total = 0, 0
+    for lost in members[:12]:
+        after = owners([name for name in members if name != lost])
+        moved += sum(after[name] != before[name] for name in before)
+        lost_total += loads[lost]
+    joined = owners([*members, "new"])
+    moved_join = sum(joined[name] != before[name] for name in before)
+    return {
+        "largest_load": max(loads.values()) / fair,
+        "smallest_load": min(loads[name] for name in members) / fair,
+        "moved_per_lost_searcher": moved / max(1, lost_total),
+        "moved_by_join": moved_join / fair,
+    }
+
+
+def _timed(function) -> float:
+    started = time.process_time()
+    function()
+    return time.process_time() - started
--- /dev/null
+++ b/bench/slopes_fleet.py
@@ -0,0 +1,302 @@
+"""Measures control cost and reaction times on real daemons on loopback."""
+
+import dataclasses
+import datetime
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from kumquatspur.core.records import Address
+from kumquatspur.wire.config_store import ConfigStore
+from kumquatspur.wire.store_client import StoreClient
+from standins.demo import ready
+from standins.deployment import (
+    ADMIN_KEY,
+    HOST,
+    OSLO,
+    Deployment,
+    ServiceShape,
+    daemon_settings,
+    find_free_base_port,
+    searcher_specs,
+)
+
+DAEMON_PORT_OFFSET = 300
+READY_S = 90.0
+SETTLE_S = 6.0
+REACTION_S = 10.0
+CHANGES = 8
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+DESK = ServiceShape("desk", 4, 3, 2, 25, ("a", "b"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """Totals of a fleet of daemons at one time."""
+
+    time: float
+    cpu_s: float
+    bytes_sent: int
+    store_calls: int
+
+
+class Fleet(Deployment):
+    """Daemons in some zones, with their stand-ins."""
+
+    def __init__(self, folder: pathlib.Path, zones: int, hosts: int, services):
+        base = find_free_base_port(DAEMON_PORT_OFFSET + 3 * zones * hosts + 20)
+        names = tuple(f"zone-{number}" for number in range(zones))
+        shape = dataclasses.replace(
+            OSLO, base_port=base, zones=names, services=services
+        )
+        super().__init__(shape, folder)
+        moved = dataclasses.replace(shape, base_port=base + DAEMON_PORT_OFFSET)
+        self.settings = {}
+        for entry in daemon_settings(moved, hosts):
+            entry["store"]["port"] = base
+            entry["host_list"]["port"] = base + 1
+            self.settings[entry["name"]] = entry
+        address = Address(HOST, base)
+        self.config = ConfigStore(StoreClient(address), "kumquatspur")
+
+    def searcher_count(self) -> int:
+        """Returns the number of searchers."""
+        return len(searcher_specs(self.files, self.service_ms))
+
+    def wait_ready(self, revision: int) -> None:
+        """Waits until all daemons run a revision and know all peers."""
+        self.wait_until(lambda: ready(self, revision), READY_S)
+
+    def metrics(self, name: str) -> dict:
+        """Returns a daemon's metrics."""
+        port = self.settings[name]["admin"]["port"]
+        return self.call("GET", port, "/v1/metrics", key=ADMIN_KEY)[1]
+
+    def usage(self) -> Usage:
+        """Returns the totals now."""
+        names = list(self.settings)
+        sent = sum(
+            self.metrics(name)["wire"].get("peer_bytes_sent", 0)
+            for name in names
+        )
+        port = self.shape.base_port
+        calls = sum(self.call("GET", port, "/calls")[1].values())
+        cpu = sum(_cpu_s(self.processes[name].pid) for name in names)
+        return Usage(time.monotonic(), cpu, sent, calls)
+
+    def change(self) -> float:
+        """Accepts a change of one file.
+
+        Returns:
+            The time of the wall clock before the change was accepted.
+        """
+        head = self.config.read_head()
+        text = json.dumps({"drain": []}) + " " * (head.revision + 1)
+        files = {n: self.config.read_file(d) for n, d in head.files.items()}
+        started = time.time()
+        _, errors = self.config.push(
+            {**files, "99-change.json": text}, head.files, "slopes"
+        )
+        if errors:
+            raise ValueError(str(errors))
+        return started
+
+    def log_times(self, event: str, **fields) -> dict[str, float]:
+        """Returns when each daemon first logged an event."""
+        found = {}
+        for name in self.settings:
+            text = (self.folder / f"{name}.log").read_text(encoding="utf-8")
+            for line in text.splitlines():
+                if event not in line or not line.startswith("{"):
+                    continue
+                entry = json.loads(line)
+                wanted = {"message": event, **fields}
+                if all(entry.get(k) == v for k, v in wanted.items()):
+                    found[name] = _wall_time(entry["time"])
+                    break
+        return found
+
+    def owners(self) -> dict[str, str]:
+        """Returns the owner of each searcher, as the daemons say."""
+        return {
+            searcher: name
+            for name in self.settings
+            if name in self.processes
+            for searcher in self.status(name)["owned"]
+        }
+
+
+def _wall_time(text: str) -> float:
+    return datetime.datetime.strptime(text, "%Y-%m-%d %H:%M:%S,%f").timestamp()
+
+
+def _cpu_s(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def rss_mb(pid: int) -> float:
+    """Returns the resident memory of a process, in MB."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024.0
+    return 0.0
+
+
+def import_rss_mb() -> float:
+    """Returns the resident memory of a process that only imports, in MB."""
+    code = (
+        "import eventlet; eventlet.monkey_patch();"
+        "import kumquatspur.wire.shell, sys;"
+        "sys.stdout.write('x'); sys.stdout.flush(); sys.stdin.read()"
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-c", code],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        process.stdout.read(1)
+        return rss_mb(process.pid)
+    finally:
+        process.communicate()
+
+
+def measure_fleet(folder, zones: int, hosts: int, seconds: float, services):
+    """Measures idle cost and reaction times of one fleet.
+
+    Args:
+        folder: Where settings and logs go.
+        zones: Number of availability zones.
+        hosts: Daemons a zone.
+        seconds: How long the idle cost is measured.
+        services: The services configured.
+
+    Returns:
+        The figures.
+    """
+    fleet = Fleet(folder, zones, hosts, services)
+    try:
+        fleet.start()
+        fleet.push()
+        fleet.wait_ready(1)
+        time.sleep(SETTLE_S)
+        figures = {
+            "daemons": zones * hosts,
+            "zones": zones,
+            "hosts_per_zone": hosts,
+            "searchers": fleet.searcher_count(),
+            **_measure_idle(fleet, seconds),
+        }
+        figures["in_force_s"] = _measure_changes(fleet, None)
+        figures["in_force_watcher_killed_s"] = _measure_changes(
+            fleet, signal.SIGKILL
+        )
+        figures["noticed_killed_s"] = _measure_loss(fleet, signal.SIGKILL)
+        figures["noticed_frozen_s"] = _measure_loss(fleet, signal.SIGSTOP)
+        return figures
+    finally:
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGCONT)
+        fleet.close()
+
+
+def _measure_idle(fleet: Fleet, seconds: float) -> dict:
+    before = fleet.usage()
+    time.sleep(seconds)
+    after = fleet.usage()
+    count, elapsed = len(fleet.settings), after.time - before.time
+    memory = [rss_mb(fleet.processes[name].pid) for name in fleet.settings]
+    sent = after.bytes_sent - before.bytes_sent
+    calls = after.store_calls - before.store_calls
+    return {
+        "cpu_share": (after.cpu_s - before.cpu_s) / elapsed / count,
+        "bytes_sent_per_s": sent / elapsed / count,
+        "store_calls_per_s": calls / elapsed,
+        "rss_mb_mean": sum(memory) / count,
+        "rss_mb_max": max(memory),
+    }
+
+
+def _spread(values: list[float], missing: int) -> dict:
+    values = sorted(max(0.0, value) for value in values)
+    return {
+        "p50": values[len(values) // 2] if values else None,
+        "max": values[-1] if values else None,
+        "missing": missing,
+    }
+
+
+def _measure_changes(fleet: Fleet, watcher_signal) -> dict:
+    """Measures from acceptance to in force on each daemon."""
+    values, missing = [], 0
+    changes = 1 if watcher_signal else CHANGES
+    for _ in range(changes):
+        if watcher_signal:
+            _signal_watchers(fleet, watcher_signal)
+        accepted = fleet.change()
+        revision = fleet.config.read_head().revision
+        running = [n for n in fleet.settings if n in fleet.processes]
+        times = _wait_for_log(
+            fleet, running, "configuration_in_force", revision=revision
+        )
+        values += [times[n] - accepted for n in running if n in times]
+        missing += sum(name not in times for name in running)
+    return _spread(values, missing)
+
+
+def _wait_for_log(fleet: Fleet, names, event: str, **fields):
+    end = time.monotonic() + REACTION_S
+    times = {}
+    while time.monotonic() < end:
+        times = fleet.log_times(event, **fields)
+        if set(names) <= times.keys():
+            break
+        time.sleep(0.2)
+    return times
+
+
+def _signal_watchers(fleet: Fleet, number: int) -> None:
+    """Signals the watchers of the first zone."""
+    zone = fleet.shape.zones[0]
+    for slot in range(2):
+        path = f"/v1/kv/kumquatspur/watchers/{zone}/{slot}"
+        name = fleet.call("GET", fleet.shape.base_port, path)[1]["value"]
+        if name in fleet.processes:
+            fleet.processes[name].send_signal(number)
+            fleet.processes.pop(name).wait()
+
+
+def _measure_loss(fleet: Fleet, number: int) -> dict:
+    """Measures until the other hosts of the zone count a host as dead."""
+    zone = fleet.shape.zones[-1]
+    peers = [
+        name
+        for name in fleet.settings
+        if name in fleet.processes and name.startswith(f"{zone}-")
+    ]
+    if len(peers) < 2:
+        return {}
+    lost = peers.pop()
+    owners = fleet.owners()
+    started = time.time()
+    fleet.processes[lost].send_signal(number)
+    times = _wait_for_log(fleet, peers, "host_status", host=lost, status="dead")
+    process = fleet.processes.pop(lost)
+    time.sleep(2.0)
+    moved = fleet.owners()
+    process.kill()
+    process.wait()
+    values = [times[n] - started for n in peers if n in times]
+    return {
+        **_spread(values, sum(name not in times for name in peers)),
+        "searchers_lost": sum(owner == lost for owner in owners.values()),
+        "searchers_moved": sum(
+            owner != moved.get(searcher) for searcher, owner in owners.items()
+        ),
+    }
--- a/kumquatspur/controllers/gossip.py
+++ b/kumquatspur/controllers/gossip.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from kumquatspur.core.actions import LogEvent
 from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
 
 REPORT_BUCKETS = 64
@@ -59,6 +60,7 @@
         zone_failures: Probes failed in a row, by other zone.
         empty_zones: Since when each zone with searchers has no live host.
         fostered: Zones whose searchers are owned in other zones.
+        notices: Log events to be written.
         synced: Whether all state was received since the start.
         requested_at: When state was last requested.
         served_at: When all state was last sent to a peer.
@@ -81,6 +83,7 @@
         self.zone_failures: dict[str, int] = collections.defaultdict(int)
         self.empty_zones: dict[str, float] = {}
         self.fostered: set[str] = set()
+        self.notices: list[LogEvent] = []
         self.synced = False
         self.requested_at = 0.0
         self.served_at = 0.0
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -18,6 +18,8 @@
 
 PROBES_PER_HEARTBEAT = 2
 PROBE_TIMEOUT_SHARE = 0.8
+# A host heard within this share of the interval is not probed.
+HEARD_SHARE = 0.8
 # A node that was itself held up for so many intervals accuses nobody.
 SLOW_TICK_INTERVALS = 2.0
 FORGET_S = 600.0
@@ -224,16 +226,20 @@
     chosen = {}
     for _ in range(PROBES_PER_HEARTBEAT):
         if not state.probe_order:
-            state.probe_order = _zone_names(board, board.settings.zone)
+            members = _zone_members(board, board.settings.zone)
+            state.probe_order = [member.name for member in members]
             board.rng.shuffle(state.probe_order)
         while state.probe_order:
             member = board.members.get(state.probe_order.pop())
-            if member is not None and member.name not in chosen:
+            if member is None or member.name in chosen:
+                continue
+            if not _heard_lately(board, member, now):
                 chosen[member.name] = member
-                break
+            break
     for name in list(state.suspects)[:PROBES_PER_HEARTBEAT]:
         chosen[name] = board.members[name]
-    for member in (_next_foreign(board), _next_lost(board)):
+    others = (_next_foreign(board, now), _next_broken(board), _next_lost(board))
+    for member in others:
         if member is not None:
             chosen[member.name] = member
     for name, member in chosen.items():
@@ -242,17 +248,25 @@
     return list(chosen.values())
 
 
-def _zone_names(board: Blackboard, zone: str) -> list[str]:
+def _zone_members(board: Blackboard, zone: str) -> list[Member]:
     """Returns the hosts of a zone that may be alive."""
     gone = (Status.DEAD, Status.LEAVING)
     return [
-        member.name
+        member
         for member in board.members.values()
         if member.zone == zone and member.status not in gone
     ]
 
 
-def _next_foreign(board: Blackboard) -> Member | None:
+def _heard_lately(board: Blackboard, member: Member, now: float) -> bool:
+    """Returns whether a host's own messages make a probe needless."""
+    if member.last_heard is None or member.broken:
+        return False
+    interval = board.settings.timing.heartbeat_s
+    return now - member.last_heard < HEARD_SHARE * interval
+
+
+def _next_foreign(board: Blackboard, now: float) -> Member | None:
     state = board.gossip
     if not state.zone_order:
         zones = {member.zone for member in board.members.values()}
@@ -260,8 +274,17 @@
         board.rng.shuffle(state.zone_order)
     if not state.zone_order:
         return None
-    names = _zone_names(board, state.zone_order.pop())
-    return board.members[board.rng.choice(names)] if names else None
+    members = _zone_members(board, state.zone_order.pop())
+    if not members or any(_heard_lately(board, m, now) for m in members):
+        return None
+    return board.rng.choice(members)
+
+
+def _next_broken(board: Blackboard) -> Member | None:
+    """Returns a host that this node alone may be unable to reach."""
+    broken = [m for m in board.members.values() if m.broken]
+    broken = [m for m in broken if m.status in (Status.ALIVE, Status.SUSPECT)]
+    return board.rng.choice(broken) if broken else None
 
 
 def _next_lost(board: Blackboard) -> Member | None:
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -110,7 +110,11 @@
             found = self._dispatch(event, now)
         if self.board.changed_reports:
             replication.publish_reports(self.board, now)
-        return self._deliver_local(found, now)
+        found = self._deliver_local(found, now)
+        if self.board.gossip.notices:
+            found += self.board.gossip.notices
+            self.board.gossip.notices = []
+        return found
 
     def _run_timers(self, now: float) -> list:
         found = []
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -258,6 +258,7 @@
         member.revision = 0
     if entry.status != member.status:
         member.changed_at = now
+        _notice(board, entry)
     member.zone = entry.zone
     member.address = entry.address
     member.incarnation = entry.incarnation
@@ -271,6 +272,13 @@
     _note_suspicion(board, member, now)
 
 
+def _notice(board: Blackboard, entry: MemberEntry) -> None:
+    if entry.zone == board.settings.zone:
+        status = Status(entry.status).name.lower()
+        fields = (("host", entry.name), ("status", status))
+        board.gossip.notices.append(actions.LogEvent("host_status", fields))
+
+
 def _note_suspicion(board: Blackboard, member: Member, now: float) -> None:
     suspects = board.gossip.suspects
     if member.status is not Status.SUSPECT:
--- a/kumquatspur/wire/admin_server.py
+++ b/kumquatspur/wire/admin_server.py
@@ -59,6 +59,7 @@
         body = self.shell.metrics.export(self.shell.now())
         body["name"] = board.settings.name
         body["decisions"] = dict(sorted(board.counters.items()))
+        body["wire"] = dict(sorted(self.shell.wire_counters().items()))
         body["objectives"] = {
             name: dataclasses.asdict(service.objectives)
             for name, service in board.configuration.services.items()
--- a/kumquatspur/wire/peer_stream.py
+++ b/kumquatspur/wire/peer_stream.py
@@ -187,7 +187,9 @@
             self.counters["peer_connects"] += 1
             stream = OutboundStream(peer, address, self._hello, self._on_end)
             self._outbound[peer] = stream
-        stream.send(peer_codec.encode(message), now)
+        frame = peer_codec.encode(message)
+        self.counters["peer_bytes_sent"] += len(frame)
+        stream.send(frame, now)
         return True
 
     def serve(self, listener) -> None:
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -5,6 +5,7 @@
 import time
 
 import eventlet
+import eventlet.event
 import eventlet.wsgi
 
 from kumquatspur.controllers.node import Node
@@ -55,6 +56,7 @@
         self._calls = {}
         self._wakeup_at = None
         self._wakeup = None
+        self._stop = eventlet.event.Event()
         self._actions = {
             actions.AnswerCaller: self._answer_caller,
             actions.RefuseCaller: self._refuse_caller,
@@ -94,21 +96,22 @@
         server = eventlet.spawn(_serve_http, caller_listener, self.callers)
         self._set_wakeup()
         _log.info("daemon started", extra={"daemon": settings.name})
-        self._wait_for_stop()
+        self._stop.wait()
         eventlet.sleep(settings.timing.drain_s)
         server.kill()
         caller_listener.close()
         self._wait_for_in_flight()
         _log.info("daemon stopped", extra={"daemon": settings.name})
 
+    def wire_counters(self) -> dict[str, int]:
+        """Returns the counts of stream and connection events by name."""
+        return dict(self._peers.counters + self._upstreams.counters)
+
     def request_stop(self) -> None:
         """Begins a graceful stop."""
         if not self.node.board.stopping:
             self.deliver(events.StopRequested())
-
-    def _wait_for_stop(self) -> None:
-        while not self.node.board.stopping:
-            eventlet.sleep(STOP_POLL_S)
+            self._stop.send()
 
     def _wait_for_in_flight(self) -> None:
         board = self.node.board
