Claim idempotency keys in the store before sending

Cause: a request with an idempotency key ran once on each entry host that it was sent to. Now its key is claimed first, in one of 16 buckets of the store, by compare-and-swap; one entry host normally writes a bucket, so that claims of all hosts share its writes. A claim is recognised by its nonce, so a lost answer is settled by reading back. A query that was not run gives its claim back. Keyed queries count as not repeatable.

NodeDriver: start_driver for any shape, and the configuration given last is kept so that a node can be started again.

Conclusion: keep; not proved yet over processes.

--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -19,6 +19,7 @@
     ShardResult,
 )
 from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.claims import BucketWriter
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 
@@ -122,6 +123,25 @@
     received: float
 
 
+@dataclasses.dataclass
+class PendingClaim:
+    """A query that waits for its claim.
+
+    Attributes:
+        query: The query.
+        digest: Digest of its idempotency key.
+        writer: The entry host asked to write the claim.
+        settle_by: When the query is refused if nothing was heard.
+        proceed: Starts the query; takes blackboard, query and time.
+    """
+
+    query: Query
+    digest: str
+    writer: str
+    settle_by: float
+    proceed: Callable
+
+
 class Blackboard:
     """State of one node.
 
@@ -141,6 +161,8 @@
         store_calls: What to do when a call to the store ends, by call id: a
             function of blackboard, `StoreCallEnded` and time that returns
             actions.
+        claims: Queries that wait for their claim, by nonce.
+        claim_writers: Claim buckets that this node writes, by number.
         stopping: Whether a graceful stop has begun.
     """
 
@@ -161,6 +183,8 @@
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
+        self.claims: dict[str, PendingClaim] = {}
+        self.claim_writers: dict[int, BucketWriter] = {}
         self.stopping = False
         self._timers = []
         self._timer_order = itertools.count()
--- /dev/null
+++ b/kumquatspur/controllers/claims.py
@@ -0,0 +1,192 @@
+"""Claims a query's idempotency key before the query starts."""
+
+from collections.abc import Callable
+
+from kumquatspur.controllers import claim_writer, placement
+from kumquatspur.controllers.blackboard import Blackboard, PendingClaim
+from kumquatspur.core import actions, events, messages
+from kumquatspur.core.messages import ClaimStatus
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Query, Refusal
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy import claims
+
+# Shares of the time left: when to turn to another writer, and to give up.
+REROUTE_SHARE = 0.4
+SETTLE_SHARE = 0.7
+RETRY_AFTER_S = 1.0
+RELEASE_S = 5.0
+
+# Status to reason and verdict of the refusal. The verdict of TAKEN speaks of
+# the key's work: an earlier request may have run it.
+_REFUSALS = {
+    ClaimStatus.TAKEN: (
+        Reason.ALREADY_CLAIMED,
+        Verdict.MAY_HAVE_RUN,
+        "an earlier request with this idempotency key may have run; "
+        "this one was not run",
+    ),
+    ClaimStatus.UNSETTLED: (
+        Reason.CLAIM_UNSETTLED,
+        Verdict.NOT_RUN,
+        "the idempotency key could not be claimed in time",
+    ),
+}
+
+
+def claim(board: Blackboard, query: Query, proceed: Callable, now: float):
+    """Claims a query's idempotency key.
+
+    Args:
+        board: The blackboard.
+        query: The query.
+        proceed: Called with blackboard, query and time once the claim is won.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    digest = claims.digest_key(query.service, query.idempotency_key)
+    nonce = claims.digest_nonce(query.request_id)
+    left = query.deadline - now
+    pending = PendingClaim(
+        query,
+        digest,
+        claim_writer.choose_writer(board, digest, now),
+        now + left * SETTLE_SHARE,
+        proceed,
+    )
+    board.claims[nonce] = pending
+    board.schedule(now + left * REROUTE_SHARE, events.ClaimRerouteDue(nonce))
+    board.schedule(pending.settle_by, events.ClaimSettleDue(nonce))
+    return [_ask(board, nonce, pending, now)]
+
+
+def on_reply(board: Blackboard, peer: str, message, now: float):
+    """Starts or refuses a query whose claim was settled.
+
+    Args:
+        board: The blackboard.
+        peer: The writer.
+        message: The `ClaimReply`.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    pending = board.claims.pop(message.nonce, None)
+    if pending is None:
+        board.counters["late_claim_replies"] += 1
+        return []
+    status = message.status
+    if status is ClaimStatus.WON:
+        if now < pending.settle_by:
+            return pending.proceed(board, pending.query, now)
+        status = ClaimStatus.UNSETTLED
+    return _refuse(board, pending.query, status)
+
+
+def on_reroute_due(board: Blackboard, event: events.ClaimRerouteDue, now):
+    """Writes a claim itself when its writer stays silent.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    pending = board.claims.get(event.nonce)
+    if pending is None or pending.writer == board.settings.name:
+        return []
+    return [_reroute(board, event.nonce, pending, now)]
+
+
+def on_settle_due(board: Blackboard, event: events.ClaimSettleDue, now: float):
+    """Refuses a query whose claim could not be settled in time.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    pending = board.claims.pop(event.nonce, None)
+    if pending is None:
+        return []
+    return _refuse(board, pending.query, ClaimStatus.UNSETTLED)
+
+
+def on_peer_lost(board: Blackboard, event: events.PeerLost, now: float):
+    """Writes the claims itself that a lost host should have written.
+
+    Args:
+        board: The blackboard.
+        event: The lost peer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    return [
+        _reroute(board, nonce, pending, now)
+        for nonce, pending in board.claims.items()
+        if pending.writer == event.peer
+    ]
+
+
+def release(board: Blackboard, query: Query, verdict: Verdict) -> None:
+    """Gives a claim back if its query was not run and never will be.
+
+    Args:
+        board: The blackboard.
+        query: The query, which has ended.
+        verdict: Its verdict.
+    """
+    if query.idempotency_key and verdict is Verdict.NOT_RUN:
+        digest = claims.digest_key(query.service, query.idempotency_key)
+        nonce = claims.digest_nonce(query.request_id)
+        board.schedule(0.0, events.ClaimReleaseDue(digest, nonce))
+
+
+def on_release_due(board: Blackboard, event: events.ClaimReleaseDue, now):
+    """Asks the writer of a bucket to remove a claim.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    board.counters["claims_released"] += 1
+    message = messages.ClaimKey(
+        event.digest, event.nonce, RELEASE_S * 1000.0, True
+    )
+    writer = claim_writer.choose_writer(board, event.digest, now)
+    return [placement.send_peer(board, writer, message)]
+
+
+def _ask(board: Blackboard, nonce: str, pending: PendingClaim, now: float):
+    left_ms = (pending.settle_by - now) * 1000.0
+    message = messages.ClaimKey(pending.digest, nonce, left_ms, False)
+    return placement.send_peer(board, pending.writer, message)
+
+
+def _reroute(board: Blackboard, nonce: str, pending: PendingClaim, now):
+    board.counters["claims_rerouted"] += 1
+    pending.writer = board.settings.name
+    return _ask(board, nonce, pending, now)
+
+
+def _refuse(board, query: Query, status: ClaimStatus):
+    reason, verdict, message = _REFUSALS[status]
+    board.counters[f"claims_{status}"] += 1
+    refusal = Refusal(query.request_id, reason, verdict, RETRY_AFTER_S, message)
+    if status is ClaimStatus.UNSETTLED:
+        release(board, query, Verdict.NOT_RUN)
+    return [actions.RefuseCaller(refusal)]
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -1,6 +1,9 @@
 """Coordinates queries: reacts to callers, owners and timers."""
 
+import dataclasses
+
 from kumquatspur.controllers import (
+    claims,
     query_results,
     query_scatter,
     replica_selection,
@@ -25,14 +28,34 @@
     """
     query = event.query
     reason = _refusal_reason(board, query)
-    if reason is None:
-        snapshot = replica_selection.choose_snapshot(
-            board, board.configuration, query, frozenset()
-        )
-        if not snapshot:
-            reason = Reason.NO_SNAPSHOT
     if reason is not None:
         return [query_results.refuse(query.request_id, reason, Verdict.NOT_RUN)]
+    if query.idempotency_key:
+        query = dataclasses.replace(query, repeatable=False)
+        return claims.claim(board, query, start, now)
+    return start(board, query, now)
+
+
+def start(board: Blackboard, query: Query, now: float) -> list:
+    """Starts a query that may run.
+
+    Args:
+        board: The blackboard.
+        query: The query.
+        now: The current time.
+
+    Returns:
+        Actions: messages to owners, or a refusal.
+    """
+    snapshot = replica_selection.choose_snapshot(
+        board, board.configuration, query, frozenset()
+    )
+    if not snapshot:
+        claims.release(board, query, Verdict.NOT_RUN)
+        refusal = query_results.refuse(
+            query.request_id, Reason.NO_SNAPSHOT, Verdict.NOT_RUN
+        )
+        return [refusal]
     state = QueryState(query, board.configuration, snapshot, now)
     board.queries[query.request_id] = state
     board.schedule(
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -8,7 +8,13 @@
 import random
 
 from kumquatspur.border.settings import Settings
-from kumquatspur.controllers import coordinator, membership, owner
+from kumquatspur.controllers import (
+    claim_writer,
+    claims,
+    coordinator,
+    membership,
+    owner,
+)
 from kumquatspur.controllers.blackboard import Blackboard
 from kumquatspur.core import actions, events, messages
 
@@ -32,7 +38,11 @@
     events.ProbeFailed: (owner.on_probe_failed,),
     events.ConfigurationReceived: (membership.on_configuration,),
     events.HostsListed: (membership.on_hosts_listed,),
-    events.PeerLost: (membership.on_peer_lost, coordinator.on_peer_lost),
+    events.PeerLost: (
+        membership.on_peer_lost,
+        coordinator.on_peer_lost,
+        claims.on_peer_lost,
+    ),
     events.StopRequested: (membership.on_stop,),
     events.QueryHedgeDue: (coordinator.on_hedge_due,),
     events.QueryDeadlineDue: (coordinator.on_deadline_due,),
@@ -40,6 +50,10 @@
     events.SubQueryDeadlineDue: (owner.on_sub_query_deadline,),
     events.HeartbeatDue: (membership.on_heartbeat_due,),
     events.ProbeDue: (owner.on_probe_due,),
+    events.ClaimWriteDue: (claim_writer.on_step_due,),
+    events.ClaimRerouteDue: (claims.on_reroute_due,),
+    events.ClaimReleaseDue: (claims.on_release_due,),
+    events.ClaimSettleDue: (claims.on_settle_due,),
 }
 
 _MESSAGE_CONTROLLERS = {
@@ -47,6 +61,8 @@
     messages.SubQuery: owner.on_sub_query,
     messages.SubAnswer: _on_sub_answer,
     messages.CancelSubQuery: owner.on_cancel,
+    messages.ClaimKey: claim_writer.on_claim,
+    messages.ClaimReply: claims.on_reply,
 }
 
 
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -1,6 +1,7 @@
 """Where searchers are owned, given the members known."""
 
 from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.core import actions
 from kumquatspur.core.records import Searcher
 from kumquatspur.policy.ownership import rank_members
 
@@ -49,3 +50,36 @@
         return False
     owners = ranked_owners(board, searcher, now)
     return bool(owners) and owners[0] == board.settings.name
+
+
+def rank_hosts(board: Blackboard, group: str, now: float) -> list[str]:
+    """Ranks the live entry hosts of all zones, this one included.
+
+    Args:
+        board: The blackboard.
+        group: What is placed.
+        now: The current time.
+
+    Returns:
+        Names, first choice first; never empty.
+    """
+    names = [m.name for m in board.members.values() if board.alive(m, now)]
+    if not names or not board.stopping:
+        names.append(board.settings.name)
+    return rank_members(group, names)
+
+
+def send_peer(board: Blackboard, peer: str, message) -> actions.SendPeer:
+    """Builds the action that sends a message to an entry host.
+
+    Args:
+        board: The blackboard.
+        peer: A member, or this node itself.
+        message: One of `kumquatspur.core.messages`.
+
+    Returns:
+        The action.
+    """
+    member = board.members.get(peer)
+    address = member.address if member else board.settings.peer.address()
+    return actions.SendPeer(peer, address, message)
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -1,6 +1,6 @@
 """Takes the results of a query's shards, and retries, chooses again or ends."""
 
-from kumquatspur.controllers import query_scatter, replica_selection
+from kumquatspur.controllers import claims, query_scatter, replica_selection
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions
 from kumquatspur.core import verdict as verdicts
@@ -186,6 +186,7 @@
         query.request_id, state.snapshot, query.limit, state.results.values()
     )
     verdict = verdicts.join([answer.verdict, *state.past_verdicts])
+    claims.release(board, query, verdict)
     if not answer.covered:
         reasons = [missing.reason for missing in answer.missing]
         reason = reasons[0] if reasons else Reason.NO_REPLICA
--- a/kumquatspur/core/events.py
+++ b/kumquatspur/core/events.py
@@ -191,6 +191,35 @@
     """Timer: probe the owned searchers."""
 
 
+@record
+class ClaimWriteDue:
+    """Timer: write the claims that wait for a bucket."""
+
+    bucket: int
+
+
+@record
+class ClaimRerouteDue:
+    """Timer: ask another writer for a claim."""
+
+    nonce: str
+
+
+@record
+class ClaimSettleDue:
+    """Timer: give up on a claim."""
+
+    nonce: str
+
+
+@record
+class ClaimReleaseDue:
+    """Timer: give back the claim of a query that was not run."""
+
+    digest: str
+    nonce: str
+
+
 @record
 class PeerKnown:
     """The address of another entry host became known."""
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -4,6 +4,8 @@
 to the moment of sending, because monotonic clocks differ between hosts.
 """
 
+import enum
+
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Address, ShardResult, record
 
@@ -137,6 +139,39 @@
     shards: tuple[str, ...]
 
 
+class ClaimStatus(enum.StrEnum):
+    """How the claim of an idempotency key ended."""
+
+    WON = "won"
+    TAKEN = "taken"
+    UNSETTLED = "unsettled"
+
+
+@record
+class ClaimKey:
+    """Asks the writer of a bucket to claim an idempotency key.
+
+    Attributes:
+        digest: Digest of service and key.
+        nonce: Identifies the query that claims it.
+        remaining_ms: Time after which no answer is needed.
+        release: Whether the claim is given back, because nothing was run.
+    """
+
+    digest: str
+    nonce: str
+    remaining_ms: float
+    release: bool
+
+
+@record
+class ClaimReply:
+    """Tells how a claim ended."""
+
+    nonce: str
+    status: ClaimStatus
+
+
 @record
 class ProtocolError:
     """The receiver closes the stream because of a bad message."""
@@ -151,5 +186,7 @@
     SubQuery,
     SubAnswer,
     CancelSubQuery,
+    ClaimKey,
+    ClaimReply,
     ProtocolError,
 )
--- /dev/null
+++ b/kumquatspur/policy/claims.py
@@ -0,0 +1,176 @@
+"""Claims of idempotency keys, grouped in buckets of the platform's store.
+
+A bucket is one key of the store that maps digests of idempotency keys to the
+nonce of the request that claimed each. Claims live in two generations; a new
+generation drops the older one. A host starts a generation only after it has
+itself known the present one for a whole period, so expiry relies on no clock
+that hosts share.
+"""
+
+import dataclasses
+import json
+
+import xxhash
+
+from kumquatspur.core.messages import ClaimStatus
+from kumquatspur.core.records import record
+
+BUCKETS = 16
+GENERATION_S = 300.0
+MAX_CLAIMS_PER_GENERATION = 8000
+
+
+@record
+class ClaimRequest:
+    """A wish to claim a digest, or to give the claim back.
+
+    Attributes:
+        digest: Digest of service and idempotency key.
+        nonce: Identifies the request that claims it.
+        release: Whether the claim is given back, because it was not used.
+    """
+
+    digest: str
+    nonce: str
+    release: bool = False
+
+
+@record
+class Bucket:
+    """The claims of one bucket.
+
+    Attributes:
+        generation: Number of the newer generation.
+        current: Nonces by digest, of the newer generation.
+        previous: Nonces by digest, of the older generation.
+    """
+
+    generation: int = 1
+    current: dict[str, str] = dataclasses.field(default_factory=dict)
+    previous: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+def digest_key(service: str, idempotency_key: str) -> str:
+    """Returns the digest of a service's idempotency key."""
+    return xxhash.xxh3_128_hexdigest(f"{service}\0{idempotency_key}".encode())
+
+
+def digest_nonce(request_id: str) -> str:
+    """Returns the nonce of a request."""
+    return xxhash.xxh3_64_hexdigest(request_id.encode())
+
+
+def bucket_of(digest: str) -> int:
+    """Returns the number of the bucket that holds a digest."""
+    return int(digest[:8], 16) % BUCKETS
+
+
+def encode_bucket(bucket: Bucket) -> str:
+    """Returns the stored form of a bucket."""
+    return json.dumps(
+        [bucket.generation, bucket.current, bucket.previous],
+        separators=(",", ":"),
+    )
+
+
+def decode_bucket(text: str | None) -> Bucket:
+    """Returns the bucket of a stored form; None stands for an empty one."""
+    return Bucket(*json.loads(text)) if text else Bucket()
+
+
+def rotate(bucket: Bucket) -> Bucket:
+    """Starts a generation, which drops the claims of the older one."""
+    return Bucket(bucket.generation + 1, {}, bucket.current)
+
+
+def apply_requests(
+    bucket: Bucket, requests: tuple[ClaimRequest, ...]
+) -> tuple[Bucket, dict[str, ClaimStatus]]:
+    """Applies claims in their order.
+
+    Args:
+        bucket: The bucket.
+        requests: The claims.
+
+    Returns:
+        The new bucket, and the status of each claim by nonce. A status WON
+        holds only once the new bucket is in the store.
+    """
+    current, previous = dict(bucket.current), dict(bucket.previous)
+    statuses = {}
+    for request in requests:
+        holder = current.get(request.digest) or previous.get(request.digest)
+        if request.release:
+            if holder == request.nonce:
+                current.pop(request.digest, None)
+                previous.pop(request.digest, None)
+            continue
+        statuses[request.nonce] = _status(holder, request, current)
+        if statuses[request.nonce] is ClaimStatus.WON and not holder:
+            current[request.digest] = request.nonce
+    return Bucket(bucket.generation, current, previous), statuses
+
+
+def _status(holder, request: ClaimRequest, current) -> ClaimStatus:
+    if holder:
+        won = holder == request.nonce
+        return ClaimStatus.WON if won else ClaimStatus.TAKEN
+    if len(current) >= MAX_CLAIMS_PER_GENERATION:
+        return ClaimStatus.UNSETTLED
+    return ClaimStatus.WON
+
+
+@dataclasses.dataclass
+class WaitingClaim:
+    """A claim that has no answer yet.
+
+    Attributes:
+        request: The claim.
+        sender: The entry host that wants it.
+        deadline: When the answer is of no more use.
+    """
+
+    request: ClaimRequest
+    sender: str
+    deadline: float
+
+
+@dataclasses.dataclass
+class BucketWriter:
+    """State of a bucket that this node writes.
+
+    Attributes:
+        number: The bucket.
+        waiting: Claims not answered yet, oldest first.
+        scheduled: Whether a step is scheduled or a store call under way.
+        bucket: The bucket as last read or written; None if unknown.
+        version: Its version in the store.
+        last_write: When it was last written.
+        generation: The newest generation seen.
+        generation_seen: When that was first seen.
+        failures: Store calls that failed since the last success.
+    """
+
+    number: int
+    waiting: list[WaitingClaim] = dataclasses.field(default_factory=list)
+    scheduled: bool = False
+    bucket: Bucket | None = None
+    version: int = 0
+    last_write: float = float("-inf")
+    generation: int = 0
+    generation_seen: float = 0.0
+    failures: int = 0
+
+    def learn(self, bucket: Bucket, version: int, now: float) -> None:
+        """Takes what the store holds."""
+        self.bucket = bucket
+        self.version = version
+        if bucket.generation != self.generation:
+            self.generation = bucket.generation
+            self.generation_seen = now
+
+    def next_bucket(self, now: float) -> Bucket:
+        """Returns the bucket, in a new generation if one is due."""
+        if now - self.generation_seen >= GENERATION_S:
+            return rotate(self.bucket)
+        return self.bucket
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -8,8 +8,10 @@
 import dataclasses
 import heapq
 import itertools
+import json
 import random
 
+from kumquatspur.border.config_files import load_configuration
 from kumquatspur.border.settings import Settings
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
@@ -17,9 +19,11 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Configuration, Hit, Host, ShardResult
 from kumquatspur.core.verdict import Outcome, Phase, Verdict
+from standins.deployment import Shape, config_files, daemon_settings
 
 PEER_DELAY_S = 0.001
 STORE_DELAY_S = 0.003
+WARM_UP_S = 2.5
 
 
 @dataclasses.dataclass
@@ -75,6 +79,7 @@
         outcomes: Final actions by request id.
         cut_links: Pairs of names (sender, receiver) whose messages are lost.
         frozen_nodes: Nodes that handle nothing until they are removed here.
+        configuration: The configuration given last.
         rng: The source of all randomness.
     """
 
@@ -90,6 +95,7 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.frozen_nodes: set[str] = set()
         self.cancelled: set[str] = set()
+        self.configuration = Configuration()
         self._queue = []
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
@@ -119,6 +125,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Gives a configuration to all nodes and creates its searchers."""
+        self.configuration = configuration
         for name in configuration.searchers:
             self.searchers.setdefault(name, FakeSearcher())
         for name in self.nodes:
@@ -286,3 +293,24 @@
             status, value, version = StoreStatus.UNAVAILABLE, None, 0
         event = StoreCallEnded(action.call_id, status, value, version)
         self.after(delay, name, event)
+
+
+def start_driver(shape: Shape, seed: int = 0) -> NodeDriver:
+    """Starts the nodes of a deployment and waits until they know each other.
+
+    Args:
+        shape: The deployment.
+        seed: Seed of all randomness.
+
+    Returns:
+        The driver.
+    """
+    settings = [Settings.model_validate(s) for s in daemon_settings(shape)]
+    driver = NodeDriver(settings, seed)
+    files = {name: json.dumps(v) for name, v in config_files(shape).items()}
+    configuration, _ = load_configuration(files, 1)
+    for name in driver.settings:
+        driver.start(name)
+    driver.configure(configuration)
+    driver.run(WARM_UP_S)
+    return driver
--- a/standins/node_driver_test.py
+++ b/standins/node_driver_test.py
@@ -1,24 +1,13 @@
-import json
 import unittest
 
-from kumquatspur.border.config_files import load_configuration
-from kumquatspur.border.settings import Settings
 from kumquatspur.core import actions, events
 from kumquatspur.core.records import Query
-from standins.deployment import OSLO, config_files, daemon_settings
-from standins.node_driver import NodeDriver
+from standins.deployment import OSLO
+from standins.node_driver import NodeDriver, start_driver
 
 
 def start_oslo(seed: int = 0) -> NodeDriver:
-    settings = [Settings.model_validate(s) for s in daemon_settings(OSLO)]
-    driver = NodeDriver(settings, seed)
-    files = {n: json.dumps(v) for n, v in config_files(OSLO).items()}
-    configuration, _ = load_configuration(files, 1)
-    for name in driver.settings:
-        driver.start(name)
-    driver.configure(configuration)
-    driver.run(3.0)
-    return driver
+    return start_driver(OSLO, seed)
 
 
 class NodeDriverTest(unittest.TestCase):
