Tell NOT_RUN only with proof, for every phase and fault

Now verdicts of past attempts stay with their shard, contradictions may have run, an owner remembers the sub-queries that must not be repeated for 60 s and starts no expired item, and SendGuard asks for the time before the first byte and knows whether it left. A 503 counts as declined only item by item.

on_upstream_failed marks a searcher unreachable on FAILED only, since a cancelled or late call in phase CONNECTING says nothing of it; refused and timed out connections are FAILED as before.

--- a/kumquatspur/border/upstream_api.py
+++ b/kumquatspur/border/upstream_api.py
@@ -1,5 +1,6 @@
 """Models of the protocol spoken to searchers (JSON over HTTP)."""
 
+import collections
 import json
 
 import pydantic
@@ -94,8 +95,8 @@
 ) -> tuple[ItemResult, ...]:
     """Matches a searcher's results to the items asked for.
 
-    Results of items that were not asked for, or that name another shard or
-    snapshot, are dropped.
+    Results of items that were not asked for are dropped. An item with several
+    results, or a result for another shard or snapshot, may have run.
 
     Args:
         searcher: The searcher's name.
@@ -105,22 +106,24 @@
     Returns:
         Results by item.
     """
-    asked = {item.item_id: item for item in items}
-    found = []
+    models = collections.defaultdict(list)
     for model in reply.items:
-        item = asked.pop(model.item_id, None)
-        if item is None:
-            continue
-        found.append(ItemResult(item.item_id, _result(searcher, item, model)))
-    return tuple(found)
+        models[model.item_id].append(model)
+    return tuple(
+        ItemResult(item.item_id, _result(searcher, item, models[item.item_id]))
+        for item in items
+        if item.item_id in models
+    )
 
 
-def _result(searcher: str, item: Item, model: ItemModel) -> ShardResult:
+def _result(searcher: str, item: Item, models: list) -> ShardResult:
+    model = models[0]
     reason = _STATUS_REASON.get(model.status)
-    if reason is not None:
+    if reason is not None and len(models) == 1:
         return ShardResult(item.shard, searcher, Verdict.NOT_RUN, reason)
     matches = (
-        model.status == "ok"
+        len(models) == 1
+        and model.status == "ok"
         and model.shard == item.shard
         and model.snapshot == item.snapshot
     )
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -18,6 +18,7 @@
     Service,
     ShardResult,
 )
+from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
 from kumquatspur.policy.claims import BucketWriter
 from kumquatspur.policy.searcher_queue import SearcherQueue
@@ -78,7 +79,7 @@
         attempts: All attempts, by shard.
         results: The final result of each shard that has one.
         rechosen: Whether the snapshot was already chosen again.
-        past_verdicts: Verdicts of attempts at an abandoned snapshot.
+        past_verdicts: Verdicts of attempts at an abandoned snapshot, by shard.
     """
 
     query: Query
@@ -88,7 +89,9 @@
     attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
     results: dict[str, ShardResult] = dataclasses.field(default_factory=dict)
     rechosen: bool = False
-    past_verdicts: list = dataclasses.field(default_factory=list)
+    past_verdicts: dict[str, list[Verdict]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def service(self) -> Service:
@@ -161,6 +164,8 @@
         store_calls: What to do when a call to the store ends, by call id: a
             function of blackboard, `StoreCallEnded` and time that returns
             actions.
+        recent_sub_ids: When to forget each sub-query of work that must not
+            be repeated, by id, oldest first.
         claims: Queries that wait for their claim, by nonce.
         claim_writers: Claim buckets that this node writes, by number.
         stopping: Whether a graceful stop has begun.
@@ -183,6 +188,7 @@
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
+        self.recent_sub_ids: dict[str, float] = {}
         self.claims: dict[str, PendingClaim] = {}
         self.claim_writers: dict[int, BucketWriter] = {}
         self.stopping = False
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -9,11 +9,12 @@
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import ShardResult
-from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
+from kumquatspur.core.verdict import Outcome, Verdict, verdict_of
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 SLOW_FACTOR = 3.0
+REMEMBER_SUB_ID_S = 60.0
 
 _FAILURE_REASON = {
     Outcome.DECLINED: Reason.REFUSED,
@@ -35,6 +36,9 @@
     Returns:
         Actions.
     """
+    if _is_duplicate(board, message, now):
+        board.counters["duplicate_sub_queries"] += 1
+        return []
     state = SubQueryState(message, peer)
     board.sub_queries[message.sub_id] = state
     deadline = now + message.remaining_ms / 1000.0
@@ -109,7 +113,7 @@
     call = queue.finish(event.call_id, now) if queue else None
     if call is None:
         return []
-    if event.phase is Phase.CONNECTING or event.outcome is Outcome.FAILED:
+    if event.outcome is Outcome.FAILED:
         queue.reachable = False
         _publish(board, queue, now)
     verdict = verdict_of(event.phase, event.outcome)
@@ -294,7 +298,13 @@
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
     found = []
-    while items := queue.take_batch():
+    while taken := queue.take_batch():
+        items = tuple(item for item in taken if item.deadline > now)
+        for item in taken:
+            if item not in items:
+                found += _expire(board, queue, item)
+        if not items:
+            continue
         call_id = board.new_id()
         queue.start(call_id, items, now)
         board.call_searchers[call_id] = queue.searcher.name
@@ -305,6 +315,26 @@
     return found
 
 
+def _expire(board: Blackboard, queue: SearcherQueue, item: actions.Item):
+    result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.TIMED_OUT)
+    return _complete(board, item, result)
+
+
+def _is_duplicate(board: Blackboard, message, now: float) -> bool:
+    """Returns whether a sub-query was received before."""
+    if message.sub_id in board.sub_queries:
+        return True
+    if message.repeatable:
+        return False
+    recent = board.recent_sub_ids
+    while recent and next(iter(recent.values())) <= now:
+        del recent[next(iter(recent))]
+    if message.sub_id in recent:
+        return True
+    recent[message.sub_id] = now + REMEMBER_SUB_ID_S
+    return False
+
+
 def _failed_result(queue, item, verdict, reason) -> ShardResult:
     return ShardResult(item.shard, queue.searcher.name, verdict, reason)
 
@@ -322,7 +352,7 @@
     if state.pending and not (state.flushed and state.ready):
         return []
     if not state.pending:
-        del board.sub_queries[state.sub_query.sub_id]
+        board.sub_queries.pop(state.sub_query.sub_id, None)
     if not state.ready:
         return []
     results = _trim_hits(state.ready, state.sub_query.limit)
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -1,5 +1,8 @@
 """Takes the results of a query's shards, and retries, chooses again or ends."""
 
+import dataclasses
+import itertools
+
 from kumquatspur.controllers import claims, query_scatter, replica_selection
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions
@@ -133,7 +136,12 @@
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, False, now)
     if _should_rechoose(state, result, left):
-        return _rechoose(board, state, result, now)
+        state.rechosen = True
+        snapshot = replica_selection.choose_snapshot(
+            board, state.configuration, state.query, {state.snapshot}
+        )
+        if snapshot:
+            return _rechoose(board, state, snapshot, now)
     state.results[shard] = ShardResult(
         shard, result.searcher, verdict, result.reason
     )
@@ -145,25 +153,35 @@
         result.reason is Reason.SNAPSHOT_NOT_HELD
         and not state.rechosen
         and left > MIN_ATTEMPT_S
-        and state.query.repeatable
+        and (state.query.repeatable or _nothing_ran(state))
     )
 
 
-def _rechoose(board, state: QueryState, result: ShardResult, now: float):
-    snapshot = replica_selection.choose_snapshot(
-        board, state.configuration, state.query, {state.snapshot}
+def _nothing_ran(state: QueryState) -> bool:
+    return all(
+        _verdict(attempt) is Verdict.NOT_RUN
+        for attempts in state.attempts.values()
+        for attempt in attempts
     )
-    state.rechosen = True
-    if not snapshot:
-        state.results[result.shard] = result
-        return []
+
+
+def _rechoose(board, state: QueryState, snapshot: int, now: float):
     board.counters["snapshot_rechosen"] += 1
-    for attempts in state.attempts.values():
-        state.past_verdicts.extend(_verdict(attempt) for attempt in attempts)
+    found = query_scatter.cancel_unfinished(board, state)
+    for shard, attempts in state.attempts.items():
+        past = state.past_verdicts.setdefault(shard, [])
+        past.extend(_verdict(attempt) for attempt in attempts)
     state.snapshot = snapshot
     state.attempts.clear()
     state.results.clear()
-    return query_scatter.scatter(board, state, now)
+    return found + query_scatter.scatter(board, state, now)
+
+
+def _join_past(state: QueryState, result: ShardResult) -> ShardResult:
+    """Adds the verdicts of a shard's attempts at an abandoned snapshot."""
+    past = state.past_verdicts.get(result.shard, ())
+    verdict = verdicts.join([result.verdict, *past])
+    return dataclasses.replace(result, verdict=verdict)
 
 
 def _verdict(attempt: Attempt) -> Verdict:
@@ -182,10 +200,12 @@
     query = state.query
     del board.queries[query.request_id]
     found = query_scatter.cancel_unfinished(board, state)
+    results = [_join_past(state, result) for result in state.results.values()]
     answer = build_answer(
-        query.request_id, state.snapshot, query.limit, state.results.values()
+        query.request_id, state.snapshot, query.limit, results
     )
-    verdict = verdicts.join([answer.verdict, *state.past_verdicts])
+    past = itertools.chain.from_iterable(state.past_verdicts.values())
+    verdict = verdicts.join([answer.verdict, *past])
     claims.release(board, query, verdict)
     if not answer.covered:
         reasons = [missing.reason for missing in answer.missing]
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -10,12 +10,13 @@
 from kumquatspur.border.config_files import load_configuration
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
-from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.core.verdict import Outcome
 from kumquatspur.wire.admin_server import AdminServer
 from kumquatspur.wire.caller_server import CallerServer
 from kumquatspur.wire.config_store import ConfigStore, decode_head
 from kumquatspur.wire.metrics import Metrics
 from kumquatspur.wire.peer_stream import PeerStreams
+from kumquatspur.wire.send_guard import SendGuard
 from kumquatspur.wire.store_calls import STORE_ACTIONS, run_store_call
 from kumquatspur.wire.store_client import (
     StoreClient,
@@ -153,21 +154,22 @@
             eventlet.spawn_n(self.deliver, events.PeerLost(action.peer))
 
     def _call_upstream(self, action: actions.CallUpstream) -> None:
-        thread = eventlet.spawn(self._run_call, action)
-        self._calls[action.call_id] = thread
+        guard = SendGuard(action.deadline)
+        thread = eventlet.spawn(self._run_call, action, guard)
+        self._calls[action.call_id] = (thread, guard)
 
-    def _run_call(self, action: actions.CallUpstream) -> None:
-        event = self._upstreams.search(action)
+    def _run_call(self, action: actions.CallUpstream, guard) -> None:
+        event = self._upstreams.search(action, guard)
         self._calls.pop(action.call_id, None)
         self.deliver(event)
 
     def _cancel_upstream(self, action: actions.CancelUpstream) -> None:
-        thread = self._calls.pop(action.call_id, None)
+        thread, guard = self._calls.pop(action.call_id, (None, None))
         if thread is None:
             return
         thread.kill()
         event = events.UpstreamFailed(
-            action.call_id, Phase.SENT, Outcome.CANCELLED
+            action.call_id, guard.phase(), Outcome.CANCELLED
         )
         eventlet.spawn_n(self.deliver, event)
 
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -10,14 +10,18 @@
 from kumquatspur.core.actions import CallUpstream
 from kumquatspur.core.records import Searcher
 from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.wire.send_guard import (
+    DeadlinePassedError,
+    GuardedConnection,
+    SendGuard,
+)
 
 _JSON = {"Content-Type": "application/json"}
 
-# Failures before the first byte of the request was handed to the kernel.
-_NOT_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
+_TIMEOUTS = (urllib3.exceptions.ReadTimeoutError, DeadlinePassedError)
+
+# Statuses whose body may say what became of each item.
+_ITEM_STATUSES = (200, 503)
 
 
 class UpstreamClient:
@@ -31,45 +35,42 @@
         self.connect_s = connect_s
         self._pools = {}
 
-    def search(self, call: CallUpstream):
+    def search(self, call: CallUpstream, guard: SendGuard | None = None):
         """Sends one search request and waits for its end.
 
+        Nothing is sent after the deadline, also if the process was paused or
+        the connection took long to open.
+
         Args:
             call: The request.
+            guard: Tells others whether the request was sent.
 
         Returns:
             `UpstreamAnswered` or `UpstreamFailed`.
         """
+        guard = guard or SendGuard(call.deadline)
         now = time.monotonic()
-        left = call.deadline - now
-        if left <= 0:
-            return events.UpstreamFailed(
-                call.call_id, Phase.QUEUED, Outcome.TIMED_OUT
-            )
-        body = upstream_api.request_body(call.items, now)
+        if now >= call.deadline:
+            return _failed(call, Phase.QUEUED, Outcome.TIMED_OUT)
         try:
-            response = self._pool(call.searcher).urlopen(
-                "POST",
-                "/v1/search",
-                body=body,
-                headers=_JSON,
-                retries=False,
-                timeout=self._timeout(left),
-            )
-        except _NOT_SENT:
-            return events.UpstreamFailed(
-                call.call_id, Phase.CONNECTING, Outcome.FAILED
-            )
-        except urllib3.exceptions.TimeoutError:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.TIMED_OUT
-            )
+            with guard.active():
+                response = self._post(call, now)
+        except _TIMEOUTS:
+            return _failed(call, guard.phase(), Outcome.TIMED_OUT)
         except (urllib3.exceptions.HTTPError, OSError):
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
-            )
+            return _failed(call, guard.phase(), Outcome.FAILED)
         return self._parse(call, response)
 
+    def _post(self, call: CallUpstream, now: float):
+        return self._pool(call.searcher).urlopen(
+            "POST",
+            "/v1/search",
+            body=upstream_api.request_body(call.items, now),
+            headers=_JSON,
+            retries=False,
+            timeout=self._timeout(call.deadline - now),
+        )
+
     def probe(self, searcher: Searcher):
         """Asks a searcher for its status.
 
@@ -95,16 +96,12 @@
         )
 
     def _parse(self, call: CallUpstream, response):
-        if response.status != 200:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
-            )
+        if response.status not in _ITEM_STATUSES:
+            return _failed(call, Phase.SENT, Outcome.FAILED)
         try:
             reply = upstream_api.SearchReply.model_validate_json(response.data)
         except pydantic.ValidationError:
-            return events.UpstreamFailed(
-                call.call_id, Phase.SENT, Outcome.FAILED
-            )
+            return _failed(call, Phase.SENT, Outcome.FAILED)
         results = upstream_api.item_results(
             call.searcher.name, call.items, reply
         )
@@ -130,6 +127,11 @@
                 searcher.address.port,
                 maxsize=min(searcher.slots + 1, searcher.connections),
             )
+            pool.ConnectionCls = GuardedConnection
             pool.kumquatspur_key = key
             self._pools[searcher.name] = pool
         return pool
+
+
+def _failed(call: CallUpstream, phase: Phase, outcome: Outcome):
+    return events.UpstreamFailed(call.call_id, phase, outcome)
--- /dev/null
+++ b/kumquatspur/wire/upstream_client_test.py
@@ -0,0 +1,180 @@
+"""Verdicts of requests to an upstream that fails in every phase."""
+
+import json
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+import eventlet
+
+from kumquatspur.border.settings import Settings
+from kumquatspur.core import actions, events
+from kumquatspur.core.records import Address, Searcher
+from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
+from kumquatspur.wire import shell as shell_module
+from kumquatspur.wire.send_guard import GuardedConnection
+from kumquatspur.wire.upstream_client import UpstreamClient
+from standins.deployment import OSLO, daemon_settings
+
+TIMEOUT_S = 0.3
+SHARD = "shard"
+
+
+def item(item_id, deadline):
+    return actions.Item(
+        item_id, SHARD, "1", 5, 1, deadline, False, False, "sub"
+    )
+
+
+def reply(status, *entries):
+    body = json.dumps({"items": entries}).encode()
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def ok(item_id):
+    return {"item_id": item_id, "status": "ok", "shard": SHARD, "snapshot": 1}
+
+
+def declined(item_id):
+    return {"item_id": item_id, "status": "not_run"}
+
+
+class Upstream:
+    """Answers each connection with fixed bytes, then closes it.
+
+    Attributes:
+        answer: The bytes; None to stay silent.
+        received: Whether the whole of a request was read.
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.received = False
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.done = threading.Event()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        connection, _ = self.listener.accept()
+        with connection:
+            data = b""
+            while b'"items"' not in data and (more := connection.recv(65536)):
+                data += more
+            self.received = bool(data)
+            if self.answer is None:
+                self.done.wait(5.0)
+            elif self.received:
+                connection.sendall(self.answer)
+
+    def close(self):
+        self.done.set()
+        self.listener.close()
+
+
+def search(port, ids=("a",), timeout_s=TIMEOUT_S):
+    deadline = time.monotonic() + timeout_s
+    address = Address("127.0.0.1", port)
+    searcher = Searcher("s", address, "z", 1, 4, (SHARD,), "g")
+    items = tuple(item(item_id, deadline) for item_id in ids)
+    call = actions.CallUpstream("call", searcher, items, deadline)
+    return UpstreamClient(TIMEOUT_S).search(call)
+
+
+def verdicts(event, ids=("a",)):
+    """Returns the verdict of each item, as the owner works it out."""
+    if isinstance(event, events.UpstreamFailed):
+        return [verdict_of(event.phase, event.outcome)] * len(ids)
+    found = {entry.item_id: entry.result.verdict for entry in event.results}
+    return [found.get(i, Verdict.MAY_HAVE_RUN) for i in ids]
+
+
+NOT_RUN, RAN, MAY = Verdict.NOT_RUN, Verdict.RAN, Verdict.MAY_HAVE_RUN
+
+
+class UpstreamClientTest(unittest.TestCase):
+    def test_what_an_answer_proves(self):
+        cases = [
+            ("reset or closed", b"", [MAY, MAY]),
+            ("silent", None, [MAY, MAY]),
+            ("no HTTP", b"garbage\r\n\r\n", [MAY, MAY]),
+            ("cut short", reply(200, ok("a"))[:-3], [MAY, MAY]),
+            ("status 500", reply(500, declined("a")), [MAY, MAY]),
+            ("bare 503", reply(503), [MAY, MAY]),
+            ("503 by item", reply(503, declined("a")), [NOT_RUN, MAY]),
+            ("one ran", reply(200, ok("a"), declined("b")), [RAN, NOT_RUN]),
+            ("one omitted", reply(200, ok("b")), [MAY, RAN]),
+            ("foreign item", reply(200, declined("z")), [MAY, MAY]),
+            (
+                "contradiction",
+                reply(200, declined("a"), ok("a"), declined("b")),
+                [MAY, NOT_RUN],
+            ),
+        ]
+        for name, answer, expected in cases:
+            with self.subTest(name):
+                upstream = Upstream(answer)
+                self.addCleanup(upstream.close)
+                event = search(upstream.port, ("a", "b"))
+                self.assertEqual(verdicts(event, ("a", "b")), expected)
+                self.assertTrue(upstream.received)
+
+    def test_connection_refused(self):
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            event = search(unused.getsockname()[1])
+        self.assertEqual(verdicts(event), [NOT_RUN])
+
+    def test_nothing_is_sent_after_the_deadline(self):
+        upstream = Upstream(b"")
+        self.addCleanup(upstream.close)
+        self.assertIs(search(upstream.port, (), 0.0).phase, Phase.QUEUED)
+        connect = GuardedConnection.connect
+
+        def slow_connect(connection):
+            connect(connection)
+            time.sleep(2 * TIMEOUT_S)
+
+        with mock.patch.object(GuardedConnection, "connect", slow_connect):
+            event = search(upstream.port)
+        self.assertEqual(
+            (event.phase, event.outcome),
+            (Phase.CONNECTING, Outcome.TIMED_OUT),
+        )
+        self.assertFalse(upstream.received)
+
+
+class CancelTest(unittest.TestCase):
+    def test_phase_of_a_cancelled_call(self):
+        cases = [
+            ("not started", False, Phase.CONNECTING),
+            ("connecting", False, Phase.CONNECTING),
+            ("sent", True, Phase.SENT),
+        ]
+        settings = Settings.model_validate(daemon_settings(OSLO)[0])
+        for name, sent, expected in cases:
+            with self.subTest(name):
+                shell = shell_module.Shell(settings)
+                found = []
+                shell.deliver = found.append
+
+                def hang(call, guard, sent=sent):
+                    guard.sent = sent
+                    eventlet.sleep(60.0)
+
+                shell._upstreams.search = hang
+                call = actions.CallUpstream("c", None, (), 0.0)
+                shell._call_upstream(call)
+                if name != "not started":
+                    eventlet.sleep(0.0)
+                shell._cancel_upstream(actions.CancelUpstream("c"))
+                eventlet.sleep(0.0)
+                event = events.UpstreamFailed("c", expected, Outcome.CANCELLED)
+                self.assertEqual(found, [event])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -37,6 +37,9 @@
         frozen: Execute nothing and never answer.
         lose_answers: Execute, then break the connection.
         draining: Decline all work and say so.
+        failure: Phase and outcome of every request; those that were sent
+            and not declined are executed. None for none.
+        omit_results: Execute, but leave the last result out of the answer.
         executed: The items executed, in order.
     """
 
@@ -46,6 +49,8 @@
     frozen: bool = False
     lose_answers: bool = False
     draining: bool = False
+    failure: tuple[Phase, Outcome] | None = None
+    omit_results: bool = False
     executed: list = dataclasses.field(default_factory=list)
 
 
@@ -224,7 +229,12 @@
             )
             self.after(max(0.0, action.deadline - self.now), name, event)
             return
+        if fake.failure is not None:
+            self._fail(name, action, fake)
+            return
         results = tuple(self._execute(action, fake, i) for i in action.items)
+        if fake.omit_results:
+            results = results[:-1]
         if fake.lose_answers:
             event = events.UpstreamFailed(call_id, Phase.SENT, Outcome.FAILED)
         else:
@@ -233,6 +243,17 @@
             )
         self.after(fake.service_s, name, event)
 
+    def _fail(self, name, action, fake: FakeSearcher):
+        phase, outcome = fake.failure
+        if phase is Phase.SENT and outcome is not Outcome.DECLINED:
+            for item in action.items:
+                self._execute(action, fake, item)
+        delay = fake.service_s
+        if outcome is Outcome.TIMED_OUT:
+            delay = max(0.0, action.deadline - self.now)
+        event = events.UpstreamFailed(action.call_id, phase, outcome)
+        self.after(delay, name, event)
+
     def _execute(self, action, fake: FakeSearcher, item: actions.Item):
         name = action.searcher.name
         declined = None
