Refuse query contents that crash upstreams

Cause: a content that crashes its upstream was retried and sent again until all replicas were lost. After the first death only one shard at a time is attempted, alone on its searcher. Deaths at about the same time under different contents accuse none.

Ruled out: counting every broken connection (idle connections break too); counting distinct searchers only (one that restarts fast dies again).

Outcome.REJECTED: an answer that says nothing of the items is no lost connection; its verdict stays MAY_HAVE_RUN. NodeDriver: searchers that crash.

--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -21,6 +21,7 @@
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
 from kumquatspur.policy.claims import BucketWriter
+from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 
@@ -66,6 +67,37 @@
     result: ShardResult | None = None
 
 
+@dataclasses.dataclass
+class Trial:
+    """Caution with a query whose content was in flight at a lost upstream.
+
+    Attributes:
+        suspect_of: The searcher lost.
+        shard: The one shard that may be attempted.
+        waiting: Shards that wait for its result.
+        condemned: Whether another searcher was lost; nothing more is sent.
+    """
+
+    suspect_of: str
+    shard: str
+    waiting: list[str] = dataclasses.field(default_factory=list)
+    condemned: bool = False
+
+
+@dataclasses.dataclass
+class UpstreamBreak:
+    """The moment when a connection to a searcher broke.
+
+    Attributes:
+        at: When it was noticed.
+        contents: Fingerprints in flight there, until a probe told whether the
+            searcher was lost.
+    """
+
+    at: float
+    contents: frozenset[str]
+
+
 @dataclasses.dataclass
 class QueryState:
     """A query that this node coordinates.
@@ -80,6 +112,7 @@
         results: The final result of each shard that has one.
         rechosen: Whether the snapshot was already chosen again.
         past_verdicts: Verdicts of attempts at an abandoned snapshot, by shard.
+        trial: Set while the content is suspected of crashing upstreams.
     """
 
     query: Query
@@ -92,6 +125,7 @@
     past_verdicts: dict[str, list[Verdict]] = dataclasses.field(
         default_factory=dict
     )
+    trial: Trial | None = None
 
     @property
     def service(self) -> Service:
@@ -166,6 +200,9 @@
             actions.
         recent_sub_ids: When to forget each sub-query of work that must not
             be repeated, by id, oldest first.
+        crash_suspects: Contents suspected of crashing upstreams.
+        breaks: The last broken connection of each searcher.
+        greeted: Incarnation of each entry host that was told what is refused.
         claims: Queries that wait for their claim, by nonce.
         claim_writers: Claim buckets that this node writes, by number.
         stopping: Whether a graceful stop has begun.
@@ -189,6 +226,9 @@
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
         self.recent_sub_ids: dict[str, float] = {}
+        self.crash_suspects = CrashSuspects()
+        self.breaks: dict[str, UpstreamBreak] = {}
+        self.greeted: dict[str, int] = {}
         self.claims: dict[str, PendingClaim] = {}
         self.claim_writers: dict[int, BucketWriter] = {}
         self.stopping = False
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -4,6 +4,7 @@
 
 from kumquatspur.controllers import (
     claims,
+    crash_guard,
     query_results,
     query_scatter,
     replica_selection,
@@ -30,6 +31,8 @@
     reason = _refusal_reason(board, query)
     if reason is not None:
         return [query_results.refuse(query.request_id, reason, Verdict.NOT_RUN)]
+    if refusal := crash_guard.refuse(board, query, now):
+        return refusal
     if query.idempotency_key:
         query = dataclasses.replace(query, repeatable=False)
         return claims.claim(board, query, start, now)
@@ -104,7 +107,7 @@
         Actions.
     """
     state = board.queries.get(event.request_id)
-    if state is None or not state.query.repeatable:
+    if state is None or state.trial or not state.query.repeatable:
         return []
     budget = query_scatter.extra_budget(board, state.service)
     chosen = []
--- /dev/null
+++ b/kumquatspur/controllers/crash_trial.py
@@ -0,0 +1,147 @@
+"""Retries a query whose content may have crashed an upstream, with caution.
+
+While such a query is on trial, one shard at a time is attempted. A trial that
+passes clears the content and lets all other shards go; the loss of another
+searcher ends the query.
+"""
+
+from kumquatspur.controllers import query_scatter, replica_selection
+from kumquatspur.controllers.blackboard import Blackboard, QueryState, Trial
+from kumquatspur.core import verdict as verdicts
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import ShardResult
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy import crash_suspects
+
+
+def is_break(result: ShardResult) -> bool:
+    """Returns whether a result says that a connection broke under the work."""
+    return (
+        result.reason is Reason.UPSTREAM_FAILED
+        and result.verdict is Verdict.MAY_HAVE_RUN
+    )
+
+
+def begin(state: QueryState, result: ShardResult) -> None:
+    """Puts a query on trial before it is retried after a break."""
+    if state.trial is None and is_break(result):
+        state.trial = Trial(result.searcher, result.shard)
+
+
+def must_wait(state: QueryState, shard: str) -> bool:
+    """Returns whether a shard's retry waits, and if so notes that it does."""
+    trial = state.trial
+    if trial is None or trial.shard == shard:
+        return False
+    trial.waiting.append(shard)
+    return True
+
+
+def condemns(state: QueryState, result: ShardResult) -> bool:
+    """Returns whether a result shows that nothing more must be sent."""
+    if result.reason is Reason.CRASHES_UPSTREAMS:
+        return True
+    trial = state.trial
+    on_trial = trial is not None and trial.shard == result.shard
+    return on_trial and is_break(result)
+
+
+def condemn(state: QueryState, result: ShardResult) -> None:
+    """Ends all shards that wait, and allows no further attempt."""
+    if state.trial is None:
+        state.trial = Trial(result.searcher, result.shard)
+    state.trial.condemned = True
+    for shard in state.trial.waiting:
+        state.results[shard] = final_result(
+            state, shard, Reason.CRASHES_UPSTREAMS
+        )
+    state.trial.waiting.clear()
+
+
+def is_condemned(state: QueryState) -> bool:
+    """Returns whether no further attempt is allowed."""
+    return state.trial is not None and state.trial.condemned
+
+
+def passed(board: Blackboard, state: QueryState, shard: str, now: float):
+    """Lets all waiting shards go once the trial's shard was answered.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: A shard that was answered.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    trial = state.trial
+    if trial is None or trial.condemned or trial.shard != shard:
+        return []
+    searchers = [
+        searcher.name
+        for searcher in board.configuration.searchers.values()
+        if shard in searcher.shards
+    ]
+    query = state.query
+    content = crash_suspects.fingerprint(query.service, query.content)
+    board.crash_suspects.acquit(content, searchers)
+    state.trial = None
+    chosen = []
+    for waiting in trial.waiting:
+        chosen += _choose(board, state, waiting, now)
+    return query_scatter.send(board, state, chosen, False, now)
+
+
+def given_up(board: Blackboard, state: QueryState, shard: str, now: float):
+    """Tries the next waiting shard after the trial's shard was given up.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: The shard that got its final result.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    trial = state.trial
+    if trial is None or trial.condemned or trial.shard != shard:
+        return []
+    while trial.waiting:
+        trial.shard = trial.waiting.pop(0)
+        if chosen := _choose(board, state, trial.shard, now):
+            return query_scatter.send(board, state, chosen, False, now)
+    state.trial = None
+    return []
+
+
+def final_result(
+    state: QueryState, shard: str, reason: Reason, searcher: str = ""
+) -> ShardResult:
+    """Builds the result of a shard that is given up.
+
+    Args:
+        state: The query.
+        shard: The shard; none of its attempts is under way.
+        reason: Why there are no hits.
+        searcher: The searcher asked last.
+
+    Returns:
+        The result with the verdict over all attempts.
+    """
+    attempts = state.attempts.get(shard, ())
+    verdict = verdicts.join(attempt.result.verdict for attempt in attempts)
+    return ShardResult(shard, searcher, verdict, reason)
+
+
+def _choose(board, state: QueryState, shard: str, now: float) -> list:
+    """Chooses a searcher for a shard that waited, or gives the shard up."""
+    attempts = state.attempts[shard]
+    searcher = replica_selection.choose_searcher(board, state, shard, now)
+    budget = query_scatter.extra_budget(board, state.service)
+    if searcher and (not attempts or budget.spend()):
+        return [(shard, searcher)]
+    reason = attempts[-1].result.reason if attempts else Reason.NO_REPLICA
+    state.results[shard] = final_result(state, shard, reason)
+    return []
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -12,6 +12,7 @@
     claim_writer,
     claims,
     coordinator,
+    crash_guard,
     membership,
     owner,
 )
@@ -24,6 +25,11 @@
     return coordinator.on_sub_answer(board, peer, message, now)
 
 
+def _on_heartbeat(board, peer, message, now):
+    found = membership.on_heartbeat(board, peer, message, now)
+    return found + crash_guard.on_heartbeat(board, peer, message, now)
+
+
 def _on_store_call_ended(board, event, now):
     controller = board.store_calls.pop(event.call_id, None)
     return controller(board, event, now) if controller else []
@@ -34,8 +40,11 @@
     events.QueryReceived: (coordinator.on_query,),
     events.UpstreamAnswered: (owner.on_upstream_answered,),
     events.UpstreamFailed: (owner.on_upstream_failed,),
-    events.ProbeAnswered: (owner.on_probe_answered,),
-    events.ProbeFailed: (owner.on_probe_failed,),
+    events.ProbeAnswered: (
+        owner.on_probe_answered,
+        crash_guard.on_probe_answered,
+    ),
+    events.ProbeFailed: (owner.on_probe_failed, crash_guard.on_probe_failed),
     events.ConfigurationReceived: (membership.on_configuration,),
     events.HostsListed: (membership.on_hosts_listed,),
     events.PeerLost: (
@@ -48,7 +57,10 @@
     events.QueryDeadlineDue: (coordinator.on_deadline_due,),
     events.SubQueryFlushDue: (owner.on_flush_due,),
     events.SubQueryDeadlineDue: (owner.on_sub_query_deadline,),
-    events.HeartbeatDue: (membership.on_heartbeat_due,),
+    events.HeartbeatDue: (
+        membership.on_heartbeat_due,
+        crash_guard.on_heartbeat_due,
+    ),
     events.ProbeDue: (owner.on_probe_due,),
     events.ClaimWriteDue: (claim_writer.on_step_due,),
     events.ClaimRerouteDue: (claims.on_reroute_due,),
@@ -57,7 +69,8 @@
 }
 
 _MESSAGE_CONTROLLERS = {
-    messages.Heartbeat: membership.on_heartbeat,
+    messages.Heartbeat: _on_heartbeat,
+    messages.CrashReports: crash_guard.on_reports,
     messages.SubQuery: owner.on_sub_query,
     messages.SubAnswer: _on_sub_answer,
     messages.CancelSubQuery: owner.on_cancel,
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -1,6 +1,6 @@
 """Executes sub-queries on the searchers that this node owns."""
 
-from kumquatspur.controllers import placement
+from kumquatspur.controllers import crash_guard, placement
 from kumquatspur.controllers.blackboard import (
     Blackboard,
     KnownReport,
@@ -10,6 +10,7 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import ShardResult
 from kumquatspur.core.verdict import Outcome, Verdict, verdict_of
+from kumquatspur.policy import crash_suspects
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
@@ -18,6 +19,7 @@
 
 _FAILURE_REASON = {
     Outcome.DECLINED: Reason.REFUSED,
+    Outcome.REJECTED: Reason.UPSTREAM_FAILED,
     Outcome.FAILED: Reason.UPSTREAM_FAILED,
     Outcome.TIMED_OUT: Reason.TIMED_OUT,
     Outcome.CANCELLED: Reason.TIMED_OUT,
@@ -45,10 +47,12 @@
     flush_at = now + message.flush_after_ms / 1000.0
     board.schedule(deadline, events.SubQueryDeadlineDue(message.sub_id))
     board.schedule(flush_at, events.SubQueryFlushDue(message.sub_id))
+    content = crash_suspects.fingerprint(message.service, message.content)
+    suspect = message.suspect_of or crash_guard.suspect_of(board, content, now)
     touched = []
     for target in message.targets:
         queue = _queue(board, target.searcher)
-        item = _build_item(board, message, target, deadline)
+        item = _build_item(board, message, target, deadline, content, suspect)
         reason = _admit(board, queue, target, item, now)
         if reason is None:
             state.pending[target.shard] = item
@@ -113,12 +117,12 @@
     call = queue.finish(event.call_id, now) if queue else None
     if call is None:
         return []
-    if event.outcome is Outcome.FAILED:
+    if event.outcome in (Outcome.FAILED, Outcome.REJECTED):
         queue.reachable = False
         _publish(board, queue, now)
     verdict = verdict_of(event.phase, event.outcome)
     reason = _FAILURE_REASON[event.outcome]
-    found = []
+    found = crash_guard.on_call_failed(board, queue, call, event, now)
     for item in call.items:
         result = _failed_result(queue, item, verdict, reason)
         found += _complete(board, item, result)
@@ -274,7 +278,9 @@
     return queue
 
 
-def _build_item(board, message, target, deadline: float) -> actions.Item:
+def _build_item(
+    board, message, target, deadline: float, content: str, suspect_of: str
+) -> actions.Item:
     return actions.Item(
         item_id=board.new_id(),
         shard=target.shard,
@@ -285,6 +291,8 @@
         repeatable=message.repeatable,
         hedge=message.hedge,
         sub_id=message.sub_id,
+        fingerprint=content,
+        suspect_of=suspect_of,
     )
 
 
@@ -299,10 +307,15 @@
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
     found = []
     while taken := queue.take_batch():
-        items = tuple(item for item in taken if item.deadline > now)
+        items = []
         for item in taken:
-            if item not in items:
-                found += _expire(board, queue, item)
+            reason = _late_refusal(board, item, now)
+            if reason is None:
+                items.append(item)
+                continue
+            result = _failed_result(queue, item, Verdict.NOT_RUN, reason)
+            found += _complete(board, item, result)
+        items = tuple(items)
         if not items:
             continue
         call_id = board.new_id()
@@ -315,9 +328,13 @@
     return found
 
 
-def _expire(board: Blackboard, queue: SearcherQueue, item: actions.Item):
-    result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.TIMED_OUT)
-    return _complete(board, item, result)
+def _late_refusal(board: Blackboard, item: actions.Item, now: float):
+    """Returns why an item that was queued must not be sent, or None."""
+    if item.deadline <= now:
+        return Reason.TIMED_OUT
+    if crash_guard.is_refused(board, item.fingerprint, now):
+        return Reason.CRASHES_UPSTREAMS
+    return None
 
 
 def _is_duplicate(board: Blackboard, message, now: float) -> bool:
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -3,7 +3,12 @@
 import dataclasses
 import itertools
 
-from kumquatspur.controllers import claims, query_scatter, replica_selection
+from kumquatspur.controllers import (
+    claims,
+    crash_trial,
+    query_scatter,
+    replica_selection,
+)
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions
 from kumquatspur.core import verdict as verdicts
@@ -57,7 +62,7 @@
         return []
     if result.reason is None and result.snapshot == state.snapshot:
         state.results[result.shard] = result
-        return []
+        return crash_trial.passed(board, state, result.shard, now)
     return _retry_or_give_up(board, state, result, now)
 
 
@@ -125,14 +130,19 @@
     attempts = state.attempts[shard]
     if any(attempt.result is None for attempt in attempts):
         return []
+    if crash_trial.condemns(state, result):
+        crash_trial.condemn(state, result)
     verdict = verdicts.join(attempt.result.verdict for attempt in attempts)
     left = query_scatter.time_left_s(state, now)
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
-    if step is NextStep.RETRY:
+    if step is NextStep.RETRY and not crash_trial.is_condemned(state):
+        if crash_trial.must_wait(state, shard):
+            return []
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         budget = query_scatter.extra_budget(board, state.service)
         if searcher and budget.spend():
             board.counters["retries"] += 1
+            crash_trial.begin(state, result)
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, False, now)
     if _should_rechoose(state, result, left):
@@ -142,16 +152,17 @@
         )
         if snapshot:
             return _rechoose(board, state, snapshot, now)
-    state.results[shard] = ShardResult(
-        shard, result.searcher, verdict, result.reason
+    state.results[shard] = crash_trial.final_result(
+        state, shard, result.reason, result.searcher
     )
-    return []
+    return crash_trial.given_up(board, state, shard, now)
 
 
 def _should_rechoose(state: QueryState, result, left: float) -> bool:
     return (
         result.reason is Reason.SNAPSHOT_NOT_HELD
         and not state.rechosen
+        and state.trial is None
         and left > MIN_ATTEMPT_S
         and (state.query.repeatable or _nothing_ran(state))
     )
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from kumquatspur.controllers import placement, replica_selection
+from kumquatspur.controllers import crash_guard, placement, replica_selection
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.reason import Reason
@@ -37,6 +37,7 @@
             state.results[shard] = ShardResult(
                 shard, "", Verdict.NOT_RUN, Reason.NO_REPLICA
             )
+    chosen = crash_guard.hold_back(board, state, chosen, now)
     extra_budget(board, state.service).earn(len(chosen))
     hedge_at = now + _hedge_delay_s(board, chosen)
     board.schedule(hedge_at, events.QueryHedgeDue(state.query.request_id))
@@ -79,6 +80,7 @@
             repeatable=query.repeatable,
             hedge=hedge,
             targets=tuple(targets),
+            suspect_of=state.trial.suspect_of if state.trial else "",
         )
         for target in targets:
             state.attempts[target.shard].append(
--- a/kumquatspur/core/actions.py
+++ b/kumquatspur/core/actions.py
@@ -42,6 +42,8 @@
         repeatable: Whether it may be executed more than once.
         hedge: Whether it is a hedge.
         sub_id: The sub-query that it belongs to.
+        fingerprint: Identifies the content, whatever request carries it.
+        suspect_of: Searcher that was lost under this content; "" if none.
     """
 
     item_id: str
@@ -53,6 +55,8 @@
     repeatable: bool
     hedge: bool
     sub_id: str
+    fingerprint: str = ""
+    suspect_of: str = ""
 
 
 @record
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -99,6 +99,8 @@
         repeatable: Whether the work may be executed more than once.
         hedge: Whether this is a hedge, to run only in a free slot.
         targets: The shards wanted.
+        suspect_of: Searcher that was lost under this content; "" if none. The
+            items then travel alone.
     """
 
     sub_id: str
@@ -112,6 +114,7 @@
     repeatable: bool
     hedge: bool
     targets: tuple[Target, ...]
+    suspect_of: str = ""
 
 
 @record
@@ -172,6 +175,34 @@
     status: ClaimStatus
 
 
+@record
+class CrashReport:
+    """Loss of an upstream while a query content was in flight there.
+
+    Attributes:
+        death_id: Unique over all entry hosts.
+        fingerprint: The content.
+        searcher: The upstream lost.
+        alone: Whether no other content was in flight there.
+        age_ms: Time since it was noted.
+        remaining_ms: Time until it is forgotten.
+    """
+
+    death_id: str
+    fingerprint: str
+    searcher: str
+    alone: bool
+    age_ms: float
+    remaining_ms: float
+
+
+@record
+class CrashReports:
+    """Losses of upstreams that other entry hosts should know of."""
+
+    reports: tuple[CrashReport, ...]
+
+
 @record
 class ProtocolError:
     """The receiver closes the stream because of a bad message."""
@@ -188,5 +219,6 @@
     CancelSubQuery,
     ClaimKey,
     ClaimReply,
+    CrashReports,
     ProtocolError,
 )
--- a/kumquatspur/core/verdict.py
+++ b/kumquatspur/core/verdict.py
@@ -24,11 +24,16 @@
 
 
 class Outcome(enum.StrEnum):
-    """The event that ended an attempt."""
+    """The event that ended an attempt.
+
+    FAILED is the loss of the connection; REJECTED is an answer that does not
+    say what became of the work.
+    """
 
     ANSWERED = "answered"
     DECLINED = "declined"
     FAILED = "failed"
+    REJECTED = "rejected"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
 
@@ -46,6 +51,7 @@
     (Phase.SENT, Outcome.ANSWERED): Verdict.RAN,
     (Phase.SENT, Outcome.DECLINED): Verdict.NOT_RUN,
     (Phase.SENT, Outcome.FAILED): Verdict.MAY_HAVE_RUN,
+    (Phase.SENT, Outcome.REJECTED): Verdict.MAY_HAVE_RUN,
     (Phase.SENT, Outcome.TIMED_OUT): Verdict.MAY_HAVE_RUN,
     (Phase.SENT, Outcome.CANCELLED): Verdict.MAY_HAVE_RUN,
 }
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -54,7 +54,13 @@
         return len(self.waiting) + running
 
     def free_slots(self) -> int:
-        """Returns the number of requests that may be started now."""
+        """Returns the number of requests that may be started now.
+
+        While a suspected item runs, nothing else is started, so that the loss
+        of the searcher would have one explanation.
+        """
+        if any(call.items[0].suspect_of for call in self.calls.values()):
+            return 0
         return max(0, self.searcher.slots - len(self.calls))
 
     def expected_wait_s(self) -> float:
@@ -89,18 +95,21 @@
         """Takes the items of the next request.
 
         An item that is not repeatable travels alone, so that its verdict
-        depends on no other item.
+        depends on no other item. An item suspected of crashing its upstream
+        also waits until nothing else runs there.
 
         Returns:
             The items; empty if no slot is free or nothing waits.
         """
         if not self.waiting or not self.free_slots():
             return ()
+        if self.waiting[0].suspect_of and self.calls:
+            return ()
         batch = [self.waiting.popleft()]
         while (
-            batch[0].repeatable
+            _may_share(batch[0])
             and self.waiting
-            and self.waiting[0].repeatable
+            and _may_share(self.waiting[0])
             and len(batch) < MAX_BATCH_ITEMS
         ):
             batch.append(self.waiting.popleft())
@@ -125,3 +134,7 @@
             elapsed = now - call.started
             self.latency_s += LATENCY_WEIGHT * (elapsed - self.latency_s)
         return call
+
+
+def _may_share(item: Item) -> bool:
+    return item.repeatable and not item.suspect_of
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -97,11 +97,11 @@
 
     def _parse(self, call: CallUpstream, response):
         if response.status not in _ITEM_STATUSES:
-            return _failed(call, Phase.SENT, Outcome.FAILED)
+            return _failed(call, Phase.SENT, Outcome.REJECTED)
         try:
             reply = upstream_api.SearchReply.model_validate_json(response.data)
         except pydantic.ValidationError:
-            return _failed(call, Phase.SENT, Outcome.FAILED)
+            return _failed(call, Phase.SENT, Outcome.REJECTED)
         results = upstream_api.item_results(
             call.searcher.name, call.items, reply
         )
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import random
+from typing import Any
 
 from kumquatspur.border.config_files import load_configuration
 from kumquatspur.border.settings import Settings
@@ -39,6 +40,10 @@
         draining: Decline all work and say so.
         failure: Phase and outcome of every request; those that were sent
             and not declined are executed. None for none.
+        crash_on: Contents whose execution crashes it.
+        restart_s: Time until it is back after a crash, in seconds.
+        down_until: When it is back.
+        crashes: Contents that crashed it, in order.
         omit_results: Execute, but leave the last result out of the answer.
         executed: The items executed, in order.
     """
@@ -51,6 +56,10 @@
     draining: bool = False
     failure: tuple[Phase, Outcome] | None = None
     omit_results: bool = False
+    crash_on: frozenset[str] = frozenset()
+    restart_s: float = 1.0
+    down_until: float = 0.0
+    crashes: list[str] = dataclasses.field(default_factory=list)
     executed: list = dataclasses.field(default_factory=list)
 
 
@@ -73,6 +82,29 @@
     )
 
 
+@dataclasses.dataclass
+class CallEnd:
+    """The end of a call, which a crash of its searcher changes.
+
+    Attributes:
+        fake: The searcher.
+        crashes: Its number of crashes when the call began.
+        event: How the call ends without a crash.
+    """
+
+    fake: FakeSearcher
+    crashes: int
+    event: Any
+
+    def resolve(self):
+        """Returns how the call ends."""
+        if len(self.fake.crashes) == self.crashes:
+            return self.event
+        return events.UpstreamFailed(
+            self.event.call_id, Phase.SENT, Outcome.FAILED
+        )
+
+
 class NodeDriver:
     """Several nodes, fake searchers and a fake store.
 
@@ -159,6 +191,8 @@
             self.now = max(self.now, at)
             while self._queue and self._queue[0][0] <= self.now:
                 _, _, name, event = heapq.heappop(self._queue)
+                if isinstance(event, CallEnd):
+                    event = event.resolve()
                 self.inject(name, event)
             for name in sorted(self.nodes):
                 wakeup = self.nodes[name].next_wakeup()
@@ -206,7 +240,7 @@
 
     def _on_ProbeUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
-        if fake.down or fake.frozen:
+        if self.is_down(fake) or fake.frozen:
             event = events.ProbeFailed(action.searcher.name)
         else:
             event = events.ProbeAnswered(
@@ -217,7 +251,7 @@
     def _on_CallUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
         call_id = action.call_id
-        if fake.down:
+        if self.is_down(fake):
             event = events.UpstreamFailed(
                 call_id, Phase.CONNECTING, Outcome.FAILED
             )
@@ -232,6 +266,7 @@
         if fake.failure is not None:
             self._fail(name, action, fake)
             return
+        crashes = len(fake.crashes)
         results = tuple(self._execute(action, fake, i) for i in action.items)
         if fake.omit_results:
             results = results[:-1]
@@ -241,7 +276,16 @@
             event = events.UpstreamAnswered(
                 call_id, results, 0, fake.draining, fake.held
             )
-        self.after(fake.service_s, name, event)
+        self.after(fake.service_s, name, CallEnd(fake, crashes, event))
+
+    def crash(self, fake: FakeSearcher, content: str = "") -> None:
+        """Crashes a searcher; all its calls under way fail."""
+        fake.crashes.append(content)
+        fake.down_until = self.now + fake.restart_s
+
+    def is_down(self, fake: FakeSearcher) -> bool:
+        """Returns whether a searcher refuses connections."""
+        return fake.down or self.now < fake.down_until
 
     def _fail(self, name, action, fake: FakeSearcher):
         phase, outcome = fake.failure
@@ -265,6 +309,8 @@
             result = ShardResult(item.shard, name, Verdict.NOT_RUN, declined)
             return events.ItemResult(item.item_id, result)
         fake.executed.append(item)
+        if item.content in fake.crash_on and not self.is_down(fake):
+            self.crash(fake, item.content)
         hit = Hit(1.0, item.shard, f"{item.shard}@{item.snapshot}", "null")
         result = ShardResult(
             item.shard, name, Verdict.RAN, None, item.snapshot, (hit,)
