--- a/kumquatspur/border/upstream_api.py
+++ b/kumquatspur/border/upstream_api.py
@@ -109,18 +109,25 @@
     models = collections.defaultdict(list)
     for model in reply.items:
         models[model.item_id].append(model)
+    held = tuple(sorted(reply.held))
     return tuple(
-        ItemResult(item.item_id, _result(searcher, item, models[item.item_id]))
+        ItemResult(
+            item.item_id, _result(searcher, item, models[item.item_id], held)
+        )
         for item in items
         if item.item_id in models
     )
 
 
-def _result(searcher: str, item: Item, models: list) -> ShardResult:
+def _result(
+    searcher: str, item: Item, models: list[ItemModel], held: tuple[int, ...]
+) -> ShardResult:
     model = models[0]
     reason = _STATUS_REASON.get(model.status)
     if reason is not None and len(models) == 1:
-        return ShardResult(item.shard, searcher, Verdict.NOT_RUN, reason)
+        return ShardResult(
+            item.shard, searcher, Verdict.NOT_RUN, reason, held=held
+        )
     matches = (
         len(models) == 1
         and model.status == "ok"
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -9,8 +9,9 @@
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import ShardResult
-from kumquatspur.core.verdict import Outcome, Verdict, verdict_of
+from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
 from kumquatspur.policy import crash_suspects
+from kumquatspur.policy.leaving import LeavingState, Signal
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
@@ -87,12 +88,14 @@
     if call is None:
         board.counters["late_upstream_answers"] += 1
         return []
-    _note_state(board, queue, event.held, event.draining, now)
+    if event.draining:
+        _leaving(board, queue).note(Signal.ANSWER, now)
+    _note_state(board, queue, event.held, now)
     results = {entry.item_id: entry.result for entry in event.results}
     found = []
     for item in call.items:
         result = results.get(item.item_id)
-        if result is None:
+        if result is None or not _belongs(item, result):
             result = _failed_result(
                 queue, item, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
             )
@@ -117,18 +120,25 @@
     call = queue.finish(event.call_id, now) if queue else None
     if call is None:
         return []
-    if event.outcome in (Outcome.FAILED, Outcome.REJECTED):
+    found = crash_guard.on_call_failed(board, queue, call, event, now)
+    if _is_unreachable(event):
         queue.reachable = False
+        found += _note_refusal(board, queue, event, now)
         _publish(board, queue, now)
     verdict = verdict_of(event.phase, event.outcome)
     reason = _FAILURE_REASON[event.outcome]
-    found = crash_guard.on_call_failed(board, queue, call, event, now)
     for item in call.items:
         result = _failed_result(queue, item, verdict, reason)
         found += _complete(board, item, result)
     return found + _dispatch(board, queue, now)
 
 
+def _is_unreachable(event: events.UpstreamFailed) -> bool:
+    connecting = event.phase is Phase.CONNECTING
+    late = connecting and event.outcome is Outcome.TIMED_OUT
+    return late or event.outcome in (Outcome.FAILED, Outcome.REJECTED)
+
+
 def on_flush_due(board: Blackboard, event: events.SubQueryFlushDue, now):
     """Sends the results of a sub-query that are there.
 
@@ -160,6 +170,7 @@
     Returns:
         Actions.
     """
+    board.seen_sub_queries.discard(event.sub_id)
     state = board.sub_queries.get(event.sub_id)
     if state is None:
         return []
@@ -200,14 +211,18 @@
     jitter = board.rng.uniform(0.9, 1.1)
     board.schedule(now + interval * jitter, events.ProbeDue())
     found = []
-    for searcher in board.configuration.searchers.values():
-        if placement.is_owned(board, searcher, now):
-            _queue(board, searcher.name)
-            found.append(actions.ProbeUpstream(searcher))
-        elif searcher.name in board.queues:
-            queue = board.queues[searcher.name]
-            if not queue.backlog():
-                del board.queues[searcher.name]
+    owned = {
+        searcher.name: searcher
+        for searcher in board.configuration.searchers.values()
+        if placement.is_owned(board, searcher, now)
+    }
+    for searcher in owned.values():
+        _queue(board, searcher.name)
+        found.append(actions.ProbeUpstream(searcher))
+    for name in board.queues.keys() - owned.keys():
+        if not board.queues[name].backlog():
+            del board.queues[name]
+            board.leaving.pop(name, None)
     return found
 
 
@@ -223,9 +238,14 @@
         Actions.
     """
     queue = board.queues.get(event.searcher)
-    if queue is not None:
-        _note_state(board, queue, event.held, event.draining, now)
-    return []
+    if queue is None:
+        return []
+    if event.draining:
+        _leaving(board, queue).note(Signal.PROBE, now)
+    else:
+        _leaving(board, queue).note_probe_healthy(now)
+    _note_state(board, queue, event.held, now)
+    return _dispatch(board, queue, now)
 
 
 def on_probe_failed(board: Blackboard, event: events.ProbeFailed, now: float):
@@ -242,10 +262,59 @@
     queue = board.queues.get(event.searcher)
     if queue is not None:
         queue.reachable = False
+        _leaving(board, queue).note_probe_failed()
         _publish(board, queue, now)
     return []
 
 
+def on_hosts_listed(board: Blackboard, event: events.HostsListed, now: float):
+    """Takes the upstreams that the platform's host list says are leaving.
+
+    Args:
+        board: The blackboard.
+        event: The list.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    leaving = [h for h in event.hosts if h.leaving and h.role == "upstream"]
+    names = frozenset(host.name for host in leaving)
+    board.listed_leaving = names | {host.address for host in leaving}
+    return _note_withdrawals(board, now)
+
+
+def on_configuration(
+    board: Blackboard, event: events.ConfigurationReceived, now: float
+):
+    """Forgets searchers removed and declines what waits for those drained.
+
+    Args:
+        board: The blackboard.
+        event: The configuration.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    for name in board.reports.keys() - board.configuration.searchers.keys():
+        del board.reports[name]
+    return _note_withdrawals(board, now)
+
+
+def _note_withdrawals(board: Blackboard, now: float) -> list:
+    found = []
+    for queue in list(board.queues.values()):
+        _publish(board, queue, now, changed=False)
+        found += _dispatch(board, queue, now)
+    return found
+
+
+def is_known(queue: SearcherQueue) -> bool:
+    """Returns whether anything was heard from or of a searcher."""
+    return queue.reachable or bool(queue.held)
+
+
 def build_report(queue: SearcherQueue) -> messages.SearcherReport:
     """Builds the report of an owned searcher.
 
@@ -274,6 +343,7 @@
     if queue is None:
         queue = SearcherQueue(searcher)
         board.queues[name] = queue
+        _take_over(board, queue)
     queue.searcher = searcher
     return queue
 
@@ -299,12 +369,12 @@
 def _admit(board, queue, target, item, now: float) -> Reason | None:
     if queue is None:
         return Reason.NO_REPLICA
-    if target.searcher in board.configuration.drained:
-        return Reason.REFUSED
     return queue.admit(item, now)
 
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
+    if queue.draining:
+        return _decline_waiting(board, queue)
     found = []
     while taken := queue.take_batch():
         items = []
@@ -339,8 +409,9 @@
 
 def _is_duplicate(board: Blackboard, message, now: float) -> bool:
     """Returns whether a sub-query was received before."""
-    if message.sub_id in board.sub_queries:
+    if message.sub_id in board.seen_sub_queries:
         return True
+    board.seen_sub_queries.add(message.sub_id)
     if message.repeatable:
         return False
     recent = board.recent_sub_ids
@@ -352,6 +423,51 @@
     return False
 
 
+def _belongs(item: actions.Item, result: ShardResult) -> bool:
+    covers = result.reason is None
+    same_snapshot = not covers or result.snapshot == item.snapshot
+    return result.shard == item.shard and same_snapshot
+
+
+def _decline_waiting(board: Blackboard, queue: SearcherQueue) -> list:
+    found = []
+    while queue.waiting:
+        item = queue.waiting.popleft()
+        result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.REFUSED)
+        found += _complete(board, item, result)
+    return found
+
+
+def _leaving(board: Blackboard, queue: SearcherQueue) -> LeavingState:
+    return board.leaving.setdefault(queue.searcher.name, LeavingState())
+
+
+def _note_refusal(board, queue: SearcherQueue, event, now: float) -> list:
+    """Probes an upstream that closed its listener: is it leaving or down?"""
+    refused = (Phase.CONNECTING, Outcome.FAILED)
+    if (event.phase, event.outcome) != refused:
+        return []
+    _leaving(board, queue).note(Signal.CONNECTION_REFUSED, now)
+    return [actions.ProbeUpstream(queue.searcher)]
+
+
+def _take_over(board: Blackboard, queue: SearcherQueue) -> None:
+    """Starts from what the former owner reported."""
+    known = board.reports.get(queue.searcher.name)
+    if known is not None:
+        queue.held = known.report.held
+        queue.reachable = known.report.reachable
+        withdrawn = placement.is_withdrawn(board, queue.searcher.name)
+        if known.report.draining and not withdrawn:
+            _leaving(board, queue).note(Signal.ANSWER, known.received)
+    queue.draining = _takes_no_work(board, queue)
+
+
+def _takes_no_work(board: Blackboard, queue: SearcherQueue) -> bool:
+    leaving = _leaving(board, queue).is_leaving()
+    return leaving or placement.is_withdrawn(board, queue.searcher.name)
+
+
 def _failed_result(queue, item, verdict, reason) -> ShardResult:
     return ShardResult(item.shard, queue.searcher.name, verdict, reason)
 
@@ -377,7 +493,7 @@
     reports = tuple(
         build_report(board.queues[name])
         for name in names
-        if name in board.queues
+        if name in board.queues and is_known(board.queues[name])
     )
     state.ready = []
     answer = messages.SubAnswer(
@@ -433,18 +549,19 @@
     return Verdict.MAY_HAVE_RUN
 
 
-def _note_state(board, queue: SearcherQueue, held, draining: bool, now):
-    changed = (
-        held != queue.held or draining != queue.draining or not queue.reachable
-    )
+def _note_state(board, queue: SearcherQueue, held, now):
+    changed = held != queue.held or not queue.reachable
     queue.held = held
-    queue.draining = draining
     queue.reachable = True
     _publish(board, queue, now, changed)
 
 
 def _publish(board: Blackboard, queue: SearcherQueue, now, changed=True):
+    draining = _takes_no_work(board, queue)
+    changed = changed or draining != queue.draining
+    queue.draining = draining
     report = build_report(queue)
-    board.reports[report.searcher] = KnownReport(report, now)
+    if is_known(queue) and report.searcher in board.configuration.searchers:
+        board.reports[report.searcher] = KnownReport(report, now)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -83,3 +83,19 @@
     member = board.members.get(peer)
     address = member.address if member else board.settings.peer.address()
     return actions.SendPeer(peer, address, message)
+
+
+def is_withdrawn(board: Blackboard, name: str) -> bool:
+    """Returns whether operators or the host list ask for no new work.
+
+    Args:
+        board: The blackboard.
+        name: The searcher's name.
+
+    Returns:
+        True if it is not configured, drained, or leaving by the host list.
+    """
+    searcher = board.configuration.searchers.get(name)
+    if searcher is None or name in board.configuration.drained:
+        return True
+    return bool(board.listed_leaving & {name, searcher.address})
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -1,7 +1,7 @@
 """Takes the results of a query's shards, and retries, chooses again or ends."""
 
+import collections
 import dataclasses
-import itertools
 
 from kumquatspur.controllers import (
     claims,
@@ -9,12 +9,18 @@
     query_scatter,
     replica_selection,
 )
-from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
+from kumquatspur.controllers.blackboard import (
+    Attempt,
+    Blackboard,
+    QueryState,
+    SnapshotResults,
+)
 from kumquatspur.core import actions
 from kumquatspur.core import verdict as verdicts
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Refusal, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.coverage import reason_of_attempts
 from kumquatspur.policy.merge import build_answer
 from kumquatspur.policy.retry import MIN_ATTEMPT_S, NextStep, next_step
 
@@ -25,6 +31,7 @@
     Reason.NO_SNAPSHOT: "no reachable searcher holds a snapshot",
     Reason.UNKNOWN_SERVICE: "the service is not configured",
     Reason.UNKNOWN_SHARD: "a shard named is not part of the service",
+    Reason.TIMED_OUT: "the deadline passed before any shard answered",
     Reason.LEAVING: "this host is stopping",
 }
 
@@ -54,13 +61,22 @@
     """
     attempt = _find_attempt(state, peer, sub_id, result)
     if attempt is None:
-        board.counters["foreign_results"] += 1
+        past = sub_id in state.past_sub_ids
+        board.counters["late_results" if past else "foreign_results"] += 1
         return []
+    if not _is_sound(state, result):
+        board.counters["invalid_results"] += 1
+        result = ShardResult(
+            result.shard,
+            attempt.searcher,
+            Verdict.MAY_HAVE_RUN,
+            Reason.UPSTREAM_FAILED,
+        )
     attempt.result = result
     if result.shard in state.results:
         board.counters["late_results"] += 1
         return []
-    if result.reason is None and result.snapshot == state.snapshot:
+    if result.reason is None:
         state.results[result.shard] = result
         return crash_trial.passed(board, state, result.shard, now)
     return _retry_or_give_up(board, state, result, now)
@@ -94,9 +110,6 @@
     Returns:
         Actions.
     """
-    for shard in replica_selection.wanted_shards(state):
-        if shard not in state.results:
-            state.results[shard] = _unfinished(state, shard)
     return _finish(board, state)
 
 
@@ -120,11 +133,21 @@
 def _find_attempt(state: QueryState, peer, sub_id, result) -> Attempt | None:
     for attempt in state.attempts.get(result.shard, ()):
         same = attempt.sub_id == sub_id and attempt.owner == peer
+        # An owner that withdrew an item names no searcher.
+        same = same and result.searcher in (attempt.searcher, "")
         if same and attempt.result is None:
             return attempt
     return None
 
 
+def _is_sound(state: QueryState, result: ShardResult) -> bool:
+    if result.reason is not None:
+        return not result.hits
+    own_hits = all(hit.shard == result.shard for hit in result.hits)
+    ran = result.verdict is Verdict.RAN
+    return own_hits and ran and result.snapshot == state.snapshot
+
+
 def _retry_or_give_up(board, state: QueryState, result: ShardResult, now):
     shard = result.shard
     attempts = state.attempts[shard]
@@ -132,67 +155,90 @@
         return []
     if crash_trial.condemns(state, result):
         crash_trial.condemn(state, result)
-    verdict = verdicts.join(attempt.result.verdict for attempt in attempts)
+    verdict = _shard_verdict(state, shard)
     left = query_scatter.time_left_s(state, now)
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
     if step is NextStep.RETRY and not crash_trial.is_condemned(state):
         if crash_trial.must_wait(state, shard):
             return []
         searcher = replica_selection.choose_searcher(board, state, shard, now)
-        budget = query_scatter.extra_budget(board, state.service)
-        if searcher and budget.spend():
+        if searcher and _pays_for_retry(board, state, result):
             board.counters["retries"] += 1
             crash_trial.begin(state, result)
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, False, now)
-    if _should_rechoose(state, result, left):
-        state.rechosen = True
-        snapshot = replica_selection.choose_snapshot(
-            board, state.configuration, state.query, {state.snapshot}
-        )
-        if snapshot:
-            return _rechoose(board, state, snapshot, now)
-    state.results[shard] = crash_trial.final_result(
-        state, shard, result.reason, result.searcher
-    )
+    reason = reason_of_attempts(attempt.result for attempt in attempts)
+    state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
+    not_held = reason is Reason.SNAPSHOT_NOT_HELD
+    if not_held and left > MIN_ATTEMPT_S and state.trial is None:
+        return _rechoose(board, state, now)
     return crash_trial.given_up(board, state, shard, now)
 
 
-def _should_rechoose(state: QueryState, result, left: float) -> bool:
-    return (
-        result.reason is Reason.SNAPSHOT_NOT_HELD
-        and not state.rechosen
-        and state.trial is None
-        and left > MIN_ATTEMPT_S
-        and (state.query.repeatable or _nothing_ran(state))
-    )
+def _pays_for_retry(board: Blackboard, state: QueryState, result) -> bool:
+    """Work that its owner kept from a leaving searcher moves for free."""
+    kept = result.verdict is Verdict.NOT_RUN
+    if kept and replica_selection.is_leaving(board, result.searcher):
+        return True
+    return query_scatter.extra_budget(board, state.service).spend()
 
 
-def _nothing_ran(state: QueryState) -> bool:
-    return all(
-        _verdict(attempt) is Verdict.NOT_RUN
-        for attempts in state.attempts.values()
-        for attempt in attempts
+def _rechoose(board: Blackboard, state: QueryState, now: float) -> list:
+    """Chooses the snapshot again, once, if another one covers more."""
+    safe = state.query.repeatable or _joined(state) is Verdict.NOT_RUN
+    if state.rechosen or not safe:
+        return []
+    snapshot = replica_selection.choose_snapshot(
+        board,
+        state.configuration,
+        state.query,
+        now,
+        _told(state),
+        state.snapshot,
     )
-
-
-def _rechoose(board, state: QueryState, snapshot: int, now: float):
+    if snapshot in (0, state.snapshot):
+        return []
     board.counters["snapshot_rechosen"] += 1
     found = query_scatter.cancel_unfinished(board, state)
-    for shard, attempts in state.attempts.items():
-        past = state.past_verdicts.setdefault(shard, [])
-        past.extend(_verdict(attempt) for attempt in attempts)
+    _abandon_snapshot(state)
     state.snapshot = snapshot
+    return found + query_scatter.scatter(board, state, now)
+
+
+def _told(state: QueryState) -> dict[str, tuple[int, ...]]:
+    """Returns what searchers said they hold when they held no snapshot."""
+    return {
+        attempt.searcher: attempt.result.held
+        for attempts in state.attempts.values()
+        for attempt in attempts
+        if attempt.result is not None
+        and attempt.result.reason is Reason.SNAPSHOT_NOT_HELD
+    }
+
+
+def _abandon_snapshot(state: QueryState) -> None:
+    state.rechosen = True
+    state.fallback = _settle(state, Reason.SNAPSHOT_ABANDONED)
+    state.past_verdicts = {
+        shard: _shard_verdict(state, shard) for shard in state.attempts
+    }
+    state.past_sub_ids = {
+        attempt.sub_id
+        for attempts in state.attempts.values()
+        for attempt in attempts
+    }
     state.attempts.clear()
     state.results.clear()
-    return found + query_scatter.scatter(board, state, now)
 
 
-def _join_past(state: QueryState, result: ShardResult) -> ShardResult:
-    """Adds the verdicts of a shard's attempts at an abandoned snapshot."""
-    past = state.past_verdicts.get(result.shard, ())
-    verdict = verdicts.join([result.verdict, *past])
-    return dataclasses.replace(result, verdict=verdict)
+def _settle(state: QueryState, unfinished: Reason) -> SnapshotResults:
+    """Returns the results at the present snapshot, with a reason for gaps."""
+    results = tuple(
+        state.results.get(shard)
+        or ShardResult(shard, "", Verdict.MAY_HAVE_RUN, unfinished)
+        for shard in replica_selection.wanted_shards(state)
+    )
+    return SnapshotResults(state.snapshot, results)
 
 
 def _verdict(attempt: Attempt) -> Verdict:
@@ -201,25 +247,41 @@
     return attempt.result.verdict
 
 
-def _unfinished(state: QueryState, shard: str) -> ShardResult:
+def _shard_verdict(state: QueryState, shard: str) -> Verdict:
+    past = state.past_verdicts.get(shard, Verdict.NOT_RUN)
     attempts = state.attempts.get(shard, ())
-    verdict = verdicts.join(_verdict(attempt) for attempt in attempts)
-    return ShardResult(shard, "", verdict, Reason.TIMED_OUT)
+    return verdicts.join([past, *map(_verdict, attempts)])
+
 
+def _joined(state: QueryState) -> Verdict:
+    shards = state.attempts.keys() | state.past_verdicts.keys()
+    return verdicts.join(_shard_verdict(state, shard) for shard in shards)
 
-def _finish(board: Blackboard, state: QueryState):
+
+def _finish(board: Blackboard, state: QueryState) -> list:
     query = state.query
     del board.queries[query.request_id]
     found = query_scatter.cancel_unfinished(board, state)
-    results = [_join_past(state, result) for result in state.results.values()]
-    answer = build_answer(
-        query.request_id, state.snapshot, query.limit, results
-    )
-    past = itertools.chain.from_iterable(state.past_verdicts.values())
-    verdict = verdicts.join([answer.verdict, *past])
-    claims.release(board, query, verdict)
-    if not answer.covered:
-        reasons = [missing.reason for missing in answer.missing]
-        reason = reasons[0] if reasons else Reason.NO_REPLICA
-        return [*found, refuse(query.request_id, reason, verdict)]
-    return [*found, actions.AnswerCaller(answer)]
+    claims.release(board, query, _joined(state))
+    latest = _settle(state, Reason.TIMED_OUT)
+    best = max(filter(None, (latest, state.fallback)), key=_covered_share)
+    results = [_with_verdict(state, result) for result in best.results]
+    answer = build_answer(query.request_id, best.snapshot, query.limit, results)
+    if answer.covered:
+        return [*found, actions.AnswerCaller(answer)]
+    reasons = collections.Counter(result.reason for result in results)
+    reason = reasons.most_common(1)[0][0] if reasons else Reason.NO_REPLICA
+    return [*found, refuse(query.request_id, reason, _joined(state))]
+
+
+def _covered_share(found: SnapshotResults) -> float:
+    covered = sum(result.reason is None for result in found.results)
+    return covered / max(1, len(found.results))
+
+
+def _with_verdict(state: QueryState, result: ShardResult) -> ShardResult:
+    """Counts the attempts at both snapshots in what is said of a shard."""
+    if result.reason is None:
+        return result
+    verdict = _shard_verdict(state, result.shard)
+    return dataclasses.replace(result, verdict=verdict)
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -203,6 +203,17 @@
     reports: tuple[CrashReport, ...]
 
 
+@record
+class StreamAck:
+    """Acknowledges the frames received on a stream, to its sender.
+
+    Attributes:
+        received: All frames received on this stream, without the `Hello`.
+    """
+
+    received: int
+
+
 @record
 class ProtocolError:
     """The receiver closes the stream because of a bad message."""
@@ -220,5 +231,6 @@
     ClaimKey,
     ClaimReply,
     CrashReports,
+    StreamAck,
     ProtocolError,
 )
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -16,7 +16,6 @@
 from kumquatspur.wire.config_store import ConfigStore, decode_head
 from kumquatspur.wire.metrics import Metrics
 from kumquatspur.wire.peer_stream import PeerStreams
-from kumquatspur.wire.send_guard import SendGuard
 from kumquatspur.wire.store_calls import STORE_ACTIONS, run_store_call
 from kumquatspur.wire.store_client import (
     StoreClient,
@@ -53,7 +52,9 @@
         self.callers = CallerServer(self)
         self._admin = AdminServer(self)
         self._upstreams = UpstreamClient(settings.timing.connect_s)
-        self._peers = PeerStreams(settings, incarnation, self.deliver)
+        self._peers = PeerStreams(
+            settings, incarnation, self.deliver, self._known_zone
+        )
         self._store = StoreClient(settings.store.address())
         self._calls = {}
         self._wakeup_at = None
@@ -146,6 +147,12 @@
     def _refuse_caller(self, action: actions.RefuseCaller) -> None:
         self.callers.finish(action.refusal.request_id, action)
 
+    def _known_zone(self, name: str) -> str | None:
+        if name == self.settings.name:
+            return ""
+        member = self.node.board.members.get(name)
+        return member.zone if member else None
+
     def _send_peer(self, action: actions.SendPeer) -> None:
         sent = self._peers.send(
             action.peer, action.address, action.message, self.now()
@@ -154,23 +161,21 @@
             eventlet.spawn_n(self.deliver, events.PeerLost(action.peer))
 
     def _call_upstream(self, action: actions.CallUpstream) -> None:
-        guard = SendGuard(action.deadline)
-        thread = eventlet.spawn(self._run_call, action, guard)
-        self._calls[action.call_id] = (thread, guard)
+        thread = eventlet.spawn(self._run_call, action)
+        self._calls[action.call_id] = thread
 
-    def _run_call(self, action: actions.CallUpstream, guard) -> None:
-        event = self._upstreams.search(action, guard)
+    def _run_call(self, action: actions.CallUpstream) -> None:
+        event = self._upstreams.search(action)
         self._calls.pop(action.call_id, None)
         self.deliver(event)
 
     def _cancel_upstream(self, action: actions.CancelUpstream) -> None:
-        thread, guard = self._calls.pop(action.call_id, (None, None))
+        thread = self._calls.pop(action.call_id, None)
         if thread is None:
             return
+        phase = self._upstreams.phase(action.call_id)
         thread.kill()
-        event = events.UpstreamFailed(
-            action.call_id, guard.phase(), Outcome.CANCELLED
-        )
+        event = events.UpstreamFailed(action.call_id, phase, Outcome.CANCELLED)
         eventlet.spawn_n(self.deliver, event)
 
     def _probe_upstream(self, action: actions.ProbeUpstream) -> None:
--- a/kumquatspur/wire/upstream_client_test.py
+++ b/kumquatspur/wire/upstream_client_test.py
@@ -1,179 +1,149 @@
-"""Verdicts of requests to an upstream that fails in every phase."""
-
-import json
-import socket
-import threading
-import time
-import unittest
-from unittest import mock
-
 import eventlet
 
-from kumquatspur.border.settings import Settings
-from kumquatspur.core import actions, events
-from kumquatspur.core.records import Address, Searcher
-from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
-from kumquatspur.wire import shell as shell_module
-from kumquatspur.wire.send_guard import GuardedConnection
-from kumquatspur.wire.upstream_client import UpstreamClient
-from standins.deployment import OSLO, daemon_settings
-
-TIMEOUT_S = 0.3
-SHARD = "shard"
-
-
-def item(item_id, deadline):
-    return actions.Item(
-        item_id, SHARD, "1", 5, 1, deadline, False, False, "sub"
-    )
-
-
-def reply(status, *entries):
-    body = json.dumps({"items": entries}).encode()
-    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
-
-
-def ok(item_id):
-    return {"item_id": item_id, "status": "ok", "shard": SHARD, "snapshot": 1}
-
-
-def declined(item_id):
-    return {"item_id": item_id, "status": "not_run"}
-
+eventlet.monkey_patch()
 
-class Upstream:
-    """Answers each connection with fixed bytes, then closes it.
+import itertools  # noqa: E402
+import time  # noqa: E402
+import unittest  # noqa: E402
 
-    Attributes:
-        answer: The bytes; None to stay silent.
-        received: Whether the whole of a request was read.
-    """
+from kumquatspur.core import actions, events, records  # noqa: E402
+from kumquatspur.core.verdict import Outcome, Phase  # noqa: E402
+from kumquatspur.wire.upstream_client import UpstreamClient  # noqa: E402
+from standins.deployment import find_free_base_port  # noqa: E402
+from standins.relay import Relay  # noqa: E402
+from standins.searcher import Searcher  # noqa: E402
 
-    def __init__(self, answer):
-        self.answer = answer
-        self.received = False
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self.listener.getsockname()[1]
-        self.done = threading.Event()
-        threading.Thread(target=self.run, daemon=True).start()
-
-    def run(self):
-        connection, _ = self.listener.accept()
-        with connection:
-            data = b""
-            while b'"items"' not in data and (more := connection.recv(65536)):
-                data += more
-            self.received = bool(data)
-            if self.answer is None:
-                self.done.wait(5.0)
-            elif self.received:
-                connection.sendall(self.answer)
-
-    def close(self):
-        self.done.set()
-        self.listener.close()
-
-
-def search(port, ids=("a",), timeout_s=TIMEOUT_S):
-    deadline = time.monotonic() + timeout_s
-    address = Address("127.0.0.1", port)
-    searcher = Searcher("s", address, "z", 1, 4, (SHARD,), "g")
-    items = tuple(item(item_id, deadline) for item_id in ids)
-    call = actions.CallUpstream("call", searcher, items, deadline)
-    return UpstreamClient(TIMEOUT_S).search(call)
-
-
-def verdicts(event, ids=("a",)):
-    """Returns the verdict of each item, as the owner works it out."""
-    if isinstance(event, events.UpstreamFailed):
-        return [verdict_of(event.phase, event.outcome)] * len(ids)
-    found = {entry.item_id: entry.result.verdict for entry in event.results}
-    return [found.get(i, Verdict.MAY_HAVE_RUN) for i in ids]
-
-
-NOT_RUN, RAN, MAY = Verdict.NOT_RUN, Verdict.RAN, Verdict.MAY_HAVE_RUN
+DEADLINE_S = 1.0
 
 
 class UpstreamClientTest(unittest.TestCase):
-    def test_what_an_answer_proves(self):
-        cases = [
-            ("reset or closed", b"", [MAY, MAY]),
-            ("silent", None, [MAY, MAY]),
-            ("no HTTP", b"garbage\r\n\r\n", [MAY, MAY]),
-            ("cut short", reply(200, ok("a"))[:-3], [MAY, MAY]),
-            ("status 500", reply(500, declined("a")), [MAY, MAY]),
-            ("bare 503", reply(503), [MAY, MAY]),
-            ("503 by item", reply(503, declined("a")), [NOT_RUN, MAY]),
-            ("one ran", reply(200, ok("a"), declined("b")), [RAN, NOT_RUN]),
-            ("one omitted", reply(200, ok("b")), [MAY, RAN]),
-            ("foreign item", reply(200, declined("z")), [MAY, MAY]),
-            (
-                "contradiction",
-                reply(200, declined("a"), ok("a"), declined("b")),
-                [MAY, NOT_RUN],
-            ),
-        ]
-        for name, answer, expected in cases:
-            with self.subTest(name):
-                upstream = Upstream(answer)
-                self.addCleanup(upstream.close)
-                event = search(upstream.port, ("a", "b"))
-                self.assertEqual(verdicts(event, ("a", "b")), expected)
-                self.assertTrue(upstream.received)
-
-    def test_connection_refused(self):
-        with socket.socket() as unused:
-            unused.bind(("127.0.0.1", 0))
-            event = search(unused.getsockname()[1])
-        self.assertEqual(verdicts(event), [NOT_RUN])
-
-    def test_nothing_is_sent_after_the_deadline(self):
-        upstream = Upstream(b"")
-        self.addCleanup(upstream.close)
-        self.assertIs(search(upstream.port, (), 0.0).phase, Phase.QUEUED)
-        connect = GuardedConnection.connect
-
-        def slow_connect(connection):
-            connect(connection)
-            time.sleep(2 * TIMEOUT_S)
-
-        with mock.patch.object(GuardedConnection, "connect", slow_connect):
-            event = search(upstream.port)
-        self.assertEqual(
-            (event.phase, event.outcome),
-            (Phase.CONNECTING, Outcome.TIMED_OUT),
+    """One searcher behind a relay."""
+
+    def setUp(self):
+        self.ids = itertools.count()
+        self.client = UpstreamClient(0.5)
+        # Forgets the listeners of sockets that the other cleanups close.
+        self.addCleanup(eventlet.hubs.use_hub)
+        self.addCleanup(lambda: self.client.close())
+
+    def open(self, slots=2, connections=25, service_ms=1.0):
+        spec = {
+            "name": "s",
+            "port": find_free_base_port(1),
+            "slots": slots,
+            "connections": connections,
+            "held": [1],
+            "service_ms": service_ms,
+        }
+        self.standin = Searcher(spec)
+        self.standin.start()
+        self.addCleanup(self.standin.listener.close)
+        eventlet.sleep(0)
+        self.relay = Relay(spec["port"])
+        self.addCleanup(self.relay.close)
+        address = records.Address("127.0.0.1", self.relay.port)
+        self.searcher = records.Searcher(
+            "s", address, "z", slots, connections, ("a",), "g"
         )
-        self.assertFalse(upstream.received)
 
+    def call(self, repeatable=True, deadline_s=DEADLINE_S):
+        call_id = str(next(self.ids))
+        deadline = time.monotonic() + deadline_s
+        item = actions.Item(
+            call_id, "a", "1", 3, 1, deadline, repeatable, False, "q"
+        )
+        return actions.CallUpstream(call_id, self.searcher, (item,), deadline)
 
-class CancelTest(unittest.TestCase):
-    def test_phase_of_a_cancelled_call(self):
-        cases = [
-            ("not started", False, Phase.CONNECTING),
-            ("connecting", False, Phase.CONNECTING),
-            ("sent", True, Phase.SENT),
+    def search_together(self, count, **kwargs):
+        threads = [
+            eventlet.spawn(self.client.search, self.call(**kwargs))
+            for _ in range(count)
         ]
-        settings = Settings.model_validate(daemon_settings(OSLO)[0])
-        for name, sent, expected in cases:
+        return [thread.wait() for thread in threads]
+
+    def assert_answered(self, found):
+        for event in found:
+            self.assertIsInstance(event, events.UpstreamAnswered)
+
+    def test_silent_connections_are_replaced_within_one_deadline(self):
+        self.open()
+        self.assert_answered(self.search_together(2))
+        self.relay.set_mode("silent")
+        self.assert_answered(self.search_together(2))
+        opened = self.relay.accepted
+        self.assert_answered(self.search_together(2))
+        self.assertEqual(self.relay.accepted, opened)
+        self.assertEqual(self.client.counters["upstream_retired"], 1)
+        self.assertLessEqual(opened, 2 + 2 + 2)
+
+    def test_idle_connections_retire_with_the_one_found_silent(self):
+        self.open()
+        self.assert_answered(self.search_together(2))
+        self.relay.set_mode("silent")
+        found = self.client.probe(self.searcher)
+        self.assertIsInstance(found, events.ProbeAnswered)
+        found = self.search_together(2, repeatable=False)
+        self.assert_answered(found)
+
+    def test_work_that_must_not_repeat_is_sent_once(self):
+        self.open()
+        self.assert_answered(self.search_together(1))
+        self.relay.set_mode("silent")
+        found = self.client.search(self.call(repeatable=False, deadline_s=0.3))
+        self.assertEqual(found.phase, Phase.SENT)
+        self.assertEqual(found.outcome, Outcome.TIMED_OUT)
+        self.assertEqual(len(self.standin.executed), 1)
+        self.assert_answered(self.search_together(1, repeatable=False))
+
+    def test_slow_searcher_keeps_its_connections_while_others_progress(self):
+        self.open(service_ms=40.0)
+        for _ in range(8):
+            self.assert_answered(self.search_together(2))
+        self.assertLessEqual(self.client.counters["upstream_retired"], 1)
+        self.assertLessEqual(self.relay.accepted, 10)
+
+    def test_reconnects_and_connections_are_bounded(self):
+        self.open(slots=2, connections=4)
+        end = time.monotonic() + 1.0
+        while time.monotonic() < end:
+            self.relay.set_mode("silent")
+            self.search_together(2, deadline_s=0.1)
+            self.assertLessEqual(self.relay.accepted, 2 + 10 * 1.2)
+        self.assertLessEqual(self.standin.pool.most, 4)
+
+    def test_abandoned_request_closes_its_connection_and_frees_the_slot(self):
+        cases = {"killed": (30.0, True), "timed out": (0.1, False)}
+        for name, (deadline_s, kill) in cases.items():
             with self.subTest(name):
-                shell = shell_module.Shell(settings)
-                found = []
-                shell.deliver = found.append
-
-                def hang(call, guard, sent=sent):
-                    guard.sent = sent
-                    eventlet.sleep(60.0)
-
-                shell._upstreams.search = hang
-                call = actions.CallUpstream("c", None, (), 0.0)
-                shell._call_upstream(call)
-                if name != "not started":
-                    eventlet.sleep(0.0)
-                shell._cancel_upstream(actions.CancelUpstream("c"))
-                eventlet.sleep(0.0)
-                event = events.UpstreamFailed("c", expected, Outcome.CANCELLED)
-                self.assertEqual(found, [event])
+                self.open(slots=1, service_ms=60_000.0)
+                self.client.close()
+                call = self.call(deadline_s=deadline_s)
+                thread = eventlet.spawn(self.client.search, call)
+                self.wait_until(lambda: self.standin.executed)
+                self.assertEqual(self.client.phase(call.call_id), Phase.SENT)
+                if kill:
+                    thread.kill()
+                self.wait_until(lambda: self.standin.stopped)
+                self.assertEqual(self.standin.waiting, 0)
+                self.assertEqual(self.standin.slots.balance, 1)
+                self.standin.spec["service_ms"] = 1.0
+                event = self.client.search(self.call())
+                self.assert_answered([event])
+                answered = event.results[0].item_id
+                self.assertNotEqual(answered, call.call_id)
+
+    def test_phase_of_calls_that_were_not_sent(self):
+        self.open()
+        self.relay.close()
+        found = self.client.search(self.call())
+        self.assertEqual(found.phase, Phase.CONNECTING)
+        found = self.client.search(self.call(deadline_s=-1.0))
+        self.assertEqual(found.phase, Phase.QUEUED)
+
+    def wait_until(self, condition):
+        with eventlet.Timeout(10.0):
+            while not condition():
+                eventlet.sleep(0.005)
 
 
 if __name__ == "__main__":
