A silent claim writer is replaced by the next in rank only

Cause: each entry host wrote a claim itself when the writer was late, so a slow store met up to nine writers a bucket, conflicts and more calls. Now all turn to the second host by rank, and a conflict waits for the write interval.

--- a/kumquatspur/controllers/claim_writer.py
+++ b/kumquatspur/controllers/claim_writer.py
@@ -31,10 +31,24 @@
     return f"{board.settings.prefix}/claims/{number}"
 
 
-def choose_writer(board: Blackboard, digest: str, now: float) -> str:
-    """Returns the entry host that should write a digest's bucket."""
+def choose_writer(
+    board: Blackboard, digest: str, now: float, silent: str = ""
+) -> str:
+    """Chooses the entry host that should write a digest's bucket.
+
+    Args:
+        board: The blackboard.
+        digest: The digest.
+        now: The current time.
+        silent: A host that does not answer.
+
+    Returns:
+        The first host by rank, or the second if the first is silent. Since all
+        hosts choose alike, a bucket never has many writers.
+    """
     group = f"claims/{claims.bucket_of(digest)}"
-    return placement.rank_hosts(board, group, now)[0]
+    ranked = placement.rank_hosts(board, group, now)
+    return next((name for name in ranked if name != silent), silent)
 
 
 def on_claim(board: Blackboard, peer: str, message, now: float):
@@ -122,7 +136,9 @@
         writer.bucket = None
         board.counters[f"claim_writes_{event.status}"] += 1
         if event.status is StoreStatus.CONFLICT:
-            return _step(board, writer, now)
+            share = board.rng.uniform(0.5, 1.0)
+            _schedule(board, writer, now + WRITE_INTERVAL_S * share)
+            return []
         return _retry_later(board, writer, now)
 
     writer.scheduled = True
--- a/kumquatspur/controllers/claims.py
+++ b/kumquatspur/controllers/claims.py
@@ -87,7 +87,7 @@
 
 
 def on_reroute_due(board: Blackboard, event: events.ClaimRerouteDue, now):
-    """Writes a claim itself when its writer stays silent.
+    """Turns to another writer when the first one stays silent.
 
     Args:
         board: The blackboard.
@@ -98,7 +98,7 @@
         Actions.
     """
     pending = board.claims.get(event.nonce)
-    if pending is None or pending.writer == board.settings.name:
+    if pending is None:
         return []
     return [_reroute(board, event.nonce, pending, now)]
 
@@ -121,7 +121,7 @@
 
 
 def on_peer_lost(board: Blackboard, event: events.PeerLost, now: float):
-    """Writes the claims itself that a lost host should have written.
+    """Turns to other writers for the claims that a lost host had.
 
     Args:
         board: The blackboard.
@@ -179,7 +179,9 @@
 
 def _reroute(board: Blackboard, nonce: str, pending: PendingClaim, now):
     board.counters["claims_rerouted"] += 1
-    pending.writer = board.settings.name
+    pending.writer = claim_writer.choose_writer(
+        board, pending.digest, now, pending.writer
+    )
     return _ask(board, nonce, pending, now)
 
 
