Ask searchers that their owner never reached, as a last resort

Reports older than 12 heartbeats counted as stale, though a report that does not change need not be repeated. Change: such a report now says unreachable with nothing known to be held, and the searcher is asked after all others; reports are trusted as long as their zone has a live entry host.

--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -113,7 +113,7 @@
         reports=tuple(
             owner.build_report(board.queues[name])
             for name in sorted(names)
-            if owner.is_known(board.queues[name])
+            if owner.is_known(board, board.queues[name])
         ),
     )
     return [
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -300,9 +300,10 @@
     return found
 
 
-def is_known(queue: SearcherQueue) -> bool:
-    """Returns whether anything was heard from or of a searcher."""
-    return queue.reachable or bool(queue.held)
+def is_known(board: Blackboard, queue: SearcherQueue) -> bool:
+    """Returns whether a searcher was tried, or another owner told of it."""
+    tried = queue.reachable or _leaving(board, queue).confirmed
+    return tried or queue.draining or bool(queue.held)
 
 
 def build_report(queue: SearcherQueue) -> messages.SearcherReport:
@@ -443,7 +444,7 @@
     reports = tuple(
         build_report(board.queues[name])
         for name in names
-        if name in board.queues and is_known(board.queues[name])
+        if name in board.queues and is_known(board, board.queues[name])
     )
     state.ready = []
     answer = messages.SubAnswer(
@@ -511,7 +512,8 @@
     changed = changed or draining != queue.draining
     queue.draining = draining
     report = build_report(queue)
-    if is_known(queue) and report.searcher in board.configuration.searchers:
+    configured = report.searcher in board.configuration.searchers
+    if configured and is_known(board, queue):
         board.reports[report.searcher] = KnownReport(report, now)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -26,9 +26,6 @@
 from kumquatspur.policy.coverage import reason_without_replica
 from kumquatspur.policy.replica_choice import Replica, choose_replica
 
-# Owners repeat all reports every few heartbeats; one that was not repeated for
-# this many is no longer trusted.
-REPORT_LIFE_HEARTBEATS = 12
 _NOTHING_TOLD = types.MappingProxyType({})
 
 
@@ -102,24 +99,39 @@
         The snapshot, or 0 if no usable searcher holds any.
     """
     catalogues = catalogues_of(configuration, query)
-    relevant = all_shards(configuration, query)
     wanted = frozenset(query.shards)
-    for answers in (_answers, _may_answer):
+    usable = _usable_replicas(board, all_shards(configuration, query), now)
+    reachable = [
+        pair for pair in usable if board.reports[pair[1]].report.reachable
+    ]
+    for replicas in (reachable, usable):
         held = defaultdict(set)
-        for name, searcher in board.configuration.searchers.items():
-            shards = relevant.intersection(searcher.shards)
-            if not shards or not answers(board, searcher, now):
-                continue
-            for shard in shards:
-                held[shard].update(
-                    told.get(name, board.reports[name].report.held)
-                )
+        for shard, name in replicas:
+            held[shard].update(told.get(name, board.reports[name].report.held))
         found = snapshots.choose_snapshot(catalogues, held, wanted, current)
         if found:
             return found
     return 0
 
 
+def _usable_replicas(
+    board: Blackboard, shards: set[str], now: float
+) -> list[tuple[str, str]]:
+    """Returns pairs of shard and searcher that may be asked."""
+    zones = {}
+    usable = []
+    for shard in shards:
+        for searcher in board.configuration.replicas.get(shard, ()):
+            if searcher.zone not in zones:
+                owners = placement.ranked_owners(board, searcher, now)
+                zones[searcher.zone] = bool(owners)
+            name = searcher.name
+            known = name in board.reports and zones[searcher.zone]
+            if known and not is_leaving(board, name):
+                usable.append((shard, name))
+    return usable
+
+
 def choose_searcher(
     board: Blackboard, state: QueryState, shard: str, now: float
 ) -> str:
@@ -136,8 +148,8 @@
     """
     tried = {a.searcher for a in state.attempts.get(shard, ()) if _tried(a)}
     replicas = []
-    for searcher in board.configuration.searchers.values():
-        if shard not in searcher.shards or searcher.name in tried:
+    for searcher in board.configuration.replicas.get(shard, ()):
+        if searcher.name in tried:
             continue
         if _obstacle(board, state, searcher, now) is not None:
             continue
@@ -146,7 +158,7 @@
             Replica(
                 searcher.name,
                 searcher.zone == board.settings.zone,
-                _answers(board, searcher, now),
+                report.reachable,
                 report.backlog,
                 searcher.slots,
                 report.latency_ms,
@@ -174,8 +186,7 @@
         return Reason.UNKNOWN_SHARD
     obstacles = [
         _obstacle(board, state, searcher, now)
-        for searcher in board.configuration.searchers.values()
-        if shard in searcher.shards
+        for searcher in board.configuration.replicas.get(shard, ())
     ]
     return reason_without_replica(filter(None, obstacles))
 
@@ -193,9 +204,11 @@
     if known.report.draining:
         reachable = known.report.reachable
         return Reason.REFUSED if reachable else Reason.UPSTREAM_FAILED
-    if state.snapshot not in known.report.held:
-        return Reason.SNAPSHOT_NOT_HELD
-    return None
+    # What a searcher holds that its owner never reached is not known.
+    unknown = not known.report.reachable and not known.report.held
+    if unknown or state.snapshot in known.report.held:
+        return None
+    return Reason.SNAPSHOT_NOT_HELD
 
 
 def _tried(attempt: Attempt) -> bool:
@@ -209,17 +222,3 @@
     known = board.reports.get(name)
     told = known is not None and known.report.draining
     return told or placement.is_withdrawn(board, name)
-
-
-def _may_answer(board: Blackboard, searcher: Searcher, now: float) -> bool:
-    if searcher.name not in board.reports or is_leaving(board, searcher.name):
-        return False
-    return bool(placement.ranked_owners(board, searcher, now))
-
-
-def _answers(board: Blackboard, searcher: Searcher, now: float) -> bool:
-    if not _may_answer(board, searcher, now):
-        return False
-    known = board.reports[searcher.name]
-    life_s = REPORT_LIFE_HEARTBEATS * board.settings.timing.heartbeat_s
-    return known.report.reachable and now - known.received <= life_s
