--- /dev/null
+++ b/standins/snapshot_and_leaving_test.py
@@ -0,0 +1,112 @@
+import dataclasses
+import pathlib
+import tempfile
+import time
+import unittest
+
+from standins.demo import full_answer, ready
+from standins.deployment import (
+    FRAMING,
+    HOST,
+    OSLO,
+    Deployment,
+    ServiceShape,
+    find_free_base_port,
+)
+
+SERVICE = "shop-counter"
+SMALL = dataclasses.replace(
+    OSLO, services=(ServiceShape(SERVICE, 4, 3, 2, 25, FRAMING),)
+)
+# The target: no new work this long after the first signal.
+STOP_S = 5.0
+
+
+class ProcessesTest(unittest.TestCase):
+    """Snapshots and leaving searchers over real processes."""
+
+    @classmethod
+    def setUpClass(cls):
+        shape = dataclasses.replace(SMALL, base_port=find_free_base_port(200))
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.deployment = Deployment(
+            shape, pathlib.Path(folder.name), hosts_per_zone=1
+        )
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start()
+        cls.deployment.push()
+        cls.deployment.wait_until(lambda: ready(cls.deployment, 1))
+        cls.deployment.wait_until(lambda: full_answer(cls.deployment, SERVICE))
+        files = cls.deployment.files["10-shop-counter.json"]
+        cls.searchers = files["searchers"]
+        cls.shards = sorted(
+            {s for v in cls.searchers.values() for s in v["shards"]}
+        )
+
+    def ask(self):
+        """Asks every daemon, checks each answer and returns the last one."""
+        body = {"service": SERVICE, "query": 1, "deadline_ms": 1000}
+        for daemon in self.deployment.settings:
+            status, reply = self.deployment.query(daemon, body)
+            self.assertEqual(status, 200, reply)
+            coverage = reply["coverage"]
+            missing = [entry["shard"] for entry in coverage["missing"]]
+            self.assertEqual(sorted(coverage["covered"] + missing), self.shards)
+            snapshots = {hit["fields"]["snapshot"] for hit in reply["hits"]}
+            self.assertEqual(snapshots, {reply["snapshot"]})
+        return reply
+
+    def executed(self, name):
+        port = self.deployment.searcher_port(name)
+        return len(self.deployment.call("GET", port, "/executed")[1]["items"])
+
+    def list_upstream(self, name, leaving):
+        searcher = self.searchers[name]
+        upstream = {
+            "name": name,
+            "zone": searcher["zone"],
+            "host": HOST,
+            "port": searcher["port"],
+            "leaving": leaving,
+            "role": "upstream",
+        }
+        port = self.deployment.shape.base_port + 1
+        hosts = self.deployment.call("GET", port, "/v1/hosts")[1]["hosts"]
+        hosts = [h for h in hosts if h["role"] == "entry"] + [upstream]
+        self.deployment.call("POST", port, "/hosts", {"hosts": hosts})
+
+    def test_snapshots_roll_under_queries(self):
+        for held in ([1, 2], [2]):
+            for name in self.searchers:
+                self.deployment.set_fault(name, held=held)
+                self.ask()
+
+        def rolled():
+            reply = self.ask()
+            return reply["snapshot"] == 2 and reply["coverage"]["full"]
+
+        self.deployment.wait_until(rolled)
+
+    def test_leaving_searchers_get_no_new_work(self):
+        shard = self.shards[0]
+        listed, draining, _ = [
+            name for name, s in self.searchers.items() if s["shards"] == [shard]
+        ]
+        self.list_upstream(listed, True)
+        self.addCleanup(self.list_upstream, listed, False)
+        self.deployment.set_fault(draining, draining=True)
+        self.addCleanup(self.deployment.set_fault, draining, draining=False)
+        end = time.monotonic() + STOP_S
+        while time.monotonic() < end:
+            self.ask()
+        before = {name: self.executed(name) for name in (listed, draining)}
+        self.assertGreater(min(before.values()), 0)
+        for _ in range(50):
+            self.assertTrue(self.ask()["coverage"]["full"])
+        after = {name: self.executed(name) for name in (listed, draining)}
+        self.assertEqual(after, before)
+
+
+if __name__ == "__main__":
+    unittest.main()
