--- a/kumquatspur/scripts/kumquatspurd.py
+++ b/kumquatspur/scripts/kumquatspurd.py
@@ -1,11 +1,21 @@
 """The daemon: one process of an entry host."""
 
-import eventlet
+import signal
+import sys
+
+
+def _exit_at_once(*_):
+    # Nothing was accepted yet.
+    sys.exit(0)
+
+
+for _number in (signal.SIGTERM, signal.SIGINT):
+    signal.signal(_number, _exit_at_once)
+
+import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
 
-import signal  # noqa: E402
-import sys  # noqa: E402
 from dataclasses import dataclass  # noqa: E402
 from typing import Annotated  # noqa: E402
 
@@ -48,9 +58,8 @@
     configure_logging(arguments.log_level)
     shell = Shell(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(
-            number, lambda *_: eventlet.spawn_after(0, shell.request_stop)
-        )
+        # The handler only sets a flag: it may interrupt any green thread.
+        signal.signal(number, lambda *_: shell.request_stop())
     shell.run()
     return 0
 
--- a/kumquatspur/wire/caller_server.py
+++ b/kumquatspur/wire/caller_server.py
@@ -12,11 +12,18 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Diagnostic, Refusal
 from kumquatspur.core.verdict import Verdict
-from kumquatspur.wire.json_http import Reply, error_reply, read_body, send
+from kumquatspur.wire.json_http import (
+    CLOSE_KEY,
+    Reply,
+    error_reply,
+    read_body,
+    send,
+)
 
 _log = logging.getLogger(__name__)
 
 ANSWER_GRACE_S = 1.0
+WARM_UP_S = 5.0
 DEFAULT_DEADLINE_MS = 140
 
 _REFUSAL_STATUS = {
@@ -33,28 +40,33 @@
     Attributes:
         shell: The I/O layer that runs the node.
         waiting: The event that each request in flight waits for.
+        last_query_at: When the last query came.
+        started: When this server was created.
+        warm_since: When this host was first ready to answer, or None.
     """
 
     def __init__(self, shell):
         self.shell = shell
         self.waiting = {}
+        self.last_query_at = float("-inf")
+        self.started = time.monotonic()
+        self.warm_since = None
 
     def __call__(self, environ, start_response):
         """Serves one request."""
-        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
-        handler = _ROUTES.get(route)
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        handler = _ROUTES.get((method, path))
         if handler is None:
             reply = _unknown_route(environ)
         else:
             reply = handler(self, environ)
-        if self.shell.node.board.stopping:
-            close = (("Connection", "close"),)
-            reply = Reply(reply.status, reply.body, reply.headers + close)
-        return send(reply, start_response)
+        body = send(reply, start_response)
+        return [] if method == "HEAD" else body
 
     def query(self, environ) -> Reply:
         """Answers a query."""
         started = time.monotonic()
+        self.last_query_at = started
         settings = self.shell.settings
         body, error = read_body(environ, settings.max_body_bytes)
         if error is not None:
@@ -80,7 +92,7 @@
     def health(self, environ) -> Reply:
         """Tells the platform's balancer whether to send requests here."""
         board = self.shell.node.board
-        ready = bool(board.configuration.revision) and not board.stopping
+        ready = self._warm() and not board.stopping
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         return Reply(status, {"ready": ready, "leaving": board.stopping})
 
@@ -90,6 +102,22 @@
         if waiter is not None:
             waiter.send(action)
 
+    def _warm(self) -> bool:
+        """Returns whether this host knows enough to answer in full.
+
+        A host that has just started waits for reports of the searchers, but
+        not for ever, because a zone may be cut off.
+        """
+        if self.warm_since is None:
+            board = self.shell.node.board
+            if not board.configuration.revision:
+                return False
+            late = time.monotonic() - self.started >= WARM_UP_S
+            if not late and _shards_without_report(board):
+                return False
+            self.warm_since = time.monotonic()
+        return True
+
     def _run(self, query):
         waiter = eventlet.event.Event()
         self.waiting[query.request_id] = waiter
@@ -134,7 +162,27 @@
         _log.info("query answered", extra=fields)
 
 
+def _shards_without_report(board) -> bool:
+    searchers = board.configuration.searchers.values()
+    held = {
+        shard
+        for searcher in searchers
+        if searcher.name in board.reports
+        and board.reports[searcher.name].report.held
+        for shard in searcher.shards
+    }
+    return any(not held.issuperset(s.shards) for s in searchers)
+
+
 def _unknown_route(environ) -> Reply:
+    environ[CLOSE_KEY]()
+    allowed = [m for m, path in _ROUTES if path == environ["PATH_INFO"]]
+    if allowed:
+        errors = [Diagnostic(environ["REQUEST_METHOD"], "is not allowed")]
+        headers = (("Allow", ", ".join(allowed)),)
+        return error_reply(
+            HTTPStatus.METHOD_NOT_ALLOWED, "bad_request", errors, headers
+        )
     errors = [Diagnostic(environ["PATH_INFO"], "no such resource")]
     return error_reply(HTTPStatus.NOT_FOUND, "not_found", errors)
 
@@ -149,4 +197,5 @@
 _ROUTES = {
     ("POST", "/v1/query"): CallerServer.query,
     ("GET", "/v1/health"): CallerServer.health,
+    ("HEAD", "/v1/health"): CallerServer.health,
 }
--- /dev/null
+++ b/standins/small_deployment.py
@@ -0,0 +1,55 @@
+"""A small deployment for tests over real processes."""
+
+import dataclasses
+import pathlib
+import tempfile
+
+from standins.demo import full_answer, ready
+from standins.deployment import (
+    FRAMING,
+    OSLO,
+    Deployment,
+    ServiceShape,
+    find_free_base_port,
+)
+
+SERVICE = "shop-counter"
+PORTS = 200
+DRAIN_S = 0.5
+
+
+def small_deployment(test_case, zones: int, hosts: str) -> Deployment:
+    """Prepares a deployment that ends with a test class.
+
+    Args:
+        test_case: The test class.
+        zones: The number of availability zones.
+        hosts: A letter for each entry host of a zone.
+
+    Returns:
+        The deployment; nothing is started yet.
+    """
+    shape = dataclasses.replace(
+        OSLO,
+        zones=OSLO.zones[:zones],
+        services=(ServiceShape(SERVICE, 4, zones, 2, 25, FRAMING),),
+        base_port=find_free_base_port(PORTS),
+    )
+    folder = tempfile.TemporaryDirectory()
+    test_case.addClassCleanup(folder.cleanup)
+    deployment = Deployment(shape, pathlib.Path(folder.name))
+    for name in list(deployment.settings):
+        if name[-1] not in hosts:
+            del deployment.settings[name]
+    for settings in deployment.settings.values():
+        settings["timing"] = {"drain_s": DRAIN_S}
+    test_case.addClassCleanup(deployment.close)
+    return deployment
+
+
+def start_small(deployment: Deployment) -> None:
+    """Starts a deployment and waits until all daemons give full answers."""
+    deployment.start()
+    deployment.push()
+    deployment.wait_until(lambda: ready(deployment, 1))
+    deployment.wait_until(lambda: full_answer(deployment, SERVICE))
