--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,142 @@
+"""Figures of runs: merging, medians and ratios."""
+
+import statistics
+
+from hdrh.histogram import HdrHistogram
+
+from bench.load import BIN_S, new_histogram
+
+PERCENTILES = {"p50_ms": 50.0, "p99_ms": 99.0, "p999_ms": 99.9}
+COMPARED = ("p50_ms", "p99_ms", "p999_ms", "extra_load", "cpu_ms_a_query")
+RECOVERED_SHARE = 0.9
+
+
+def merge_histograms(encoded: list[str]) -> HdrHistogram:
+    """Adds histograms up."""
+    total = new_histogram()
+    for text in encoded:
+        total.add(HdrHistogram.decode(text.encode()))
+    return total
+
+
+def add_counts(parts: list[dict]) -> dict:
+    """Adds dictionaries of numbers up."""
+    total = {}
+    for part in parts:
+        for key, value in part.items():
+            total[key] = total.get(key, 0) + value
+    return total
+
+
+def percentiles(histogram: HdrHistogram) -> dict:
+    """Returns the percentiles reported, in milliseconds."""
+    return {
+        name: histogram.get_value_at_percentile(percentile) / 1000.0
+        for name, percentile in PERCENTILES.items()
+    }
+
+
+def run_figures(results: list[dict], usage: dict, load: dict) -> dict:
+    """Computes the figures of one run.
+
+    Args:
+        results: What each load generator measured.
+        usage: Items and requests executed, and CPU seconds used.
+        load: Offered and capacity items a second, phases.
+
+    Returns:
+        The figures by name.
+    """
+    histogram = merge_histograms([part["histogram"] for part in results])
+    counts = add_counts([part["counts"] for part in results])
+    bins = add_counts([part["bins"] for part in results])
+    answered = max(1, counts.get("answered", 0))
+    ended = counts.get("answered", 0)
+    ended += counts.get("refused", 0) + counts.get("failed", 0)
+    covered = max(1, counts.get("covered_items", 0))
+    sent = max(1, counts.get("sent", 0))
+    figures = percentiles(histogram)
+    figures |= {
+        "coverage": counts.get("coverage_ppm", 0) / answered / 1e6,
+        "full_share": counts.get("full", 0) / answered,
+        "late_share": counts.get("late", 0) / answered,
+        "refused_share": counts.get("refused", 0) / max(1, ended),
+        "failed": counts.get("failed", 0),
+        "extra_load": usage["items"] / covered,
+        "items_a_request": usage["items"] / max(1, usage["requests"]),
+        "cpu_ms_a_query": usage["cpu_s"] * 1000.0 / sent,
+        "cpu_us_a_shard_call": usage["cpu_s"] * 1e6 / max(1, usage["items"]),
+        "refusal_ms": counts.get("refused_us", 0)
+        / max(1, counts.get("refused", 0))
+        / 1000.0,
+        "goodput": _goodput(bins, load),
+        "recovery_s": _recovery_s(bins, load),
+        "standin_cpu": usage["standin_cpu_s"] / load["seconds"],
+        "hedges": usage.get("hedges", 0),
+        "retries": usage.get("retries", 0),
+        "histogram": histogram.encode().decode(),
+    }
+    return figures
+
+
+def _goodput(bins: dict, load: dict) -> float:
+    """Shards answered on time in the first phase, over the capacity."""
+    seconds = load["phases"][0][1]
+    # The first bins fill the empty queues.
+    skip = round(load["warmup_s"] / BIN_S)
+    last = int(seconds / BIN_S)
+    total = sum(bins.get(str(number), 0) for number in range(skip, last))
+    return total / ((last - skip) * BIN_S) / load["capacity_items"]
+
+
+def _recovery_s(bins: dict, load: dict) -> float:
+    """Time after the first phase until goodput follows the offered load."""
+    if len(load["phases"]) < 2:
+        return 0.0
+    (_, seconds), (rate, rest) = load["phases"][:2]
+    begin = int(seconds / BIN_S)
+    wanted = RECOVERED_SHARE * rate * load["shards"] * BIN_S
+    # Poisson arrivals: judged over two bins at a time.
+    for number in range(begin, begin + int(rest / BIN_S) - 1):
+        pair = bins.get(str(number), 0) + bins.get(str(number + 1), 0)
+        if pair >= 2 * wanted:
+            return (number - begin) * BIN_S
+    return rest
+
+
+def summary(runs: list[dict]) -> dict:
+    """Returns the median of each figure, and percentiles over all runs."""
+    merged = merge_histograms([run["histogram"] for run in runs])
+    names = [name for name in runs[0] if name != "histogram"]
+    medians = {
+        name: statistics.median(run[name] for run in runs) for name in names
+    }
+    return {
+        "median": medians,
+        "all_runs": percentiles(merged),
+        "histogram": merged.encode().decode(),
+    }
+
+
+def ratios(runs: list[dict], baseline: list[dict]) -> dict:
+    """Compares a design with a baseline, run by run with equal seeds.
+
+    Args:
+        runs: The design's runs.
+        baseline: The baseline's runs.
+
+    Returns:
+        Median, lowest and highest ratio, by figure.
+    """
+    found = {}
+    for name in COMPARED:
+        values = [
+            run[name] / max(other[name], 1e-9)
+            for run, other in zip(runs, baseline, strict=True)
+        ]
+        found[name] = {
+            "median": statistics.median(values),
+            "low": min(values),
+            "high": max(values),
+        }
+    return found
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,156 @@
+"""The scenarios: load over time and the faults set during it."""
+
+import dataclasses
+
+SERVICES = {"oslo": "shop-counter", "salish": "rota-board"}
+WARMUP_S = 0.6
+
+
+@dataclasses.dataclass(frozen=True)
+class Phase:
+    """A stretch of constant load.
+
+    Attributes:
+        share: Arrival rate as a share of the searchers' capacity.
+        seconds: Its length.
+    """
+
+    share: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A fault that is set during the run.
+
+    Attributes:
+        at_s: Seconds after the start of the load; negative for before it.
+        select: Name of the selection of searchers in `SELECTIONS`, or the
+            name of a process action of `bench.cluster`.
+        faults: Fault switches set on the searchers selected.
+    """
+
+    at_s: float
+    select: str
+    faults: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """One experiment.
+
+    Attributes:
+        name: Its name.
+        phases: The load.
+        changes: The faults.
+        short: Whether it is part of the short run.
+    """
+
+    name: str
+    phases: tuple[Phase, ...]
+    changes: tuple[Change, ...] = ()
+    short: bool = False
+
+
+def one_in_ten(searchers: dict) -> list[str]:
+    """Selects every tenth searcher."""
+    return sorted(searchers)[4::10]
+
+
+def first(searchers: dict) -> list[str]:
+    """Selects one searcher."""
+    return sorted(searchers)[:1]
+
+
+def first_zone(searchers: dict) -> list[str]:
+    """Selects all searchers of one availability zone."""
+    zone = min(searcher["zone"] for searcher in searchers.values())
+    return [name for name, s in searchers.items() if s["zone"] == zone]
+
+
+def everything(searchers: dict) -> list[str]:
+    """Selects all searchers."""
+    return sorted(searchers)
+
+
+SELECTIONS = {
+    "one_in_ten": one_in_ten,
+    "first": first,
+    "first_zone": first_zone,
+    "everything": everything,
+}
+KILL_ENTRY_HOST = "kill_entry_host"
+RESTART_ENTRY_HOSTS = "restart_entry_hosts"
+
+_BEFORE_S = -0.1
+_FAULT_S = 1.2
+
+
+def _steady(share: float, seconds: float = 3.0) -> tuple[Phase, ...]:
+    return (Phase(share, seconds),)
+
+
+_STRAGGLER = Change(_BEFORE_S, "one_in_ten", {"slow_factor": 10.0})
+
+SCENARIOS = (
+    Scenario("calm_30", _steady(0.3)),
+    Scenario("calm_60", _steady(0.6), short=True),
+    Scenario("calm_85", _steady(0.85)),
+    Scenario("straggler", _steady(0.5), (_STRAGGLER,), short=True),
+    Scenario(
+        "frozen", _steady(0.5), (Change(_FAULT_S, "first", {"frozen": True}),)
+    ),
+    Scenario(
+        "replica_lost",
+        _steady(0.5),
+        (Change(_FAULT_S, "first", {"down": True}),),
+    ),
+    Scenario(
+        "zone_lost",
+        _steady(0.5),
+        (Change(_FAULT_S, "first_zone", {"down": True}),),
+    ),
+    Scenario(
+        "cold_start",
+        _steady(0.5),
+        (
+            Change(_FAULT_S, "one_in_ten", {"down": True}),
+            Change(_FAULT_S + 0.3, "one_in_ten", {"restart_cold_ms": 1000}),
+        ),
+    ),
+    Scenario(
+        "lying_load",
+        _steady(0.5),
+        (
+            Change(
+                _BEFORE_S,
+                "one_in_ten",
+                {"slow_factor": 5.0, "reported_load": 0},
+            ),
+        ),
+    ),
+    Scenario(
+        "shedding",
+        _steady(0.5),
+        (Change(_BEFORE_S, "one_in_ten", {"shed": 0.5}),),
+    ),
+    Scenario(
+        "overload",
+        (Phase(1.5, 2.0), Phase(0.5, 2.0)),
+        short=True,
+    ),
+    Scenario(
+        "index_rolling",
+        _steady(0.5),
+        (
+            Change(_BEFORE_S, "everything", {"held": [1, 2]}),
+            Change(_FAULT_S, "everything", {"held": [2]}),
+        ),
+    ),
+    Scenario(
+        "entry_host_lost",
+        _steady(0.5),
+        (Change(_FAULT_S, KILL_ENTRY_HOST),),
+        short=True,
+    ),
+)
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -128,6 +128,7 @@
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
+        turns: Round-robin position of each shard.
         counters: Event counts by name.
         store_calls: What to do when a call to the store ends, by call id: a
             function of blackboard, `StoreCallEnded` and time that returns
@@ -149,6 +150,7 @@
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
+        self.turns: dict[str, int] = {}
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
         self.store_calls: dict[str, Callable] = {}
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from kumquatspur.controllers import placement
+from kumquatspur.controllers import designs, placement
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core import verdict as verdicts
@@ -18,7 +18,7 @@
 from kumquatspur.policy import snapshot as snapshots
 from kumquatspur.policy.budget import ExtraAttemptBudget
 from kumquatspur.policy.merge import build_answer
-from kumquatspur.policy.replica_choice import Replica, choose_replica
+from kumquatspur.policy.replica_choice import Replica
 from kumquatspur.policy.retry import MIN_ATTEMPT_S, NextStep, next_step
 
 RETRY_AFTER_S = 1.0
@@ -111,7 +111,11 @@
         if searcher and budget.spend():
             chosen.append((shard, searcher))
     board.counters["hedges"] += len(chosen)
-    return _send(board, state, chosen, True, now)
+    if not designs.design_of(board).cancels_first:
+        return _send(board, state, chosen, True, now)
+    shards = {shard for shard, _ in chosen}
+    cancelled = _cancel_unfinished(board, state, shards)
+    return _send(board, state, chosen, False, now) + cancelled
 
 
 def on_deadline_due(
@@ -193,7 +197,7 @@
     if budget is None:
         budget = ExtraAttemptBudget(service.profile.hedge_share)
         board.budgets[service.name] = budget
-    budget.share = service.profile.hedge_share
+    budget.share = designs.extra_share(board, service)
     return budget
 
 
@@ -274,7 +278,7 @@
                 report.latency_ms,
             )
         )
-    replica = choose_replica(replicas, board.rng)
+    replica = designs.choose(board, shard, replicas, now)
     return replica.searcher if replica else ""
 
 
@@ -290,8 +294,12 @@
                 shard, "", Verdict.NOT_RUN, Reason.NO_REPLICA
             )
     _budget(board, _service(board, state.query)).earn(len(chosen))
-    hedge_at = now + _hedge_delay_s(board, chosen)
-    board.schedule(hedge_at, events.QueryHedgeDue(state.query.request_id))
+    delay_s = designs.attempt_timeout_s(board, _service(board, state.query))
+    if delay_s is None:
+        delay_s = _hedge_delay_s(board, chosen)
+    if designs.design_of(board).second_attempts:
+        due = events.QueryHedgeDue(state.query.request_id)
+        board.schedule(now + delay_s, due)
     found = _send(board, state, chosen, False, now)
     return found + _finish_if_complete(board, state, now)
 
@@ -447,9 +455,11 @@
     return [*found, actions.AnswerCaller(answer)]
 
 
-def _cancel_unfinished(board: Blackboard, state: QueryState):
+def _cancel_unfinished(board: Blackboard, state: QueryState, only=None):
     late = defaultdict(list)
     for shard, attempts in state.attempts.items():
+        if only is not None and shard not in only:
+            continue
         for attempt in attempts:
             if attempt.result is None:
                 late[(attempt.owner, attempt.sub_id)].append(shard)
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -2,6 +2,7 @@
 
 from kumquatspur.controllers import owner
 from kumquatspur.controllers.blackboard import Blackboard, KnownReport, Member
+from kumquatspur.controllers.designs import design_of
 from kumquatspur.core import actions, events, messages
 
 # Every report is sent again after this many heartbeats, for hosts that are new.
@@ -65,6 +66,8 @@
         reports: The reports.
         now: The current time.
     """
+    if not design_of(board).shares_owners:
+        return
     for report in reports:
         board.reports[report.searcher] = KnownReport(report, now)
 
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -1,6 +1,6 @@
 """Executes sub-queries on the searchers that this node owns."""
 
-from kumquatspur.controllers import placement
+from kumquatspur.controllers import designs, placement
 from kumquatspur.controllers.blackboard import (
     Blackboard,
     KnownReport,
@@ -267,6 +267,7 @@
         queue = SearcherQueue(searcher)
         board.queues[name] = queue
     queue.searcher = searcher
+    designs.limit_queue(board, queue)
     return queue
 
 
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -1,6 +1,7 @@
 """Where searchers are owned, given the members known."""
 
 from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.controllers.designs import design_of
 from kumquatspur.core.records import Searcher
 from kumquatspur.policy.ownership import rank_members
 
@@ -39,13 +40,13 @@
     Returns:
         Names, owner first; empty if no live host of its zone is known.
     """
+    if not design_of(board).shares_owners:
+        return [board.settings.name]
     members = live_members(board, searcher.zone, now)
     return rank_members(searcher.group, members)
 
 
 def is_owned(board: Blackboard, searcher: Searcher, now: float) -> bool:
     """Returns whether this node owns a searcher."""
-    if searcher.zone != board.settings.zone:
-        return False
     owners = ranked_owners(board, searcher, now)
     return bool(owners) and owners[0] == board.settings.name
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -36,6 +36,8 @@
         draining: Whether it is leaving.
         reachable: Whether its last request or probe succeeded.
         latency_s: Smoothed latency of one request, in seconds.
+        max_calls: Requests that may be under way at once.
+        max_batch: Items that may share a request.
     """
 
     searcher: Searcher
@@ -47,6 +49,8 @@
     draining: bool = False
     reachable: bool = False
     latency_s: float = INITIAL_LATENCY_S
+    max_calls: int = 1
+    max_batch: int = MAX_BATCH_ITEMS
 
     def backlog(self) -> int:
         """Returns the number of items waiting or running."""
@@ -55,15 +59,13 @@
 
     def free_slots(self) -> int:
         """Returns the number of requests that may be started now."""
-        return max(0, self.searcher.slots - len(self.calls))
+        return max(0, self.max_calls - len(self.calls))
 
     def expected_wait_s(self) -> float:
         """Estimates how long a new item waits for a slot, in seconds."""
         if self.free_slots():
             return 0.0
-        rounds = 1 + len(self.waiting) // (
-            MAX_BATCH_ITEMS * self.searcher.slots
-        )
+        rounds = 1 + len(self.waiting) // (self.max_batch * self.max_calls)
         return rounds * self.latency_s
 
     def admit(self, item: Item, now: float) -> Reason | None:
@@ -101,7 +103,7 @@
             batch[0].repeatable
             and self.waiting
             and self.waiting[0].repeatable
-            and len(batch) < MAX_BATCH_ITEMS
+            and len(batch) < self.max_batch
         ):
             batch.append(self.waiting.popleft())
         return tuple(batch)
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -14,6 +14,11 @@
     restart_ms      time until a crashed searcher is back
     cold_ms         time after a restart during which it is slower
     held            the snapshots that it holds
+    restart_cold_ms restart now, and be slower for this time
+
+The specification of a searcher may add `request_ms`, a cost of each request
+besides its items, and `record` false, which keeps counts (GET /counts) instead
+of the list of the items executed.
 """
 
 import eventlet
@@ -48,6 +53,7 @@
         self.rng = random.Random(spec["name"])
         self.slots = eventlet.semaphore.Semaphore(spec["slots"])
         self.executed = []
+        self.counts = {"items": 0, "requests": 0}
         self.waiting = 0
         self.started = 0.0
         self.silent_connections = set()
@@ -81,6 +87,8 @@
             return send_json(start_response, OK, self.faults)
         if path == "/executed":
             return send_json(start_response, OK, {"items": self.executed})
+        if path == "/counts":
+            return send_json(start_response, OK, self.counts)
         if self.faults["down"]:
             raise ConnectionResetError("down")
         if self.faults["frozen"] or connection in self.silent_connections:
@@ -92,6 +100,9 @@
     def set_faults(self, faults):
         """Sets fault switches."""
         self.faults.update(faults)
+        if cold_ms := self.faults.pop("restart_cold_ms", 0):
+            self.faults["cold_ms"] = cold_ms
+            self.restart()
         if self.faults["silent"]:
             self.silent_connections |= self.open_connections
             self.faults["silent"] = False
@@ -118,6 +129,7 @@
         self.waiting += 1
         try:
             with self.slots:
+                eventlet.sleep(self.request_s())
                 items = [self.execute(item) for item in body["items"]]
         finally:
             self.waiting -= 1
@@ -128,7 +140,9 @@
         if item["snapshot"] not in self.faults["held"]:
             return {"item_id": item["item_id"], "status": "snapshot_not_held"}
         text = json.dumps(item["query"])
-        self.executed.append({"item_id": item["item_id"], "query": text})
+        self.counts["items"] += 1
+        if self.spec.get("record", True):
+            self.executed.append({"item_id": item["item_id"], "query": text})
         if self.faults["crash_on"] and self.faults["crash_on"] in text:
             self.crash()
         eventlet.sleep(self.service_s())
@@ -140,6 +154,12 @@
             "hits": self.hits(item, text),
         }
 
+    def request_s(self):
+        """Returns the cost of a request besides its items, in seconds."""
+        self.counts["requests"] += 1
+        seconds = self.spec.get("request_ms", 0.0) / 1000.0
+        return seconds * self.faults["slow_factor"]
+
     def service_s(self):
         """Returns the service time of one item, in seconds."""
         seconds = self.spec["service_ms"] / 1000.0
