--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -45,6 +45,7 @@
     """
 
     def __init__(self, shape: str, folder: pathlib.Path, options):
+        folder.mkdir(parents=True, exist_ok=True)
         base = find_free_base_port(PORTS)
         shape = dataclasses.replace(SHAPES[shape], base_port=base)
         super().__init__(shape, folder, options.service_ms)
