--- /dev/null
+++ b/kumquatspur/policy/hedging_test.py
@@ -0,0 +1,37 @@
+import unittest
+
+from kumquatspur.policy.hedging import (
+    MIN_DELAY_S,
+    UNKNOWN_DELAY_S,
+    WINDOW,
+    LatencyWindow,
+    hedge_delay_s,
+)
+
+
+class HedgingTest(unittest.TestCase):
+    def test_delay(self):
+        cases = [
+            ("nothing observed", [], 0.1, UNKNOWN_DELAY_S),
+            ("quantile", [0.001 * n for n in range(1, 102)], 1.0, 0.096),
+            ("leaves time", [0.1] * 50, 0.14, 0.07),
+            ("not at once", [0.0001] * 50, 0.14, MIN_DELAY_S),
+        ]
+        for name, latencies, left, expected in cases:
+            window = LatencyWindow()
+            for latency in latencies:
+                window.add(latency)
+            with self.subTest(name):
+                delay = hedge_delay_s(window, 0.95, left)
+                self.assertAlmostEqual(delay, expected)
+
+    def test_old_latencies_are_forgotten(self):
+        window = LatencyWindow()
+        for latency in [9.0] * WINDOW + [0.01] * WINDOW:
+            window.add(latency)
+        self.assertEqual(window.quantile(1.0), 0.01)
+        self.assertEqual(len(window.recent), WINDOW)
+
+
+if __name__ == "__main__":
+    unittest.main()
