--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -18,7 +18,9 @@
     Service,
     ShardResult,
 )
+from kumquatspur.policy.admission import Throttle
 from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 
@@ -55,6 +57,7 @@
         searcher: The searcher chosen.
         started: When it was sent.
         result: How it ended, or None while it is under way.
+        may_wait: Whether it may wait for a slot there.
     """
 
     sub_id: str
@@ -62,6 +65,7 @@
     searcher: str
     started: float
     result: ShardResult | None = None
+    may_wait: bool = True
 
 
 @dataclasses.dataclass
@@ -77,6 +81,7 @@
         attempts: All attempts, by shard.
         results: The final result of each shard that has one.
         rechosen: Whether the snapshot was already chosen again.
+        early: Whether the profile's share of coverage suffices by now.
         past_verdicts: Verdicts of attempts at an abandoned snapshot.
     """
 
@@ -87,6 +92,7 @@
     attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
     results: dict[str, ShardResult] = dataclasses.field(default_factory=dict)
     rechosen: bool = False
+    early: bool = False
     past_verdicts: list = dataclasses.field(default_factory=list)
 
     @property
@@ -116,10 +122,17 @@
 
 @dataclasses.dataclass
 class KnownReport:
-    """A searcher report and when it was received."""
+    """A searcher report and when it was received.
+
+    Attributes:
+        report: The report.
+        received: When it came.
+        in_flight: Attempts of this node under way at the searcher then.
+    """
 
     report: SearcherReport
     received: float
+    in_flight: int = 0
 
 
 class Blackboard:
@@ -137,8 +150,9 @@
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
-        replica_index: The configuration last indexed, and its searchers by
-            shard.
+        in_flight: Attempts of this node under way at each searcher.
+        latencies: Latencies of recent attempts by service.
+        throttles: Admission of each service's queries.
         turns: Round-robin position of each shard.
         counters: Event counts by name.
         store_calls: What to do when a call to the store ends, by call id: a
@@ -161,7 +175,9 @@
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
-        self.replica_index = (None, {})
+        self.in_flight = collections.Counter()
+        self.latencies: dict[str, LatencyWindow] = {}
+        self.throttles: dict[str, Throttle] = {}
         self.turns: dict[str, int] = {}
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -11,6 +11,10 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Query, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.admission import retry_after_s
+from kumquatspur.policy.hedging import RECHECK_S
+
+CLOCK_TOLERANCE_S = 0.0005
 
 
 def on_query(board: Blackboard, event: events.QueryReceived, now: float):
@@ -34,6 +38,16 @@
             reason = Reason.NO_SNAPSHOT
     if reason is not None:
         return [query_results.refuse(query.request_id, reason, Verdict.NOT_RUN)]
+    admitted = _admitted_share(board, query.service, now)
+    if admitted < 1.0 and board.rng.random() >= admitted:
+        return [
+            query_results.refuse(
+                query.request_id,
+                Reason.OVERLOADED,
+                Verdict.NOT_RUN,
+                retry_after_s(admitted),
+            )
+        ]
     state = QueryState(query, board.configuration, snapshot, now)
     board.queries[query.request_id] = state
     board.schedule(
@@ -84,20 +98,52 @@
     state = board.queries.get(event.request_id)
     if state is None or not state.query.repeatable:
         return []
+    delay_s = query_scatter.second_attempt_delay_s(board, state, now)
     budget = query_scatter.extra_budget(board, state.service)
     chosen = []
-    for shard, attempts in state.attempts.items():
-        if shard in state.results or len(attempts) > 1:
-            continue
+    for shard in _late_shards(state, now - delay_s):
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and budget.spend():
             chosen.append((shard, searcher))
     board.counters["hedges"] += len(chosen)
     if not designs.design_of(board).cancels_first:
-        return query_scatter.send(board, state, chosen, True, now)
+        board.schedule(now + RECHECK_S, event)
+        return query_scatter.send(
+            board, state, chosen, now, hedge=True, may_wait=False
+        )
     shards = {shard for shard, _ in chosen}
     cancelled = query_scatter.cancel_unfinished(board, state, shards)
-    return query_scatter.send(board, state, chosen, False, now) + cancelled
+    return query_scatter.send(board, state, chosen, now) + cancelled
+
+
+def _late_shards(state: QueryState, started_before: float) -> list[str]:
+    """Returns the shards whose only attempt under way is late."""
+    late = []
+    for shard, attempts in state.attempts.items():
+        running = [a for a in attempts if a.result is None]
+        if shard in state.results or len(running) != 1:
+            continue
+        if running[0].started <= started_before + CLOCK_TOLERANCE_S:
+            late.append(shard)
+    return late
+
+
+def on_early_due(board: Blackboard, event: events.QueryEarlyDue, now: float):
+    """Answers a query if the coverage that its profile asks for is there.
+
+    Args:
+        board: The blackboard.
+        event: The timer.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = board.queries.get(event.request_id)
+    if state is None:
+        return []
+    state.early = True
+    return query_results.finish_if_complete(board, state)
 
 
 def on_deadline_due(
@@ -153,6 +199,13 @@
     return found
 
 
+def _admitted_share(board: Blackboard, service: str, now: float) -> float:
+    throttle = board.throttles.get(service)
+    if throttle is None or not designs.design_of(board).throttles:
+        return 1.0
+    return throttle.admitted_share(now)
+
+
 def _refusal_reason(board: Blackboard, query: Query) -> Reason | None:
     configuration = board.configuration
     if not configuration.revision:
--- a/kumquatspur/controllers/designs.py
+++ b/kumquatspur/controllers/designs.py
@@ -41,6 +41,7 @@
         choose: Function of blackboard, shard, replicas and time that returns
             the `Replica` to ask.
         batches: Whether waiting items share a request.
+        throttles: Whether queries are refused while owners decline work.
         shares_owners: Whether each searcher has one owner among the hosts.
         second_attempts: Whether late shards are tried again.
         cancels_first: Whether a second attempt ends the first one.
@@ -48,15 +49,16 @@
 
     choose: object
     batches: bool
+    throttles: bool
     shares_owners: bool
     second_attempts: bool
     cancels_first: bool
 
 
 _DESIGNS = {
-    "owner": Design(_owner_choice, True, True, True, False),
-    "direct": Design(_round_robin_choice, False, False, False, False),
-    "two_choices": Design(_two_choices, False, False, True, True),
+    "owner": Design(_owner_choice, True, True, True, True, False),
+    "direct": Design(_round_robin_choice, False, False, False, False, False),
+    "two_choices": Design(_two_choices, False, False, False, True, True),
 }
 
 
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -69,7 +69,8 @@
     if not design_of(board).shares_owners:
         return
     for report in reports:
-        board.reports[report.searcher] = KnownReport(report, now)
+        in_flight = board.in_flight[report.searcher]
+        board.reports[report.searcher] = KnownReport(report, now, in_flight)
 
 
 def on_heartbeat_due(board: Blackboard, event: events.HeartbeatDue, now):
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -35,6 +35,7 @@
     events.PeerLost: (membership.on_peer_lost, coordinator.on_peer_lost),
     events.StopRequested: (membership.on_stop,),
     events.QueryHedgeDue: (coordinator.on_hedge_due,),
+    events.QueryEarlyDue: (coordinator.on_early_due,),
     events.QueryDeadlineDue: (coordinator.on_deadline_due,),
     events.SubQueryFlushDue: (owner.on_flush_due,),
     events.SubQueryDeadlineDue: (owner.on_sub_query_deadline,),
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -45,7 +45,7 @@
     for target in message.targets:
         queue = _queue(board, target.searcher)
         item = _build_item(board, message, target, deadline)
-        reason = _admit(board, queue, target, item, now)
+        reason = _admit(board, queue, message, item, now)
         if reason is None:
             state.pending[target.shard] = item
             touched.append(queue)
@@ -75,7 +75,8 @@
         Actions.
     """
     queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
-    call = queue.finish(event.call_id, now) if queue else None
+    declined = all(entry.result.reason for entry in event.results)
+    call = queue.finish(event.call_id, now, not declined) if queue else None
     if call is None:
         board.counters["late_upstream_answers"] += 1
         return []
@@ -106,7 +107,7 @@
         Actions.
     """
     queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
-    call = queue.finish(event.call_id, now) if queue else None
+    call = _end_failed_call(queue, event, now) if queue else None
     if call is None:
         return []
     if event.phase is Phase.CONNECTING or event.outcome is Outcome.FAILED:
@@ -121,6 +122,12 @@
     return found + _dispatch(board, queue, now)
 
 
+def _end_failed_call(queue: SearcherQueue, event, now: float):
+    if event.outcome is Outcome.CANCELLED:
+        return queue.cancel(event.call_id, now)
+    return queue.finish(event.call_id, now, succeeded=False)
+
+
 def on_flush_due(board: Blackboard, event: events.SubQueryFlushDue, now):
     """Sends the results of a sub-query that are there.
 
@@ -174,7 +181,10 @@
     state = board.sub_queries.get(message.sub_id)
     if state is None or state.sender != peer:
         return []
-    return _abandon(board, state, message.shards)
+    found = []
+    for shard in message.shards:
+        _withdraw(board, state, shard, found)
+    return found + _reply(board, state)
 
 
 def on_probe_due(board: Blackboard, event: events.ProbeDue, now: float):
@@ -216,6 +226,7 @@
     """
     queue = board.queues.get(event.searcher)
     if queue is not None:
+        queue.note_probe()
         _note_state(board, queue, event.held, event.draining, now)
     return []
 
@@ -285,16 +296,19 @@
     )
 
 
-def _admit(board, queue, target, item, now: float) -> Reason | None:
+def _admit(board, queue, message, item, now: float) -> Reason | None:
     if queue is None:
         return Reason.NO_REPLICA
-    if target.searcher in board.configuration.drained:
+    if queue.searcher.name in board.configuration.drained:
         return Reason.REFUSED
-    return queue.admit(item, now)
+    return queue.admit(item, now, message.may_wait)
 
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
     found = []
+    for item in queue.take_expired(now):
+        result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.OVERLOADED)
+        found += _complete(board, item, result)
     while items := queue.take_batch():
         call_id = board.new_id()
         queue.start(call_id, items, now)
@@ -365,28 +379,37 @@
 def _abandon(board: Blackboard, state: SubQueryState, shards):
     found = []
     for shard in shards:
-        item = state.pending.pop(shard, None)
-        if item is None:
-            continue
-        verdict = _withdraw(board, item, found)
+        verdict = _withdraw(board, state, shard, found)
         state.ready.append(ShardResult(shard, "", verdict, Reason.TIMED_OUT))
     return found + _reply(board, state)
 
 
-def _withdraw(board: Blackboard, item: actions.Item, found: list) -> Verdict:
+def _withdraw(board, state: SubQueryState, shard: str, found: list) -> Verdict:
     """Removes an item from its queue, or cancels its call if it is the last."""
-    for queue in board.queues.values():
-        if item in queue.waiting:
-            queue.waiting.remove(item)
-            return Verdict.NOT_RUN
-        for call_id, call in queue.calls.items():
-            if item in call.items:
-                if len(call.items) == 1:
-                    found.append(actions.CancelUpstream(call_id))
-                return Verdict.MAY_HAVE_RUN
+    item = state.pending.pop(shard, None)
+    if item is None:
+        return Verdict.NOT_RUN
+    targets = state.sub_query.targets
+    name = next(t.searcher for t in targets if t.shard == shard)
+    queue = board.queues.get(name)
+    if queue is not None and item in queue.waiting:
+        queue.waiting.remove(item)
+        return Verdict.NOT_RUN
+    for call_id, call in queue.calls.items() if queue else ():
+        if item in call.items and not _wanted(board, call):
+            found.append(actions.CancelUpstream(call_id))
     return Verdict.MAY_HAVE_RUN
 
 
+def _wanted(board: Blackboard, call) -> bool:
+    """Returns whether anybody still waits for an item of a request."""
+    for item in call.items:
+        state = board.sub_queries.get(item.sub_id)
+        if state is not None and state.pending.get(item.shard) is item:
+            return True
+    return False
+
+
 def _note_state(board, queue: SearcherQueue, held, draining: bool, now):
     changed = (
         held != queue.held or draining != queue.draining or not queue.reachable
@@ -399,6 +422,7 @@
 
 def _publish(board: Blackboard, queue: SearcherQueue, now, changed=True):
     report = build_report(queue)
-    board.reports[report.searcher] = KnownReport(report, now)
+    in_flight = board.in_flight[report.searcher]
+    board.reports[report.searcher] = KnownReport(report, now, in_flight)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -1,10 +1,8 @@
 """Where searchers are owned, given the members known."""
 
-from collections import defaultdict
-
 from kumquatspur.controllers.blackboard import Blackboard
 from kumquatspur.controllers.designs import design_of
-from kumquatspur.core.records import Configuration, Searcher
+from kumquatspur.core.records import Searcher
 from kumquatspur.policy.ownership import rank_members
 
 
@@ -48,23 +46,6 @@
     return rank_members(searcher.group, members)
 
 
-def replicas_of(board: Blackboard, shard: str) -> list[Searcher]:
-    """Returns the searchers of a shard in the configuration in force."""
-    configuration, index = board.replica_index
-    if configuration is not board.configuration:
-        index = _index_replicas(board.configuration)
-        board.replica_index = (board.configuration, index)
-    return index.get(shard, [])
-
-
-def _index_replicas(configuration: Configuration) -> dict[str, list[Searcher]]:
-    index = defaultdict(list)
-    for searcher in configuration.searchers.values():
-        for shard in searcher.shards:
-            index[shard].append(searcher)
-    return dict(index)
-
-
 def is_owned(board: Blackboard, searcher: Searcher, now: float) -> bool:
     """Returns whether this node owns a searcher."""
     owners = ranked_owners(board, searcher, now)
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -7,6 +7,7 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Refusal, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.admission import Throttle
 from kumquatspur.policy.merge import build_answer
 from kumquatspur.policy.retry import MIN_ATTEMPT_S, NextStep, next_step
 
@@ -17,6 +18,7 @@
     Reason.NO_SNAPSHOT: "no reachable searcher holds a snapshot",
     Reason.UNKNOWN_SERVICE: "the service is not configured",
     Reason.UNKNOWN_SHARD: "a shard named is not part of the service",
+    Reason.OVERLOADED: "the searchers are busy; try again later",
     Reason.LEAVING: "this host is stopping",
 }
 
@@ -48,7 +50,8 @@
     if attempt is None:
         board.counters["foreign_results"] += 1
         return []
-    attempt.result = result
+    query_scatter.end_attempt(board, attempt, result)
+    _note_attempt(board, state, attempt, now)
     if result.shard in state.results:
         board.counters["late_results"] += 1
         return []
@@ -58,6 +61,15 @@
     return _retry_or_give_up(board, state, result, now)
 
 
+def _note_attempt(board, state: QueryState, attempt: Attempt, now) -> None:
+    service = state.service.name
+    if attempt.result.reason is None:
+        window = query_scatter.latency_window(board, service)
+        window.add(now - attempt.started)
+    elif replica_selection.bounced(attempt) and attempt.may_wait:
+        board.throttles.setdefault(service, Throttle()).decline(now)
+
+
 def finish_if_complete(board: Blackboard, state: QueryState) -> list:
     """Ends a query if every shard has its result.
 
@@ -73,9 +85,19 @@
     shards = replica_selection.wanted_shards(state)
     if all(shard in state.results for shard in shards):
         return _finish(board, state)
+    if state.early and _suffices(state, shards):
+        return finish_now(board, state)
     return []
 
 
+def _suffices(state: QueryState, shards) -> bool:
+    covered = sum(
+        shard in state.results and state.results[shard].reason is None
+        for shard in shards
+    )
+    return covered >= state.service.profile.early_coverage * len(shards)
+
+
 def finish_now(board: Blackboard, state: QueryState) -> list:
     """Ends a query with the results that are there.
 
@@ -92,20 +114,26 @@
     return _finish(board, state)
 
 
-def refuse(request_id: str, reason: Reason, verdict: Verdict):
+def refuse(
+    request_id: str,
+    reason: Reason,
+    verdict: Verdict,
+    retry_after_s: float = RETRY_AFTER_S,
+):
     """Builds a refusal.
 
     Args:
         request_id: The query's identifier.
         reason: Why it is refused.
         verdict: Whether any of it may have run.
+        retry_after_s: When the caller may come back, in seconds.
 
     Returns:
         The action.
     """
     message = _MESSAGES.get(reason, str(reason))
     return actions.RefuseCaller(
-        Refusal(request_id, reason, verdict, RETRY_AFTER_S, message)
+        Refusal(request_id, reason, verdict, retry_after_s, message)
     )
 
 
@@ -121,17 +149,18 @@
     shard = result.shard
     attempts = state.attempts[shard]
     if any(attempt.result is None for attempt in attempts):
+        if result.verdict is Verdict.NOT_RUN:
+            # The hedge was declined and costs nothing.
+            query_scatter.extra_budget(board, state.service).refund()
         return []
     verdict = verdicts.join(attempt.result.verdict for attempt in attempts)
     left = query_scatter.time_left_s(state, now)
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
     if step is NextStep.RETRY:
         searcher = replica_selection.choose_searcher(board, state, shard, now)
-        budget = query_scatter.extra_budget(board, state.service)
-        if searcher and budget.spend():
-            board.counters["retries"] += 1
+        if searcher and _pay_for_retry(board, state, result):
             chosen = [(shard, searcher)]
-            return query_scatter.send(board, state, chosen, False, now)
+            return query_scatter.send(board, state, chosen, now)
     if _should_rechoose(state, result, left):
         return _rechoose(board, state, result, now)
     state.results[shard] = ShardResult(
@@ -140,6 +169,17 @@
     return []
 
 
+def _pay_for_retry(board, state: QueryState, result: ShardResult) -> bool:
+    if result.reason is Reason.OVERLOADED:
+        # An owner declined it at once: no searcher has seen it.
+        board.counters["bounces"] += 1
+        return True
+    if query_scatter.extra_budget(board, state.service).spend():
+        board.counters["retries"] += 1
+        return True
+    return False
+
+
 def _should_rechoose(state: QueryState, result, left: float) -> bool:
     return (
         result.reason is Reason.SNAPSHOT_NOT_HELD
@@ -160,10 +200,11 @@
     board.counters["snapshot_rechosen"] += 1
     for attempts in state.attempts.values():
         state.past_verdicts.extend(_verdict(attempt) for attempt in attempts)
+    found = query_scatter.cancel_unfinished(board, state)
     state.snapshot = snapshot
     state.attempts.clear()
     state.results.clear()
-    return query_scatter.scatter(board, state, now)
+    return found + query_scatter.scatter(board, state, now)
 
 
 def _verdict(attempt: Attempt) -> Verdict:
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -9,11 +9,10 @@
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.hedging import LatencyWindow, hedge_delay_s
 
 # Time kept back from the deadline for merging and sending the answer.
 ANSWER_MARGIN_S = 0.005
-MIN_HEDGE_DELAY_S = 0.004
-UNKNOWN_SLOW_MS = 20.0
 
 
 def scatter(board: Blackboard, state: QueryState, now: float) -> list:
@@ -38,16 +37,42 @@
                 shard, "", Verdict.NOT_RUN, Reason.NO_REPLICA
             )
     extra_budget(board, state.service).earn(len(chosen))
+    _schedule(board, state, now)
+    # A shard with other replicas does not wait for a slot at the first one.
+    patient, others = _split(board, chosen)
+    return [
+        *send(board, state, patient, now),
+        *send(board, state, others, now, may_wait=False),
+    ]
+
+
+def _schedule(board: Blackboard, state: QueryState, now: float) -> None:
+    request_id = state.query.request_id
     if designs.design_of(board).second_attempts:
-        delay_s = designs.attempt_timeout_s(board, state.service)
-        delay_s = delay_s or _hedge_delay_s(board, chosen)
-        due = events.QueryHedgeDue(state.query.request_id)
-        board.schedule(now + delay_s, due)
-    return send(board, state, chosen, False, now)
+        due = now + second_attempt_delay_s(board, state, now)
+        board.schedule(due, events.QueryHedgeDue(request_id))
+    share = state.service.profile.early_share
+    if share < 1.0:
+        due = now + share * time_left_s(state, now)
+        board.schedule(due, events.QueryEarlyDue(request_id))
+
+
+def _split(board: Blackboard, chosen):
+    if not designs.design_of(board).shares_owners:
+        return chosen, []
+    replicas = board.configuration.replicas
+    others = [pair for pair in chosen if len(replicas[pair[0]]) > 1]
+    return [pair for pair in chosen if pair not in others], others
 
 
 def send(
-    board: Blackboard, state: QueryState, chosen, hedge: bool, now: float
+    board: Blackboard,
+    state: QueryState,
+    chosen,
+    now: float,
+    *,
+    hedge: bool = False,
+    may_wait: bool = True,
 ) -> list:
     """Makes attempts, with one message to each owner concerned.
 
@@ -55,8 +80,9 @@
         board: The blackboard.
         state: The query.
         chosen: Pairs of shard and searcher.
-        hedge: Whether the attempts are hedges.
         now: The current time.
+        hedge: Whether the attempts are hedges.
+        may_wait: Whether they may wait for a slot.
 
     Returns:
         Actions.
@@ -68,7 +94,7 @@
         by_owner[owner].append(messages.Target(shard, name))
     found = []
     query = state.query
-    flush_ms = _hedge_delay_s(board, chosen) * 1000.0
+    flush_ms = second_attempt_delay_s(board, state, now) * 1000.0
     for owner, targets in by_owner.items():
         sub_query = messages.SubQuery(
             sub_id=board.new_id(),
@@ -81,11 +107,19 @@
             flush_after_ms=flush_ms,
             repeatable=query.repeatable,
             hedge=hedge,
+            may_wait=may_wait,
             targets=tuple(targets),
         )
         for target in targets:
+            board.in_flight[target.searcher] += 1
             state.attempts[target.shard].append(
-                Attempt(sub_query.sub_id, owner, target.searcher, now)
+                Attempt(
+                    sub_query.sub_id,
+                    owner,
+                    target.searcher,
+                    now,
+                    may_wait=may_wait,
+                )
             )
         found.append(_send_peer(board, owner, sub_query))
     return found
@@ -108,6 +142,7 @@
             continue
         for attempt in attempts:
             if attempt.result is None:
+                end_attempt(board, attempt, _cancelled(shard, attempt))
                 late[(attempt.owner, attempt.sub_id)].append(shard)
     return [
         _send_peer(board, owner, messages.CancelSubQuery(sub_id, tuple(shards)))
@@ -116,6 +151,26 @@
     ]
 
 
+def _cancelled(shard: str, attempt: Attempt) -> ShardResult:
+    return ShardResult(
+        shard, attempt.searcher, Verdict.MAY_HAVE_RUN, Reason.TIMED_OUT
+    )
+
+
+def end_attempt(
+    board: Blackboard, attempt: Attempt, result: ShardResult
+) -> None:
+    """Records how an attempt ended.
+
+    Args:
+        board: The blackboard.
+        attempt: An attempt under way.
+        result: Its result.
+    """
+    attempt.result = result
+    board.in_flight[attempt.searcher] -= 1
+
+
 def time_left_s(state: QueryState, now: float) -> float:
     """Returns the seconds until a query's answer must be built."""
     return state.query.deadline - ANSWER_MARGIN_S - now
@@ -139,11 +194,32 @@
     return budget
 
 
-def _hedge_delay_s(board: Blackboard, chosen) -> float:
-    slow = [board.reports[name].report.slow_ms for _, name in chosen]
-    slow = sorted(value or UNKNOWN_SLOW_MS for value in slow)
-    typical = slow[len(slow) // 2] if slow else UNKNOWN_SLOW_MS
-    return max(MIN_HEDGE_DELAY_S, typical / 1000.0)
+def second_attempt_delay_s(
+    board: Blackboard, state: QueryState, now: float
+) -> float:
+    """Returns how long the first attempt for a shard is waited for.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        now: The current time.
+
+    Returns:
+        Seconds.
+    """
+    timeout_s = designs.attempt_timeout_s(board, state.service)
+    if timeout_s is not None:
+        return timeout_s
+    return hedge_delay_s(
+        latency_window(board, state.service.name),
+        state.service.profile.hedge_quantile,
+        time_left_s(state, now),
+    )
+
+
+def latency_window(board: Blackboard, service: str) -> LatencyWindow:
+    """Returns the latencies of recent attempts for a service."""
+    return board.latencies.setdefault(service, LatencyWindow())
 
 
 def _send_peer(board: Blackboard, peer: str, message):
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -6,8 +6,9 @@
 """
 
 from kumquatspur.controllers import designs, placement
-from kumquatspur.controllers.blackboard import Blackboard, QueryState
-from kumquatspur.core.records import Catalogue, Configuration, Query
+from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import Catalogue, Configuration, Query, Searcher
 from kumquatspur.policy import snapshot as snapshots
 from kumquatspur.policy.replica_choice import Replica
 
@@ -78,7 +79,7 @@
 def _held(board: Blackboard, shard: str) -> set[int]:
     """Returns the snapshots that usable replicas of a shard hold."""
     held = set()
-    for searcher in placement.replicas_of(board, shard):
+    for searcher in board.configuration.replicas.get(shard, ()):
         if not _usable(board, searcher.name):
             continue
         report = board.reports[searcher.name].report
@@ -101,32 +102,43 @@
     Returns:
         The searcher's name, or "" if there is none.
     """
-    tried = {a.searcher for a in state.attempts.get(shard, ())}
+    tried = {
+        attempt.searcher
+        for attempt in state.attempts.get(shard, ())
+        if not bounced(attempt)
+    }
     replicas = []
-    for searcher in placement.replicas_of(board, shard):
-        if searcher.name in tried:
-            continue
-        if not _usable(board, searcher.name):
+    for searcher in board.configuration.replicas.get(shard, ()):
+        if searcher.name in tried or not _usable(board, searcher.name):
             continue
-        report = board.reports[searcher.name].report
-        if state.snapshot not in report.held:
+        if state.snapshot not in board.reports[searcher.name].report.held:
             continue
-        if not placement.ranked_owners(board, searcher, now):
-            continue
-        replicas.append(
-            Replica(
-                searcher.name,
-                searcher.zone == board.settings.zone,
-                report.reachable,
-                report.backlog,
-                searcher.slots,
-                report.latency_ms,
-            )
-        )
+        if placement.ranked_owners(board, searcher, now):
+            replicas.append(_replica(board, searcher))
     replica = designs.choose(board, shard, replicas, now)
     return replica.searcher if replica else ""
 
 
+def bounced(attempt: Attempt) -> bool:
+    """Returns whether an owner declined an attempt for overload."""
+    result = attempt.result
+    return result is not None and result.reason is Reason.OVERLOADED
+
+
+def _replica(board: Blackboard, searcher: Searcher) -> Replica:
+    known = board.reports[searcher.name]
+    return Replica(
+        searcher=searcher.name,
+        local=searcher.zone == board.settings.zone,
+        reachable=known.report.reachable,
+        backlog=known.report.backlog,
+        slots=searcher.slots,
+        latency_ms=known.report.latency_ms,
+        in_flight=board.in_flight[searcher.name],
+        in_flight_reported=known.in_flight,
+    )
+
+
 def _usable(board: Blackboard, searcher: str) -> bool:
     known = board.reports.get(searcher)
     if known is None or searcher in board.configuration.drained:
--- a/kumquatspur/core/events.py
+++ b/kumquatspur/core/events.py
@@ -160,6 +160,13 @@
     request_id: str
 
 
+@record
+class QueryEarlyDue:
+    """Timer: from now on the profile's coverage suffices for an answer."""
+
+    request_id: str
+
+
 @record
 class QueryDeadlineDue:
     """Timer: the query must be answered now."""
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -95,7 +95,8 @@
         remaining_ms: Time left until the results are due.
         flush_after_ms: When to send the results that are there by then.
         repeatable: Whether the work may be executed more than once.
-        hedge: Whether this is a hedge, to run only in a free slot.
+        hedge: Whether this is a hedge.
+        may_wait: Whether items may wait for a slot; declined otherwise.
         targets: The shards wanted.
     """
 
@@ -109,6 +110,7 @@
     flush_after_ms: float
     repeatable: bool
     hedge: bool
+    may_wait: bool
     targets: tuple[Target, ...]
 
 
--- a/kumquatspur/policy/baselines.py
+++ b/kumquatspur/policy/baselines.py
@@ -44,4 +44,4 @@
     candidates = usable(replicas)
     if len(candidates) > 1:
         candidates = rng.sample(candidates, 2)
-    return min(candidates, key=lambda r: r.backlog, default=None)
+    return min(candidates, key=lambda r: r.in_flight, default=None)
--- a/kumquatspur/policy/budget.py
+++ b/kumquatspur/policy/budget.py
@@ -22,6 +22,10 @@
         earned = self.tokens + first_attempts * self.share
         self.tokens = min(earned, max(BURST_TOKENS, first_attempts))
 
+    def refund(self) -> None:
+        """Gives back the token of an attempt that did not run."""
+        self.tokens += 1.0
+
     def spend(self) -> bool:
         """Takes a token.
 
--- a/kumquatspur/policy/replica_choice.py
+++ b/kumquatspur/policy/replica_choice.py
@@ -13,9 +13,11 @@
         searcher: The searcher's name.
         local: Whether it is in the entry host's own availability zone.
         reachable: Whether its last request or probe succeeded.
-        backlog: Items waiting or running there.
+        backlog: Items waiting or running there, as last reported.
         slots: Requests that it executes at once.
         latency_ms: Smoothed latency of one request.
+        in_flight: Own attempts under way there.
+        in_flight_reported: Own attempts under way when the report came.
     """
 
     searcher: str
@@ -24,10 +26,20 @@
     backlog: int
     slots: int
     latency_ms: float
+    in_flight: int = 0
+    in_flight_reported: int = 0
 
 
 ZONE_HOP_MS = 3.0
 UNREACHABLE_PENALTY_MS = 10_000.0
+# Estimates that differ by less than this share are equally good.
+JITTER = 0.1
+
+
+def current_backlog(replica: Replica) -> int:
+    """Returns the items at a replica, by its report and own attempts since."""
+    change = replica.in_flight - replica.in_flight_reported
+    return max(replica.in_flight, replica.backlog + change, 0)
 
 
 def expected_ms(replica: Replica) -> float:
@@ -37,11 +49,14 @@
         replica: The candidate.
 
     Returns:
-        Milliseconds: the queueing delay, the latency and the round trip to
-        another zone.
+        Milliseconds: the latency, the wait while all slots are busy and the
+        round trip to another zone.
     """
     latency = max(replica.latency_ms, 1.0)
-    estimate = latency * (1.0 + replica.backlog / replica.slots)
+    ahead = current_backlog(replica) + 1 - replica.slots
+    estimate = latency * (1.0 + max(0, ahead) / replica.slots)
+    # Of two replicas with a free slot, the one with more of them.
+    estimate += 0.1 * latency * current_backlog(replica) / replica.slots
     if not replica.local:
         estimate += ZONE_HOP_MS
     if not replica.reachable:
@@ -54,13 +69,14 @@
 
     Args:
         replicas: The candidates.
-        rng: A `random.Random`, for breaking ties.
+        rng: A `random.Random`; hosts with equal reports should not all choose
+            the same replica.
 
     Returns:
         The best candidate, or None if there is none.
     """
     return min(
         replicas,
-        key=lambda replica: (expected_ms(replica), rng.random()),
+        key=lambda r: expected_ms(r) * rng.uniform(1.0, 1.0 + JITTER),
         default=None,
     )
--- a/kumquatspur/policy/retry.py
+++ b/kumquatspur/policy/retry.py
@@ -43,4 +43,4 @@
 
 
 MIN_ATTEMPT_S = 0.002
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 4
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -1,7 +1,7 @@
 """The owner's queue for one searcher, with natural batching.
 
 A free slot takes one item at once. While all slots are busy, items wait; the
-next free slot takes all that wait, up to a bound, as one request.
+next free slot takes as many of them as should share a request.
 """
 
 import collections
@@ -10,10 +10,17 @@
 from kumquatspur.core.actions import Item
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Searcher
+from kumquatspur.policy.request_cost import INITIAL_S, RequestCost
 
 MAX_BATCH_ITEMS = 16
-INITIAL_LATENCY_S = 0.005
-LATENCY_WEIGHT = 0.1
+SCORE_WEIGHT = 0.15
+# Added to the score of a request that brought no result.
+FAILURE_PENALTY_S = 0.2
+# The score of an idle searcher falls by this factor a probe, so that it is
+# tried again.
+IDLE_DECAY = 0.9
+# An item is admitted only if this many times its service time is left.
+DEADLINE_RESERVE = 1.3
 
 
 @dataclasses.dataclass
@@ -35,9 +42,12 @@
         held: The snapshots that it holds.
         draining: Whether it is leaving.
         reachable: Whether its last request or probe succeeded.
-        latency_s: Smoothed latency of one request, in seconds.
+        cost: Time of a request by its number of items.
+        latency_s: Smoothed latency of one request with a penalty for failures,
+            in seconds; what replicas are compared by.
         max_calls: Requests that may be under way at once.
         max_batch: Items that may share a request.
+        used: Whether a request ended since the last probe.
     """
 
     searcher: Searcher
@@ -48,9 +58,11 @@
     held: tuple[int, ...] = ()
     draining: bool = False
     reachable: bool = False
-    latency_s: float = INITIAL_LATENCY_S
+    cost: RequestCost = dataclasses.field(default_factory=RequestCost)
+    latency_s: float = INITIAL_S
     max_calls: int = 1
     max_batch: int = MAX_BATCH_ITEMS
+    used: bool = False
 
     def backlog(self) -> int:
         """Returns the number of items waiting or running."""
@@ -61,32 +73,73 @@
         """Returns the number of requests that may be started now."""
         return max(0, self.max_calls - len(self.calls))
 
-    def expected_wait_s(self) -> float:
-        """Estimates how long a new item waits for a slot, in seconds."""
-        if self.free_slots():
-            return 0.0
-        rounds = 1 + len(self.waiting) // (self.max_batch * self.max_calls)
-        return rounds * self.latency_s
+    def expected_wait_s(self, now: float) -> float:
+        """Estimates how long a new item waits for a slot.
+
+        Args:
+            now: The current time.
 
-    def admit(self, item: Item, now: float) -> Reason | None:
+        Returns:
+            Seconds.
+        """
+        if self.free_slots() > len(self.waiting):
+            return 0.0
+        running = sum(self._left_s(call, now) for call in self.calls.values())
+        batch = self.cost.best_batch(self.max_batch)
+        queued = len(self.waiting) / batch * self.cost.predict_s(batch)
+        return (running + queued) / self.max_calls
+
+    def _left_s(self, call: Call, now: float) -> float:
+        expected = self.cost.predict_s(len(call.items))
+        elapsed = now - call.started
+        # A request that is overdue is expected to take as long again.
+        return max(expected - elapsed, elapsed - expected)
+
+    def admit(
+        self, item: Item, now: float, may_wait: bool = True
+    ) -> Reason | None:
         """Queues an item unless it cannot finish in time.
 
         Args:
             item: The item.
             now: The current time.
+            may_wait: Whether it may wait for a slot.
 
         Returns:
             None if it was queued, else why it was refused.
         """
         if self.draining:
             return Reason.REFUSED
-        if item.hedge and not self.free_slots():
+        wait = self.expected_wait_s(now)
+        if not may_wait and wait > 0.0:
             return Reason.OVERLOADED
-        if now + self.expected_wait_s() >= item.deadline:
+        if wait > 0.0 and not self._in_time(item, now + wait):
             return Reason.OVERLOADED
         self.waiting.append(item)
         return None
 
+    def _in_time(self, item: Item, start: float) -> bool:
+        needed = DEADLINE_RESERVE * self.cost.predict_s(1)
+        return start + needed <= item.deadline
+
+    def take_expired(self, now: float) -> list[Item]:
+        """Removes the items that waited so long that they cannot finish.
+
+        Args:
+            now: The current time.
+
+        Returns:
+            The items removed, which were not run.
+        """
+        needed = self.cost.predict_s(1)
+        late = [i for i in self.waiting if now + needed > i.deadline]
+        if self.cost.count and late:
+            self.waiting = collections.deque(
+                item for item in self.waiting if item not in late
+            )
+            return late
+        return []
+
     def take_batch(self) -> tuple[Item, ...]:
         """Takes the items of the next request.
 
@@ -96,14 +149,18 @@
         Returns:
             The items; empty if no slot is free or nothing waits.
         """
-        if not self.waiting or not self.free_slots():
+        free = self.free_slots()
+        if not self.waiting or not free:
             return ()
+        # Free slots share what waits.
+        share = -(-len(self.waiting) // free)
+        most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.popleft()]
         while (
             batch[0].repeatable
             and self.waiting
             and self.waiting[0].repeatable
-            and len(batch) < self.max_batch
+            and len(batch) < most
         ):
             batch.append(self.waiting.popleft())
         return tuple(batch)
@@ -112,8 +169,37 @@
         """Records that a request was started."""
         self.calls[call_id] = Call(items, now)
 
-    def finish(self, call_id: str, now: float) -> Call | None:
-        """Records that a request ended and updates the latency estimate.
+    def finish(
+        self, call_id: str, now: float, succeeded: bool = True
+    ) -> Call | None:
+        """Records that a request ended and updates the estimates.
+
+        Args:
+            call_id: The request.
+            now: The current time.
+            succeeded: Whether it brought results.
+
+        Returns:
+            The request, or None if it is not under way.
+        """
+        call = self.calls.pop(call_id, None)
+        if call is None:
+            return None
+        self.used = True
+        elapsed = now - call.started
+        if succeeded:
+            self.cost.add(len(call.items), elapsed)
+            self._score(elapsed)
+        else:
+            self._note_lower_bound(call, elapsed)
+            self._score(elapsed + FAILURE_PENALTY_S)
+        return call
+
+    def cancel(self, call_id: str, now: float) -> Call | None:
+        """Records that a request was abandoned.
+
+        Its time so far is a lower bound of its latency: it counts only if it is
+        above the estimate.
 
         Args:
             call_id: The request.
@@ -124,6 +210,21 @@
         """
         call = self.calls.pop(call_id, None)
         if call is not None:
-            elapsed = now - call.started
-            self.latency_s += LATENCY_WEIGHT * (elapsed - self.latency_s)
+            self._note_lower_bound(call, now - call.started)
         return call
+
+    def _note_lower_bound(self, call: Call, elapsed: float) -> None:
+        if elapsed > self.cost.predict_s(len(call.items)):
+            self.cost.add(len(call.items), elapsed)
+        if elapsed > self.latency_s:
+            self.used = True
+            self._score(elapsed)
+
+    def note_probe(self) -> None:
+        """Lets the score of an idle searcher fall."""
+        if not self.used:
+            self.latency_s = max(self.latency_s * IDLE_DECAY, INITIAL_S)
+        self.used = False
+
+    def _score(self, seconds: float) -> None:
+        self.latency_s += SCORE_WEIGHT * (seconds - self.latency_s)
