--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -15,6 +15,7 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Refusal, ShardResult
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.admission import Throttle
 from kumquatspur.policy.coverage import reason_of_attempts
 from kumquatspur.policy.merge import build_answer
 from kumquatspur.policy.retry import MIN_ATTEMPT_S, NextStep, next_step
@@ -26,6 +27,7 @@
     Reason.NO_SNAPSHOT: "no reachable searcher holds a snapshot",
     Reason.UNKNOWN_SERVICE: "the service is not configured",
     Reason.UNKNOWN_SHARD: "a shard named is not part of the service",
+    Reason.OVERLOADED: "the searchers are busy; try again later",
     Reason.TIMED_OUT: "the deadline passed before any shard answered",
     Reason.LEAVING: "this host is stopping",
 }
@@ -67,7 +69,8 @@
             Verdict.MAY_HAVE_RUN,
             Reason.UPSTREAM_FAILED,
         )
-    attempt.result = result
+    query_scatter.end_attempt(board, attempt, result)
+    _note_attempt(board, state, attempt, now)
     if result.shard in state.results:
         board.counters["late_results"] += 1
         return []
@@ -77,6 +80,15 @@
     return _retry_or_give_up(board, state, result, now)
 
 
+def _note_attempt(board, state: QueryState, attempt: Attempt, now) -> None:
+    service = state.service.name
+    if attempt.result.reason is None:
+        window = query_scatter.latency_window(board, service)
+        window.add(now - attempt.started)
+    elif replica_selection.bounced(attempt) and attempt.may_wait:
+        board.throttles.setdefault(service, Throttle()).decline(now)
+
+
 def finish_if_complete(board: Blackboard, state: QueryState) -> list:
     """Ends a query if every shard has its result.
 
@@ -92,9 +104,19 @@
     shards = replica_selection.wanted_shards(state)
     if all(shard in state.results for shard in shards):
         return _finish(board, state)
+    if state.early and _suffices(state, shards):
+        return finish_now(board, state)
     return []
 
 
+def _suffices(state: QueryState, shards) -> bool:
+    covered = sum(
+        shard in state.results and state.results[shard].reason is None
+        for shard in shards
+    )
+    return covered >= state.service.profile.early_coverage * len(shards)
+
+
 def finish_now(board: Blackboard, state: QueryState) -> list:
     """Ends a query with the results that are there.
 
@@ -108,20 +130,26 @@
     return _finish(board, state)
 
 
-def refuse(request_id: str, reason: Reason, verdict: Verdict):
+def refuse(
+    request_id: str,
+    reason: Reason,
+    verdict: Verdict,
+    retry_after_s: float = RETRY_AFTER_S,
+):
     """Builds a refusal.
 
     Args:
         request_id: The query's identifier.
         reason: Why it is refused.
         verdict: Whether any of it may have run.
+        retry_after_s: When the caller may come back, in seconds.
 
     Returns:
         The action.
     """
     message = _MESSAGES.get(reason, str(reason))
     return actions.RefuseCaller(
-        Refusal(request_id, reason, verdict, RETRY_AFTER_S, message)
+        Refusal(request_id, reason, verdict, retry_after_s, message)
     )
 
 
@@ -147,6 +175,9 @@
     shard = result.shard
     attempts = state.attempts[shard]
     if any(attempt.result is None for attempt in attempts):
+        if result.verdict is Verdict.NOT_RUN:
+            # The hedge was declined and costs nothing.
+            query_scatter.extra_budget(board, state.service).refund()
         return []
     verdict = _shard_verdict(state, shard)
     left = query_scatter.time_left_s(state, now)
@@ -154,9 +185,8 @@
     if step is NextStep.RETRY:
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and _pays_for_retry(board, state, result):
-            board.counters["retries"] += 1
             chosen = [(shard, searcher)]
-            return query_scatter.send(board, state, chosen, False, now)
+            return query_scatter.send(board, state, chosen, now)
     reason = reason_of_attempts(attempt.result for attempt in attempts)
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
     if reason is Reason.SNAPSHOT_NOT_HELD and left > MIN_ATTEMPT_S:
@@ -169,7 +199,14 @@
     kept = result.verdict is Verdict.NOT_RUN
     if kept and replica_selection.is_leaving(board, result.searcher):
         return True
-    return query_scatter.extra_budget(board, state.service).spend()
+    if result.reason is Reason.OVERLOADED:
+        # An owner declined it at once: no searcher has seen it.
+        board.counters["bounces"] += 1
+        return True
+    if query_scatter.extra_budget(board, state.service).spend():
+        board.counters["retries"] += 1
+        return True
+    return False
 
 
 def _rechoose(board: Blackboard, state: QueryState, now: float) -> list:
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -9,7 +9,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from kumquatspur.controllers import placement
+from kumquatspur.controllers import designs, placement
 from kumquatspur.controllers.blackboard import (
     Attempt,
     Blackboard,
@@ -24,7 +24,7 @@
 )
 from kumquatspur.policy import snapshot as snapshots
 from kumquatspur.policy.coverage import reason_without_replica
-from kumquatspur.policy.replica_choice import Replica, choose_replica
+from kumquatspur.policy.replica_choice import Replica
 
 _NOTHING_TOLD = types.MappingProxyType({})
 
@@ -151,23 +151,32 @@
     for searcher in board.configuration.replicas.get(shard, ()):
         if searcher.name in tried:
             continue
-        if _obstacle(board, state, searcher, now) is not None:
-            continue
-        report = board.reports[searcher.name].report
-        replicas.append(
-            Replica(
-                searcher.name,
-                searcher.zone == board.settings.zone,
-                report.reachable,
-                report.backlog,
-                searcher.slots,
-                report.latency_ms,
-            )
-        )
-    replica = choose_replica(replicas, board.rng)
+        if _obstacle(board, state, searcher, now) is None:
+            replicas.append(_replica(board, searcher))
+    replica = designs.choose(board, shard, replicas, now)
     return replica.searcher if replica else ""
 
 
+def _replica(board: Blackboard, searcher: Searcher) -> Replica:
+    known = board.reports[searcher.name]
+    return Replica(
+        searcher=searcher.name,
+        local=searcher.zone == board.settings.zone,
+        reachable=known.report.reachable,
+        backlog=known.report.backlog,
+        slots=searcher.slots,
+        latency_ms=known.report.latency_ms,
+        in_flight=board.in_flight[searcher.name],
+        in_flight_reported=known.in_flight,
+    )
+
+
+def bounced(attempt: Attempt) -> bool:
+    """Returns whether an owner declined an attempt for overload."""
+    result = attempt.result
+    return result is not None and result.reason is Reason.OVERLOADED
+
+
 def missing_reason(
     board: Blackboard, state: QueryState, shard: str, now: float
 ) -> Reason:
@@ -212,9 +221,10 @@
 
 
 def _tried(attempt: Attempt) -> bool:
-    """A lost owner's searcher may be asked again through the next owner."""
+    """Searchers of a lost owner or with all slots busy may be asked again."""
     result = attempt.result
-    return result is None or result.reason is not Reason.PEER_LOST
+    again = (Reason.PEER_LOST, Reason.OVERLOADED)
+    return result is None or result.reason not in again
 
 
 def is_leaving(board: Blackboard, name: str) -> bool:
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -14,6 +14,11 @@
     restart_ms      time until a crashed searcher is back
     cold_ms         time after a restart during which it is slower
     held            the snapshots that it holds
+    restart_cold_ms restart now, and be slower for this time
+
+The specification of a searcher may add `request_ms`, a cost of each request
+besides its items, and `record` false, which keeps counts (GET /counts) instead
+of the list of the items executed.
 """
 
 import eventlet
@@ -34,7 +39,6 @@
 OK = "200 OK"
 UNAVAILABLE = "503 Service Unavailable"
 COLD_FACTOR = 5.0
-SLOT_POLL_S = 0.002
 FOREVER_S = 3600.0
 
 
@@ -82,6 +86,7 @@
         self.rng = random.Random(spec["name"])
         self.slots = eventlet.semaphore.Semaphore(spec["slots"])
         self.executed = []
+        self.counts = {"items": 0, "requests": 0}
         self.stopped = []
         self.pool = LimitedPool(spec["connections"])
         self.waiting = 0
@@ -118,6 +123,8 @@
             return send_json(start_response, OK, self.faults)
         if path == "/executed":
             return send_json(start_response, OK, self.record())
+        if path == "/counts":
+            return send_json(start_response, OK, self.counts)
         client = environ["eventlet.input"].get_socket()
         if self.faults["down"]:
             client.shutdown(socket.SHUT_RDWR)
@@ -135,6 +142,9 @@
     def set_faults(self, faults):
         """Sets fault switches."""
         self.faults.update(faults)
+        if cold_ms := self.faults.pop("restart_cold_ms", 0):
+            self.faults["cold_ms"] = cold_ms
+            self.restart()
         if self.faults["silent"]:
             self.silent_connections |= self.open_connections
             self.faults["silent"] = False
@@ -163,7 +173,10 @@
         self.waiting += 1
         try:
             self.take_slot(client)
+            self.counts["requests"] += 1
             try:
+                if self.spec.get("request_ms"):
+                    pause(client, self.request_s())
                 for item in body["items"]:
                     done.append(self.execute(item, received, client))
             finally:
@@ -178,8 +191,10 @@
 
     def take_slot(self, client):
         """Waits for a slot, unless the client goes."""
-        while not self.slots.acquire(blocking=False):
-            pause(client, SLOT_POLL_S)
+        self.slots.acquire()
+        if is_gone(client):
+            self.slots.release()
+            raise ClientGoneError
 
     def execute(self, item, received, client):
         """Executes one item and records it."""
@@ -189,7 +204,9 @@
         if item["snapshot"] not in self.faults["held"]:
             return {"item_id": item["item_id"], "status": "snapshot_not_held"}
         text = json.dumps(item["query"])
-        self.executed.append({"item_id": item["item_id"], "query": text})
+        self.counts["items"] += 1
+        if self.spec.get("record", True):
+            self.executed.append({"item_id": item["item_id"], "query": text})
         if self.faults["crash_on"] and self.faults["crash_on"] in text:
             self.crash()
         pause(client, self.service_s())
@@ -210,6 +227,11 @@
             "most_connections": self.pool.most,
         }
 
+    def request_s(self):
+        """Returns the cost of a request besides its items, in seconds."""
+        seconds = self.spec["request_ms"] / 1000.0
+        return seconds * self.faults["slow_factor"]
+
     def service_s(self):
         """Returns the service time of one item, in seconds."""
         seconds = self.spec["service_ms"] / 1000.0
@@ -259,15 +281,21 @@
         )
     except TimeoutError:
         return
-    try:
-        gone = not client.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except OSError:
-        gone = True
-    if gone:
+    if is_gone(client):
         raise ClientGoneError
     eventlet.sleep(seconds)
 
 
+def is_gone(client) -> bool:
+    """Returns whether the client closed its connection."""
+    try:
+        return not client.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def main():
     """Serves searchers until killed."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
