--- a/kumquatspur/controllers/crash_trial.py
+++ b/kumquatspur/controllers/crash_trial.py
@@ -22,9 +22,16 @@
     )
 
 
-def begin(state: QueryState, result: ShardResult) -> None:
-    """Puts a query on trial before it is retried after a break."""
-    if state.trial is None and is_break(result):
+def take_failure(state: QueryState, result: ShardResult) -> None:
+    """Puts a query on trial, or condemns it, after an attempt that failed.
+
+    Args:
+        state: The query.
+        result: The result of the attempt, which is recorded already.
+    """
+    if _condemns(state, result):
+        _condemn(state, result)
+    elif state.trial is None and is_break(result):
         state.trial = Trial(result.searcher, result.shard)
 
 
@@ -37,27 +44,6 @@
     return True
 
 
-def condemns(state: QueryState, result: ShardResult) -> bool:
-    """Returns whether a result shows that nothing more must be sent."""
-    if result.reason is Reason.CRASHES_UPSTREAMS:
-        return True
-    trial = state.trial
-    on_trial = trial is not None and trial.shard == result.shard
-    return on_trial and is_break(result)
-
-
-def condemn(state: QueryState, result: ShardResult) -> None:
-    """Ends all shards that wait, and allows no further attempt."""
-    if state.trial is None:
-        state.trial = Trial(result.searcher, result.shard)
-    state.trial.condemned = True
-    for shard in state.trial.waiting:
-        state.results[shard] = final_result(
-            state, shard, Reason.CRASHES_UPSTREAMS
-        )
-    state.trial.waiting.clear()
-
-
 def is_condemned(state: QueryState) -> bool:
     """Returns whether no further attempt is allowed."""
     return state.trial is not None and state.trial.condemned
@@ -90,7 +76,7 @@
     chosen = []
     for waiting in trial.waiting:
         chosen += _choose(board, state, waiting, now)
-    return query_scatter.send(board, state, chosen, False, now)
+    return query_scatter.send(board, state, chosen, now)
 
 
 def given_up(board: Blackboard, state: QueryState, shard: str, now: float):
@@ -111,7 +97,7 @@
     while trial.waiting:
         trial.shard = trial.waiting.pop(0)
         if chosen := _choose(board, state, trial.shard, now):
-            return query_scatter.send(board, state, chosen, False, now)
+            return query_scatter.send(board, state, chosen, now)
     state.trial = None
     return []
 
@@ -135,6 +121,33 @@
     return ShardResult(shard, searcher, verdict, reason)
 
 
+def _condemns(state: QueryState, result: ShardResult) -> bool:
+    if result.reason is Reason.CRASHES_UPSTREAMS:
+        return True
+    if not is_break(result):
+        return False
+    ended = [
+        attempt.result
+        for attempt in state.attempts[result.shard]
+        if attempt.result is not None
+    ]
+    if sum(map(is_break, ended)) > 1:
+        return True
+    return state.trial is not None and state.trial.shard == result.shard
+
+
+def _condemn(state: QueryState, result: ShardResult) -> None:
+    """Ends all shards that wait, and allows no further attempt."""
+    if state.trial is None:
+        state.trial = Trial(result.searcher, result.shard)
+    state.trial.condemned = True
+    for shard in state.trial.waiting:
+        state.results[shard] = final_result(
+            state, shard, Reason.CRASHES_UPSTREAMS
+        )
+    state.trial.waiting.clear()
+
+
 def _choose(board, state: QueryState, shard: str, now: float) -> list:
     """Chooses a searcher for a shard that waited, or gives the shard up."""
     attempts = state.attempts[shard]
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -2,6 +2,7 @@
 
 from kumquatspur.controllers import owner
 from kumquatspur.controllers.blackboard import Blackboard, KnownReport, Member
+from kumquatspur.controllers.designs import design_of
 from kumquatspur.core import actions, events, messages
 
 # Every report is sent again after this many heartbeats, for hosts that are new.
@@ -65,8 +66,11 @@
         reports: The reports.
         now: The current time.
     """
+    if not design_of(board).shares_owners:
+        return
     for report in reports:
-        board.reports[report.searcher] = KnownReport(report, now)
+        in_flight = board.in_flight[report.searcher]
+        board.reports[report.searcher] = KnownReport(report, now, in_flight)
 
 
 def on_heartbeat_due(board: Blackboard, event: events.HeartbeatDue, now):
@@ -113,7 +117,7 @@
         reports=tuple(
             owner.build_report(board.queues[name])
             for name in sorted(names)
-            if owner.is_known(board.queues[name])
+            if owner.is_known(board, board.queues[name])
         ),
     )
     return [
--- a/kumquatspur/controllers/not_run_test.py
+++ b/kumquatspur/controllers/not_run_test.py
@@ -217,9 +217,19 @@
                 )
                 target = messages.Target(searcher.shards[0], name)
                 message = messages.SubQuery(
-                    "s", "r", SERVICE, "1", 5, 1, 100.0, 50.0, repeatable,
-                    False, (target,),
-                )  # fmt: skip
+                    sub_id="s",
+                    request_id="r",
+                    service=SERVICE,
+                    content="1",
+                    limit=5,
+                    snapshot=1,
+                    remaining_ms=100.0,
+                    flush_after_ms=50.0,
+                    repeatable=repeatable,
+                    hedge=False,
+                    may_wait=True,
+                    targets=(target,),
+                )
                 event = events.PeerMessageReceived("oslo-2-a", message)
                 driver.inject(HOST, event)
                 driver.run(gap_s)
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -97,7 +97,8 @@
         remaining_ms: Time left until the results are due.
         flush_after_ms: When to send the results that are there by then.
         repeatable: Whether the work may be executed more than once.
-        hedge: Whether this is a hedge, to run only in a free slot.
+        hedge: Whether this is a hedge.
+        may_wait: Whether items may wait for a slot; declined otherwise.
         targets: The shards wanted.
         suspect_of: Searcher that was lost under this content; "" if none. The
             items then travel alone.
@@ -113,6 +114,7 @@
     flush_after_ms: float
     repeatable: bool
     hedge: bool
+    may_wait: bool
     targets: tuple[Target, ...]
     suspect_of: str = ""
 
