An owner that answers a sub-query early does not answer it again

Cause: with admission the start of a request may decline expired items, so a sub-query can be answered in full while it is still being queued; on_sub_query then answered it again and raised KeyError. In the daemon that costs the other sub-queries of the same event their start.

--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -263,7 +263,7 @@
     queue = board.queues.get(event.searcher)
     if queue is not None:
         queue.reachable = False
-        _leaving(board, queue).note_probe_failed()
+        _leaving(board, queue).note_probe_failed(now)
         _publish(board, queue, now)
     return []
 
@@ -448,6 +448,8 @@
 
 
 def _reply(board: Blackboard, state: SubQueryState):
+    if state.sub_query.sub_id not in board.sub_queries:
+        return []
     if state.pending and not (state.flushed and state.ready):
         return []
     if not state.pending:
--- a/kumquatspur/policy/leaving.py
+++ b/kumquatspur/policy/leaving.py
@@ -37,9 +37,10 @@
         self.seen[signal] = now
         self.confirmed = Signal.PROBE in self.seen
 
-    def note_probe_failed(self) -> None:
+    def note_probe_failed(self, now: float) -> None:
         """Takes a failed status probe."""
         self.confirmed = True
+        self._forget_old(now)
 
     def note_probe_healthy(self, now: float) -> None:
         """Takes a status probe that tells of no leaving."""
@@ -47,10 +48,13 @@
         if self.confirmed:
             self.seen.clear()
         self.confirmed = False
-        self.seen = {
-            signal: at for signal, at in self.seen.items() if now - at < HOLD_S
-        }
+        self._forget_old(now)
 
     def is_leaving(self) -> bool:
         """Returns whether any signal is in force."""
         return bool(self.seen)
+
+    def _forget_old(self, now: float) -> None:
+        self.seen = {
+            signal: at for signal, at in self.seen.items() if now - at < HOLD_S
+        }
--- a/kumquatspur/policy/leaving_test.py
+++ b/kumquatspur/policy/leaving_test.py
@@ -13,6 +13,7 @@
     ([Signal.PROBE, Signal.ANSWER, "healthy"], False),
     ([Signal.ANSWER, HOLD_S - 1.0, "healthy"], True),
     ([Signal.ANSWER, HOLD_S, "healthy"], False),
+    ([Signal.ANSWER, HOLD_S, "failed"], False),
     ([Signal.CONNECTION_REFUSED, "failed"], True),
     ([Signal.CONNECTION_REFUSED, "failed", "healthy"], False),
     (["failed", Signal.CONNECTION_REFUSED, "healthy"], True),
@@ -30,7 +31,7 @@
                     elif isinstance(step, Signal):
                         state.note(step, now)
                     elif step == "failed":
-                        state.note_probe_failed()
+                        state.note_probe_failed(now)
                     else:
                         state.note_probe_healthy(now)
                 self.assertIs(state.is_leaving(), leaving)
--- a/standins/fault_schedules_test.py
+++ b/standins/fault_schedules_test.py
@@ -3,14 +3,17 @@
 
 from standins.fault_schedules import check_schedule, run_schedule
 
+# These failed before the decision code was mended.
+REGRESSIONS = (1, 13, 15, 16, 22, 25, 28, 30, 33, 34, 36, 39)
 # More schedules: FAULT_SCHEDULES=5000 FIRST_SEED=1000 python -m unittest ...
-SCHEDULES = int(os.environ.get("FAULT_SCHEDULES", "40"))
-FIRST_SEED = int(os.environ.get("FIRST_SEED", "0"))
+SCHEDULES = int(os.environ.get("FAULT_SCHEDULES", "28"))
+FIRST_SEED = int(os.environ.get("FIRST_SEED", "100"))
 
 
 class FaultSchedulesTest(unittest.TestCase):
     def test_promises_hold_under_two_faults(self):
-        for seed in range(FIRST_SEED, FIRST_SEED + SCHEDULES):
+        seeds = range(FIRST_SEED, FIRST_SEED + SCHEDULES)
+        for seed in (*REGRESSIONS, *seeds):
             schedule = run_schedule(seed)
             with self.subTest(seed=seed, faults=schedule.faults):
                 self.assertEqual(check_schedule(schedule), [])
