--- a/standins/fault_schedules.py
+++ b/standins/fault_schedules.py
@@ -440,7 +440,8 @@
 
 def list_upstream(schedule: Schedule, victim: str, leaving: bool) -> None:
     """Has the host list, at every host, say whether a searcher is leaving."""
-    searcher = schedule.configuration.searchers[victim]
+    whole = build_configuration(1, True, (SERVICE,), (), ())
+    searcher = whole.searchers[victim]
     host = Host(victim, searcher.zone, searcher.address, leaving, "upstream")
     for name in schedule.driver.settings:
         schedule.driver.inject(name, events.HostsListed((host,)))
