--- a/kumquatspur/border/settings.py
+++ b/kumquatspur/border/settings.py
@@ -64,6 +64,8 @@
         prefix: Key prefix of this system in the store.
         peer_key: Shared key of the entry hosts.
         admin_key: Key of the administration API.
+        peer_routes: Where to reach single peers, by name, if not where they
+            say that they listen.
         design: "owner", or a baseline for measurements.
         max_body_bytes: Longest request body accepted from a caller.
         timing: Intervals and time-outs.
@@ -79,6 +81,7 @@
     prefix: str = "kumquatspur"
     peer_key: str = pydantic.Field(min_length=8)
     admin_key: str = pydantic.Field(min_length=8)
+    peer_routes: dict[str, Endpoint] = {}
     design: str = pydantic.Field(
         "owner", pattern="^(owner|direct|two_choices)$"
     )
--- a/kumquatspur/border/upstream_api.py
+++ b/kumquatspur/border/upstream_api.py
@@ -3,6 +3,7 @@
 import json
 
 import pydantic
+import pydantic_core
 
 from kumquatspur.core.actions import Item
 from kumquatspur.core.events import ItemResult
@@ -11,7 +12,11 @@
 from kumquatspur.core.verdict import Verdict
 
 
-class HitModel(pydantic.BaseModel):
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(allow_inf_nan=False)
+
+
+class HitModel(_Model):
     """A match."""
 
     key: str
@@ -19,7 +24,7 @@
     fields: pydantic.JsonValue = None
 
 
-class ItemModel(pydantic.BaseModel):
+class ItemModel(_Model):
     """Result of one item.
 
     Attributes:
@@ -38,7 +43,7 @@
     hits: list[HitModel] = []
 
 
-class SearchReply(pydantic.BaseModel):
+class SearchReply(_Model):
     """Body of a searcher's answer."""
 
     items: list[ItemModel]
@@ -47,7 +52,7 @@
     held: list[int] = []
 
 
-class StatusReply(pydantic.BaseModel):
+class StatusReply(_Model):
     """Body of a searcher's status."""
 
     held: list[int]
@@ -55,6 +60,23 @@
     load: int = 0
 
 
+def parse_reply(data: bytes) -> SearchReply | None:
+    """Parses a searcher's answer.
+
+    Args:
+        data: The body.
+
+    Returns:
+        The answer, or None if it is malformed. NaN and infinite numbers, which
+        JSON does not have, count as malformed.
+    """
+    try:
+        raw = pydantic_core.from_json(data, allow_inf_nan=False)
+        return SearchReply.model_validate(raw)
+    except ValueError:
+        return None
+
+
 _STATUS_REASON = {
     "not_run": Reason.REFUSED,
     "snapshot_not_held": Reason.SNAPSHOT_NOT_HELD,
@@ -116,6 +138,11 @@
     return tuple(found)
 
 
+def _json_text(value) -> str:
+    # A number beyond the range of JSON's readers becomes null.
+    return pydantic_core.to_json(value, inf_nan_mode="null").decode()
+
+
 def _result(
     searcher: str, item: Item, model: ItemModel, held: tuple[int, ...]
 ) -> ShardResult:
@@ -134,7 +161,7 @@
             item.shard, searcher, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
         )
     hits = tuple(
-        Hit(hit.score, item.shard, hit.key, json.dumps(hit.fields))
+        Hit(hit.score, item.shard, hit.key, _json_text(hit.fields))
         for hit in model.hits
     )
     return ShardResult(
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -163,8 +163,10 @@
         return member.zone if member else None
 
     def _send_peer(self, action: actions.SendPeer) -> None:
+        route = self.settings.peer_routes.get(action.peer)
+        address = route.address() if route else action.address
         sent = self._peers.send(
-            action.peer, action.address, action.message, self.now()
+            action.peer, address, action.message, self.now()
         )
         if not sent:
             eventlet.spawn_n(self.deliver, events.PeerLost(action.peer))
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -1,11 +1,11 @@
 """HTTP client of the searchers: one connection pool a searcher."""
 
 import collections
+import http.client
 import logging
 import time
 
 import eventlet
-import pydantic
 import urllib3
 
 from kumquatspur.border import upstream_api
@@ -21,7 +21,12 @@
 VERIFY_S = 0.25
 VERIFY_POLL_S = 0.002
 
-_FAILURES = (urllib3.exceptions.HTTPError, OSError)
+_FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
 _TIMEOUTS = (urllib3.exceptions.TimeoutError, TimeoutError)
 
 
@@ -86,7 +91,7 @@
         try:
             _, data = self._exchange(searcher, exchange, True)
             reply = upstream_api.StatusReply.model_validate_json(data)
-        except (*_FAILURES, ValueError):
+        except _FAILURES:
             return events.ProbeFailed(searcher.name)
         held = tuple(sorted(reply.held))
         return events.ProbeAnswered(
@@ -181,9 +186,8 @@
 def _parse(call: CallUpstream, status: int, data: bytes):
     if status != 200:
         return _failed(call, Phase.SENT, Outcome.FAILED)
-    try:
-        reply = upstream_api.SearchReply.model_validate_json(data)
-    except pydantic.ValidationError:
+    reply = upstream_api.parse_reply(data)
+    if reply is None:
         return _failed(call, Phase.SENT, Outcome.FAILED)
     return events.UpstreamAnswered(
         call.call_id,
