--- a/kumquatspur/border/caller_api.py
+++ b/kumquatspur/border/caller_api.py
@@ -1,6 +1,7 @@
 """Models of the callers' HTTP API."""
 
 import json
+import math
 
 import pydantic
 
@@ -45,7 +46,11 @@
         The model, or None, and the errors found.
     """
     try:
-        raw = json.loads(body)
+        raw = json.loads(
+            body.decode("utf-8"),
+            parse_constant=_reject_constant,
+            parse_float=_parse_float,
+        )
     except (ValueError, RecursionError) as error:
         return None, [Diagnostic("body", f"is not JSON: {error}")]
     try:
@@ -58,6 +63,17 @@
     return model, []
 
 
+def _reject_constant(text: str):
+    raise ValueError(f"{text} is not a JSON number")
+
+
+def _parse_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError("a number is too large")
+    return number
+
+
 def build_query(
     model: QueryModel, request_id: str, now: float, default_deadline_ms: int
 ) -> Query:
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -22,7 +22,11 @@
     ShardResult,
 )
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.admission import Throttle
 from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.claims import BucketWriter
+from kumquatspur.policy.crash_suspects import CrashSuspects
+from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.leaving import LeavingState
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
@@ -81,6 +85,7 @@
         searcher: The searcher chosen.
         started: When it was sent.
         result: How it ended, or None while it is under way.
+        may_wait: Whether it may wait for a slot there.
     """
 
     sub_id: str
@@ -88,6 +93,38 @@
     searcher: str
     started: float
     result: ShardResult | None = None
+    may_wait: bool = True
+
+
+@dataclasses.dataclass
+class Trial:
+    """Caution with a query whose content was in flight at a lost upstream.
+
+    Attributes:
+        suspect_of: The searcher lost.
+        shard: The one shard that may be attempted.
+        waiting: Shards that wait for its result.
+        condemned: Whether another searcher was lost; nothing more is sent.
+    """
+
+    suspect_of: str
+    shard: str
+    waiting: list[str] = dataclasses.field(default_factory=list)
+    condemned: bool = False
+
+
+@dataclasses.dataclass
+class UpstreamBreak:
+    """The moment when a connection to a searcher broke.
+
+    Attributes:
+        at: When it was noticed.
+        contents: Fingerprints in flight there, until a probe told whether the
+            searcher was lost.
+    """
+
+    at: float
+    contents: frozenset[str]
 
 
 @dataclasses.dataclass
@@ -111,9 +148,11 @@
         attempts: All attempts, by shard.
         results: The final result of each shard that has one.
         rechosen: Whether the snapshot was already chosen again.
+        early: Whether the profile's share of coverage suffices by now.
         past_verdicts: Verdict of each shard at the abandoned snapshot.
         past_sub_ids: The sub-queries at the abandoned snapshot.
         fallback: What the abandoned snapshot gave, or None.
+        trial: Set while the content is suspected of crashing upstreams.
     """
 
     query: Query
@@ -123,9 +162,11 @@
     attempts: dict[str, list[Attempt]] = dataclasses.field(default_factory=dict)
     results: dict[str, ShardResult] = dataclasses.field(default_factory=dict)
     rechosen: bool = False
+    early: bool = False
     past_verdicts: dict[str, Verdict] = dataclasses.field(default_factory=dict)
     past_sub_ids: set[str] = dataclasses.field(default_factory=set)
     fallback: "SnapshotResults | None" = None
+    trial: Trial | None = None
 
     @property
     def service(self) -> Service:
@@ -154,10 +195,36 @@
 
 @dataclasses.dataclass
 class KnownReport:
-    """A searcher report and when it was received."""
+    """A searcher report and when it was received.
+
+    Attributes:
+        report: The report.
+        received: When it came.
+        in_flight: Attempts of this node under way at the searcher then.
+    """
 
     report: SearcherReport
     received: float
+    in_flight: int = 0
+
+
+@dataclasses.dataclass
+class PendingClaim:
+    """A query that waits for its claim.
+
+    Attributes:
+        query: The query.
+        digest: Digest of its idempotency key.
+        writer: The entry host asked to write the claim.
+        settle_by: When the query is refused if nothing was heard.
+        proceed: Starts the query; takes blackboard, query and time.
+    """
+
+    query: Query
+    digest: str
+    writer: str
+    settle_by: float
+    proceed: Callable
 
 
 class Blackboard:
@@ -178,6 +245,10 @@
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
         budgets: Extra-attempt budgets by service.
+        in_flight: Attempts of this node under way at each searcher.
+        latencies: Latencies of recent attempts by service.
+        throttles: Admission of each service's queries.
+        turns: Round-robin position of each shard.
         seen_sub_queries: Sub-queries received whose deadline is to come.
         counters: Event counts by name.
         store_calls: What to do when a call to the store ends, by call id: a
@@ -186,6 +257,13 @@
         distribution: State of the distribution of the configuration.
         gossip: State of the exchange with other entry hosts.
         placement: Owners of the searchers, as last computed.
+        recent_sub_ids: When to forget each sub-query of work that must not
+            be repeated, by id, oldest first.
+        crash_suspects: Contents suspected of crashing upstreams.
+        breaks: The last broken connection of each searcher.
+        greeted: Incarnation of each entry host that was told what is refused.
+        claims: Queries that wait for their claim, by nonce.
+        claim_writers: Claim buckets that this node writes, by number.
         stopping: Whether a graceful stop has begun.
     """
 
@@ -205,6 +283,10 @@
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
+        self.in_flight = collections.Counter()
+        self.latencies: dict[str, LatencyWindow] = {}
+        self.throttles: dict[str, Throttle] = {}
+        self.turns: dict[str, int] = {}
         self.seen_sub_queries: set[str] = set()
         self.counters = collections.Counter()
         self.changed_reports: set[str] = set()
@@ -212,6 +294,12 @@
         self.distribution = DistributionState()
         self.gossip = GossipState()
         self.placement = PlacementCache()
+        self.recent_sub_ids: dict[str, float] = {}
+        self.crash_suspects = CrashSuspects()
+        self.breaks: dict[str, UpstreamBreak] = {}
+        self.greeted: dict[str, int] = {}
+        self.claims: dict[str, PendingClaim] = {}
+        self.claim_writers: dict[int, BucketWriter] = {}
         self.stopping = False
         self._timers = []
         self._timer_order = itertools.count()
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -1,6 +1,6 @@
 """Executes sub-queries on the searchers that this node owns."""
 
-from kumquatspur.controllers import placement
+from kumquatspur.controllers import crash_guard, designs, placement
 from kumquatspur.controllers.blackboard import (
     Blackboard,
     KnownReport,
@@ -10,14 +10,17 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import ShardResult
 from kumquatspur.core.verdict import Outcome, Phase, Verdict, verdict_of
+from kumquatspur.policy import crash_suspects
 from kumquatspur.policy.leaving import LeavingState, Signal
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 SLOW_FACTOR = 3.0
+REMEMBER_SUB_ID_S = 60.0
 
 _FAILURE_REASON = {
     Outcome.DECLINED: Reason.REFUSED,
+    Outcome.REJECTED: Reason.UPSTREAM_FAILED,
     Outcome.FAILED: Reason.UPSTREAM_FAILED,
     Outcome.TIMED_OUT: Reason.TIMED_OUT,
     Outcome.CANCELLED: Reason.TIMED_OUT,
@@ -36,21 +39,22 @@
     Returns:
         Actions.
     """
-    if message.sub_id in board.seen_sub_queries:
+    if _is_duplicate(board, message, now):
         board.counters["duplicate_sub_queries"] += 1
         return []
-    board.seen_sub_queries.add(message.sub_id)
     state = SubQueryState(message, peer)
     board.sub_queries[message.sub_id] = state
     deadline = now + message.remaining_ms / 1000.0
     flush_at = now + message.flush_after_ms / 1000.0
     board.schedule(deadline, events.SubQueryDeadlineDue(message.sub_id))
     board.schedule(flush_at, events.SubQueryFlushDue(message.sub_id))
+    content = crash_suspects.fingerprint(message.service, message.content)
+    suspect = message.suspect_of or crash_guard.suspect_of(board, content, now)
     touched = []
     for target in message.targets:
         queue = _queue(board, target.searcher)
-        item = _build_item(board, message, target, deadline)
-        reason = _admit(board, queue, target, item, now)
+        item = _build_item(board, message, target, deadline, content, suspect)
+        reason = _admit(board, queue, message, item, now)
         if reason is None:
             state.pending[target.shard] = item
             touched.append(queue)
@@ -80,7 +84,8 @@
         Actions.
     """
     queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
-    call = queue.finish(event.call_id, now) if queue else None
+    declined = all(entry.result.reason for entry in event.results)
+    call = queue.finish(event.call_id, now, not declined) if queue else None
     if call is None:
         board.counters["late_upstream_answers"] += 1
         return []
@@ -113,11 +118,11 @@
         Actions.
     """
     queue = board.queues.get(board.call_searchers.pop(event.call_id, ""))
-    call = queue.finish(event.call_id, now) if queue else None
+    call = _end_failed_call(queue, event, now) if queue else None
     if call is None:
         return []
-    found = []
-    if event.phase is Phase.CONNECTING or event.outcome is Outcome.FAILED:
+    found = crash_guard.on_call_failed(board, queue, call, event, now)
+    if _is_unreachable(event):
         queue.reachable = False
         found += _note_refusal(board, queue, event, now)
         _publish(board, queue, now)
@@ -129,6 +134,18 @@
     return found + _dispatch(board, queue, now)
 
 
+def _is_unreachable(event: events.UpstreamFailed) -> bool:
+    connecting = event.phase is Phase.CONNECTING
+    late = connecting and event.outcome is Outcome.TIMED_OUT
+    return late or event.outcome in (Outcome.FAILED, Outcome.REJECTED)
+
+
+def _end_failed_call(queue: SearcherQueue, event, now: float):
+    if event.outcome is Outcome.CANCELLED:
+        return queue.cancel(event.call_id, now)
+    return queue.finish(event.call_id, now, succeeded=False)
+
+
 def on_flush_due(board: Blackboard, event: events.SubQueryFlushDue, now):
     """Sends the results of a sub-query that are there.
 
@@ -183,7 +200,10 @@
     state = board.sub_queries.get(message.sub_id)
     if state is None or state.sender != peer:
         return []
-    return _abandon(board, state, message.shards)
+    found = []
+    for shard in message.shards:
+        _withdraw(board, state, shard, found)
+    return found + _reply(board, state)
 
 
 def on_probe_due(board: Blackboard, event: events.ProbeDue, now: float):
@@ -230,6 +250,7 @@
     queue = board.queues.get(event.searcher)
     if queue is None:
         return []
+    queue.note_probe()
     if event.draining:
         _leaving(board, queue).note(Signal.PROBE, now)
     else:
@@ -252,7 +273,7 @@
     queue = board.queues.get(event.searcher)
     if queue is not None:
         queue.reachable = False
-        _leaving(board, queue).note_probe_failed()
+        _leaving(board, queue).note_probe_failed(now)
         _publish(board, queue, now)
     return []
 
@@ -300,9 +321,10 @@
     return found
 
 
-def is_known(queue: SearcherQueue) -> bool:
-    """Returns whether anything was heard from or of a searcher."""
-    return queue.reachable or bool(queue.held)
+def is_known(board: Blackboard, queue: SearcherQueue) -> bool:
+    """Returns whether a searcher was tried, or another owner told of it."""
+    tried = queue.reachable or _leaving(board, queue).confirmed
+    return tried or queue.draining or bool(queue.held)
 
 
 def build_report(queue: SearcherQueue) -> messages.SearcherReport:
@@ -335,10 +357,13 @@
         board.queues[name] = queue
         _take_over(board, queue)
     queue.searcher = searcher
+    designs.limit_queue(board, queue)
     return queue
 
 
-def _build_item(board, message, target, deadline: float) -> actions.Item:
+def _build_item(
+    board, message, target, deadline: float, content: str, suspect_of: str
+) -> actions.Item:
     return actions.Item(
         item_id=board.new_id(),
         shard=target.shard,
@@ -349,19 +374,25 @@
         repeatable=message.repeatable,
         hedge=message.hedge,
         sub_id=message.sub_id,
+        fingerprint=content,
+        suspect_of=suspect_of,
     )
 
 
-def _admit(board, queue, target, item, now: float) -> Reason | None:
+def _admit(board, queue, message, item, now: float) -> Reason | None:
     if queue is None:
         return Reason.NO_REPLICA
-    return queue.admit(item, now)
+    return queue.admit(item, now, message.may_wait)
 
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
     if queue.draining:
         return _decline_waiting(board, queue)
     found = []
+    for item in queue.take_expired(now):
+        result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.OVERLOADED)
+        found += _complete(board, item, result)
+    found += _refuse_crashing(board, queue, now)
     while items := queue.take_batch():
         call_id = board.new_id()
         queue.start(call_id, items, now)
@@ -373,6 +404,36 @@
     return found
 
 
+def _refuse_crashing(board: Blackboard, queue: SearcherQueue, now: float):
+    """Refuses waiting items whose content was found to crash upstreams."""
+    found = []
+    for item in list(queue.waiting):
+        if not crash_guard.is_refused(board, item.fingerprint, now):
+            continue
+        queue.waiting.remove(item)
+        result = _failed_result(
+            queue, item, Verdict.NOT_RUN, Reason.CRASHES_UPSTREAMS
+        )
+        found += _complete(board, item, result)
+    return found
+
+
+def _is_duplicate(board: Blackboard, message, now: float) -> bool:
+    """Returns whether a sub-query was received before."""
+    if message.sub_id in board.seen_sub_queries:
+        return True
+    board.seen_sub_queries.add(message.sub_id)
+    if message.repeatable:
+        return False
+    recent = board.recent_sub_ids
+    while recent and next(iter(recent.values())) <= now:
+        del recent[next(iter(recent))]
+    if message.sub_id in recent:
+        return True
+    recent[message.sub_id] = now + REMEMBER_SUB_ID_S
+    return False
+
+
 def _belongs(item: actions.Item, result: ShardResult) -> bool:
     covers = result.reason is None
     same_snapshot = not covers or result.snapshot == item.snapshot
@@ -432,10 +493,12 @@
 
 
 def _reply(board: Blackboard, state: SubQueryState):
+    if state.sub_query.sub_id not in board.sub_queries:
+        return []
     if state.pending and not (state.flushed and state.ready):
         return []
     if not state.pending:
-        del board.sub_queries[state.sub_query.sub_id]
+        board.sub_queries.pop(state.sub_query.sub_id, None)
     if not state.ready:
         return []
     results = _trim_hits(state.ready, state.sub_query.limit)
@@ -443,7 +506,7 @@
     reports = tuple(
         build_report(board.queues[name])
         for name in names
-        if name in board.queues and is_known(board.queues[name])
+        if name in board.queues and is_known(board, board.queues[name])
     )
     state.ready = []
     answer = messages.SubAnswer(
@@ -477,28 +540,37 @@
 def _abandon(board: Blackboard, state: SubQueryState, shards):
     found = []
     for shard in shards:
-        item = state.pending.pop(shard, None)
-        if item is None:
-            continue
-        verdict = _withdraw(board, item, found)
+        verdict = _withdraw(board, state, shard, found)
         state.ready.append(ShardResult(shard, "", verdict, Reason.TIMED_OUT))
     return found + _reply(board, state)
 
 
-def _withdraw(board: Blackboard, item: actions.Item, found: list) -> Verdict:
+def _withdraw(board, state: SubQueryState, shard: str, found: list) -> Verdict:
     """Removes an item from its queue, or cancels its call if it is the last."""
-    for queue in board.queues.values():
-        if item in queue.waiting:
-            queue.waiting.remove(item)
-            return Verdict.NOT_RUN
-        for call_id, call in queue.calls.items():
-            if item in call.items:
-                if len(call.items) == 1:
-                    found.append(actions.CancelUpstream(call_id))
-                return Verdict.MAY_HAVE_RUN
+    item = state.pending.pop(shard, None)
+    if item is None:
+        return Verdict.NOT_RUN
+    targets = state.sub_query.targets
+    name = next(t.searcher for t in targets if t.shard == shard)
+    queue = board.queues.get(name)
+    if queue is not None and item in queue.waiting:
+        queue.waiting.remove(item)
+        return Verdict.NOT_RUN
+    for call_id, call in queue.calls.items() if queue else ():
+        if item in call.items and not _wanted(board, call):
+            found.append(actions.CancelUpstream(call_id))
     return Verdict.MAY_HAVE_RUN
 
 
+def _wanted(board: Blackboard, call) -> bool:
+    """Returns whether anybody still waits for an item of a request."""
+    for item in call.items:
+        state = board.sub_queries.get(item.sub_id)
+        if state is not None and state.pending.get(item.shard) is item:
+            return True
+    return False
+
+
 def _note_state(board, queue: SearcherQueue, held, now):
     changed = held != queue.held or not queue.reachable
     queue.held = held
@@ -511,7 +583,9 @@
     changed = changed or draining != queue.draining
     queue.draining = draining
     report = build_report(queue)
-    if is_known(queue) and report.searcher in board.configuration.searchers:
-        board.reports[report.searcher] = KnownReport(report, now)
+    configured = report.searcher in board.configuration.searchers
+    if configured and is_known(board, queue):
+        in_flight = board.in_flight[report.searcher]
+        board.reports[report.searcher] = KnownReport(report, now, in_flight)
     if changed:
         board.changed_reports.add(report.searcher)
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -3,13 +3,16 @@
 import collections
 
 from kumquatspur.controllers.blackboard import Blackboard
+from kumquatspur.controllers.designs import design_of
 from kumquatspur.controllers.placement_cache import PlacementCache
+from kumquatspur.core import actions
 from kumquatspur.core.records import Searcher
 from kumquatspur.policy.ownership import (
     Piece,
     assign_pieces,
     cut_groups,
     foster_zone,
+    rank_members,
 )
 
 # How long a zone must be without live hosts before others own its searchers.
@@ -44,6 +47,8 @@
         Names, owner first; empty if no live host is known. The searchers of a
         zone without live hosts are owned in another zone.
     """
+    if not design_of(board).shares_owners:
+        return [board.settings.name]
     cache = _refresh(board, now)
     zone = searcher.zone
     owners = cache.owners.get(zone)
@@ -127,6 +132,39 @@
     return dict(live)
 
 
+def rank_hosts(board: Blackboard, group: str, now: float) -> list[str]:
+    """Ranks the live entry hosts of all zones, this one included.
+
+    Args:
+        board: The blackboard.
+        group: What is placed.
+        now: The current time.
+
+    Returns:
+        Names, first choice first; never empty.
+    """
+    names = [m.name for m in board.members.values() if board.alive(m, now)]
+    if not names or not board.stopping:
+        names.append(board.settings.name)
+    return rank_members(group, names)
+
+
+def send_peer(board: Blackboard, peer: str, message) -> actions.SendPeer:
+    """Builds the action that sends a message to an entry host.
+
+    Args:
+        board: The blackboard.
+        peer: A member, or this node itself.
+        message: One of `kumquatspur.core.messages`.
+
+    Returns:
+        The action.
+    """
+    member = board.members.get(peer)
+    address = member.address if member else board.settings.peer.address()
+    return actions.SendPeer(peer, address, message)
+
+
 def is_withdrawn(board: Blackboard, name: str) -> bool:
     """Returns whether operators or the host list ask for no new work.
 
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -9,6 +9,7 @@
     KnownReport,
     Member,
 )
+from kumquatspur.controllers.designs import design_of
 from kumquatspur.controllers.gossip import (
     MEMBER,
     REPORT,
@@ -19,7 +20,7 @@
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
 from kumquatspur.policy.members import damping_s, is_return, supersedes
-from kumquatspur.policy.searcher_queue import INITIAL_LATENCY_S
+from kumquatspur.policy.searcher_queue import INITIAL_S
 
 PIGGYBACK_ENTRIES = 4
 ENTRIES_PER_UPDATE = 200
@@ -29,14 +30,16 @@
 CONTEST_INTERVAL = 4
 # Suspicion lasts this share of the setting `suspect_s`.
 SUSPICION_SHARE = 0.4
+# Latency of a searcher before an owner's answer tells it.
+UNKNOWN_LATENCY_MS = INITIAL_S * 1000.0
 _UNKNOWN_LOAD = messages.SearcherReport(
     searcher="",
     held=(),
     draining=False,
     reachable=True,
     backlog=0,
-    latency_ms=INITIAL_LATENCY_S * 1000.0,
-    slow_ms=INITIAL_LATENCY_S * 1000.0 * owner.SLOW_FACTOR,
+    latency_ms=UNKNOWN_LATENCY_MS,
+    slow_ms=UNKNOWN_LATENCY_MS * owner.SLOW_FACTOR,
 )
 
 
@@ -300,7 +303,8 @@
         return
     board.gossip.put_report(entry)
     view.pass_on(board, EntryKey(REPORT, entry.searcher), delivery, now)
-    if entry.searcher in board.queues:
+    shared = design_of(board).shares_owners
+    if entry.searcher in board.queues or not shared:
         return
     known = board.reports.get(entry.searcher)
     load = known.report if known else _UNKNOWN_LOAD
@@ -311,7 +315,9 @@
         draining=entry.draining,
         reachable=entry.reachable,
     )
-    board.reports[entry.searcher] = KnownReport(report, now)
+    # The load is as old as before, and so is what was in flight then.
+    in_flight = known.in_flight if known else 0
+    board.reports[entry.searcher] = KnownReport(report, now, in_flight)
 
 
 def _age(entry: ReportEntry) -> tuple:
@@ -327,16 +333,21 @@
         reports: The reports.
         now: The current time.
     """
+    if not design_of(board).shares_owners:
+        return
     for report in reports:
-        board.reports[report.searcher] = KnownReport(report, now)
+        in_flight = board.in_flight[report.searcher]
+        board.reports[report.searcher] = KnownReport(report, now, in_flight)
 
 
 def publish_reports(board: Blackboard, now: float) -> None:
     """Passes on what changed of the searchers that this node owns."""
     state = board.gossip
+    if not design_of(board).shares_owners:
+        board.changed_reports.clear()
     for name in board.changed_reports:
         queue = board.queues.get(name)
-        if queue is None or not owner.is_known(queue):
+        if queue is None or not owner.is_known(board, queue):
             continue
         report = owner.build_report(queue)
         old = state.reports.get(name)
--- /dev/null
+++ b/kumquatspur/wire/http_server.py
@@ -0,0 +1,250 @@
+"""HTTP server: eventlet's WSGI server with typed errors and clean closing."""
+
+import contextlib
+import json
+import logging
+import time
+from http import HTTPStatus
+
+import eventlet
+import eventlet.wsgi
+from eventlet.green import socket
+
+from kumquatspur.core.records import Diagnostic
+from kumquatspur.wire.json_http import CLOSE_KEY, error_reply
+
+_log = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 1024
+MAX_CONNECTIONS = 512
+IDLE_S = 30.0
+# Time in which a request's line and headers must have arrived.
+HEADERS_S = 5.0
+# Time in which a client may read a reply while its own bytes are dropped.
+LINGER_S = 0.5
+RESTART_S = 0.1
+POLL_S = 0.02
+READ_BYTES = 65536
+
+_ADDRESS, _SOCKET, _STATE = range(3)
+
+
+class HttpServer:
+    """Serves one WSGI application on one port.
+
+    Attributes:
+        application: The WSGI application.
+        listener: The listening socket.
+        closing: Whether connections close after the reply under way.
+        active: Requests under way.
+    """
+
+    def __init__(self, endpoint, application):
+        self.application = application
+        self.listener = eventlet.listen(
+            (endpoint.host, endpoint.port),
+            backlog=LISTEN_BACKLOG,
+            reuse_port=False,
+        )
+        self.closing = False
+        self.active = 0
+        self._pool = _ConnectionPool(MAX_CONNECTIONS)
+        self._thread = eventlet.spawn(self._serve)
+
+    def stop(self) -> None:
+        """Closes idle connections, then stops accepting.
+
+        A request that has reached this host on a kept connection is served
+        before that connection closes.
+        """
+        self._pool.end_idle()
+        eventlet.sleep(POLL_S)
+        self._thread.kill()
+        # The library holds a copy until the last request has ended.
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                # The library closes the socket that it is given.
+                eventlet.wsgi.server(
+                    self.listener.dup(),
+                    self.application,
+                    protocol=self._new_protocol,
+                    custom_pool=self._pool,
+                    log_output=False,
+                    socket_timeout=IDLE_S,
+                    debug=False,
+                )
+            except OSError as error:
+                _log.warning("accept failed", extra={"error": str(error)})
+            eventlet.sleep(RESTART_S)
+
+    def _new_protocol(self, connection, server):
+        _Protocol(connection, server, self)
+
+
+class _ConnectionPool(eventlet.GreenPool):
+    """Green pool that knows the connections that it serves."""
+
+    def __init__(self, size: int):
+        super().__init__(size)
+        self.connections = {}
+
+    def spawn(self, function, connection):
+        self.connections[connection[_ADDRESS]] = connection
+        thread = super().spawn(function, connection)
+        thread.link(self._forget, connection[_ADDRESS])
+        return thread
+
+    def end_idle(self) -> None:
+        """Ends reading where no request is under way."""
+        for connection in list(self.connections.values()):
+            if connection[_STATE] != eventlet.wsgi.STATE_IDLE:
+                continue
+            # Bytes received before are still read and served.
+            with contextlib.suppress(OSError):
+                connection[_SOCKET].shutdown(socket.SHUT_RD)
+
+    def _forget(self, _, address) -> None:
+        self.connections.pop(address, None)
+
+
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    """One connection.
+
+    Attributes:
+        http_server: The `HttpServer`.
+        timely: Ends the wait for a request's line and headers.
+        linger: Whether the client may still send bytes that nobody reads.
+    """
+
+    def __init__(self, connection, server, http_server):
+        self.http_server = http_server
+        self.timely = None
+        self.linger = False
+        self.first = True
+        super().__init__(connection, server)
+
+    def setup(self):
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.wfile = _TypedErrors(self.wfile, self)
+
+    def handle_one_request(self):
+        try:
+            super().handle_one_request()
+        except TimeoutError:
+            self.send_error(HTTPStatus.REQUEST_TIMEOUT)
+        finally:
+            self._cancel_timer()
+
+    def _read_request_line(self):
+        self.connection.settimeout(HEADERS_S if self.first else IDLE_S)
+        self.first = False
+        try:
+            if not self.rfile.peek(1):
+                return b""
+        except (OSError, ValueError):
+            return b""
+        self.timely = eventlet.Timeout(HEADERS_S, TimeoutError("headers"))
+        return super()._read_request_line()
+
+    def parse_request(self):
+        try:
+            return super().parse_request()
+        finally:
+            self._cancel_timer()
+
+    def handle_one_response(self):
+        if self.http_server.closing:
+            self.close_connection = 1
+        self.environ[CLOSE_KEY] = self.close_after_reply
+        self.http_server.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.http_server.active -= 1
+
+    def close_after_reply(self):
+        """Closes the connection after the reply; its input is not read."""
+        self.close_connection = 1
+        self.linger = True
+
+    def send_error(self, code, message=None, explain=None):
+        """Replies to a request that could not be parsed."""
+        self.wfile.write_error(HTTPStatus(code))
+
+    def finish(self):
+        if self.linger:
+            self._drop_input()
+        super().finish()
+
+    def _drop_input(self):
+        """Lets the client read the reply: unread input would reset it."""
+        with contextlib.suppress(OSError, EOFError):
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            with eventlet.Timeout(LINGER_S, False):
+                while self.connection.recv(READ_BYTES):
+                    pass
+
+    def _cancel_timer(self):
+        if self.timely is not None:
+            self.timely.cancel()
+            self.timely = None
+
+
+class _TypedErrors:
+    """Output file that replaces the library's own error replies."""
+
+    def __init__(self, file, protocol):
+        self._file = file
+        self._protocol = protocol
+        self.writelines = file.writelines
+        self.flush = file.flush
+
+    def write(self, data: bytes):
+        """Writes bytes, or an error reply in place of the library's."""
+        if data.startswith(b"HTTP/1.0 4"):
+            self.write_error(HTTPStatus(int(data[9:12])))
+        else:
+            self._file.write(data)
+
+    def write_error(self, status: HTTPStatus) -> None:
+        """Writes an error reply; the connection closes."""
+        errors = [Diagnostic("request", status.phrase)]
+        reply = error_reply(status, "bad_request", errors)
+        body = json.dumps(reply.body).encode() + b"\n"
+        head = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self._protocol.close_after_reply()
+        with contextlib.suppress(OSError):
+            self._file.write(head.encode() + body)
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+
+def wait_until(condition, seconds: float) -> bool:
+    """Waits until a condition holds.
+
+    Args:
+        condition: A function without arguments.
+        seconds: The longest time to wait.
+
+    Returns:
+        Whether it holds.
+    """
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() >= end:
+            return False
+        eventlet.sleep(POLL_S)
+    return True
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -5,14 +5,17 @@
 import time
 
 import eventlet
-import eventlet.event
-import eventlet.wsgi
 
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
 from kumquatspur.core.verdict import Outcome
 from kumquatspur.wire.admin_server import AdminServer
 from kumquatspur.wire.caller_server import CallerServer
+from kumquatspur.wire.http_server import (
+    LISTEN_BACKLOG,
+    HttpServer,
+    wait_until,
+)
 from kumquatspur.wire.metrics import Metrics
 from kumquatspur.wire.peer_stream import PeerStreams
 from kumquatspur.wire.store_calls import STORE_ACTIONS, run_store_call
@@ -25,9 +28,11 @@
 
 _log = logging.getLogger(__name__)
 
-CALLER_IDLE_S = 30.0
-LISTEN_BACKLOG = 1024
-STOP_POLL_S = 0.02
+# How long no query must have come before a stopping daemon stops accepting.
+QUIET_S = 0.25
+MAX_DRAIN_S = 10.0
+FLUSH_S = 1.0
+STOP_POLL_S = 0.2
 
 
 class Shell:
@@ -38,6 +43,7 @@
         node: The decisions.
         metrics: The daemon's metrics.
         callers: The callers' server.
+        stop_requested: Whether a graceful stop was asked for.
     """
 
     def __init__(self, settings):
@@ -53,10 +59,10 @@
             settings, incarnation, self.deliver, self._known_zone
         )
         self._store = StoreClient(settings.store.address())
+        self.stop_requested = False
         self._calls = {}
         self._wakeup_at = None
         self._wakeup = None
-        self._stop = eventlet.event.Event()
         self._actions = {
             actions.AnswerCaller: self._answer_caller,
             actions.RefuseCaller: self._refuse_caller,
@@ -87,20 +93,20 @@
     def run(self) -> None:
         """Serves until a graceful stop has finished."""
         settings = self.settings
-        peer_listener = _listen(settings.peer)
-        caller_listener = _listen(settings.caller)
-        admin_listener = _listen(settings.admin)
+        peer_listener = eventlet.listen(
+            (settings.peer.host, settings.peer.port),
+            backlog=LISTEN_BACKLOG,
+            reuse_port=False,
+        )
+        callers = HttpServer(settings.caller, self.callers)
+        HttpServer(settings.admin, self._admin)
         eventlet.spawn_n(self._peers.serve, peer_listener)
-        eventlet.spawn_n(_serve_http, admin_listener, self._admin)
         eventlet.spawn_n(self._follow_host_list)
-        server = eventlet.spawn(_serve_http, caller_listener, self.callers)
         self._set_wakeup()
         _log.info("daemon started", extra={"daemon": settings.name})
-        self._stop.wait()
-        eventlet.sleep(settings.timing.drain_s)
-        server.kill()
-        caller_listener.close()
-        self._wait_for_in_flight()
+        while not self.stop_requested:
+            eventlet.sleep(STOP_POLL_S)
+        self._stop(callers)
         _log.info("daemon stopped", extra={"daemon": settings.name})
 
     def wire_counters(self) -> dict[str, int]:
@@ -108,20 +114,26 @@
         return dict(self._peers.counters + self._upstreams.counters)
 
     def request_stop(self) -> None:
-        """Begins a graceful stop."""
-        if not self.node.board.stopping:
-            self.deliver(events.StopRequested())
-            self._stop.send()
-
-    def _wait_for_in_flight(self) -> None:
+        """Begins a graceful stop; may be called by a signal handler."""
+        self.stop_requested = True
+
+    def _stop(self, callers: HttpServer) -> None:
+        self.deliver(events.StopRequested())
+        callers.closing = True
+        _log.info("daemon stopping", extra={"daemon": self.settings.name})
+        eventlet.sleep(self.settings.timing.drain_s)
+        wait_until(self._is_quiet, MAX_DRAIN_S)
+        callers.stop()
+        longest_s = self.settings.timing.max_deadline_ms / 1000.0
+        wait_until(lambda: not self._in_flight(callers), longest_s)
+        wait_until(lambda: not self._peers.pending(), FLUSH_S)
+
+    def _is_quiet(self) -> bool:
+        return self.now() - self.callers.last_query_at >= QUIET_S
+
+    def _in_flight(self, callers: HttpServer) -> bool:
         board = self.node.board
-        end = self.now() + self.settings.timing.max_deadline_ms / 1000.0
-        while self.now() < end:
-            if not (self.callers.waiting or board.sub_queries):
-                # Lets the last answers leave the socket buffers.
-                eventlet.sleep(STOP_POLL_S)
-                return
-            eventlet.sleep(STOP_POLL_S)
+        return bool(callers.active or board.queries or board.sub_queries)
 
     def _set_wakeup(self) -> None:
         at = self.node.next_wakeup()
@@ -152,8 +164,10 @@
         return member.zone if member else None
 
     def _send_peer(self, action: actions.SendPeer) -> None:
+        route = self.settings.peer_routes.get(action.peer)
+        address = route.address() if route else action.address
         sent = self._peers.send(
-            action.peer, action.address, action.message, self.now()
+            action.peer, address, action.message, self.now()
         )
         if not sent:
             eventlet.spawn_n(self.deliver, events.PeerLost(action.peer))
@@ -201,21 +215,3 @@
                 _log.warning("host list unavailable", extra=fields)
             interval = self.settings.timing.host_list_s
             eventlet.sleep(interval * random.uniform(0.8, 1.2))
-
-
-def _listen(endpoint):
-    return eventlet.listen(
-        (endpoint.host, endpoint.port),
-        backlog=LISTEN_BACKLOG,
-        reuse_port=False,
-    )
-
-
-def _serve_http(listener, application) -> None:
-    eventlet.wsgi.server(
-        listener,
-        application,
-        log_output=False,
-        socket_timeout=CALLER_IDLE_S,
-        debug=False,
-    )
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -1,11 +1,11 @@
 """HTTP client of the searchers: one connection pool a searcher."""
 
 import collections
+import http.client
 import logging
 import time
 
 import eventlet
-import pydantic
 import urllib3
 
 from kumquatspur.border import upstream_api
@@ -21,9 +21,17 @@
 VERIFY_S = 0.25
 VERIFY_POLL_S = 0.002
 
-_FAILURES = (urllib3.exceptions.HTTPError, OSError)
+_FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
 _TIMEOUTS = (urllib3.exceptions.TimeoutError, TimeoutError)
 
+# Statuses whose body may say what became of each item.
+_ITEM_STATUSES = (200, 503)
+
 
 class UpstreamClient:
     """Sends requests to searchers over kept connections.
@@ -86,7 +94,7 @@
         try:
             _, data = self._exchange(searcher, exchange, True)
             reply = upstream_api.StatusReply.model_validate_json(data)
-        except (*_FAILURES, ValueError):
+        except _FAILURES:
             return events.ProbeFailed(searcher.name)
         held = tuple(sorted(reply.held))
         return events.ProbeAnswered(
@@ -179,12 +187,11 @@
 
 
 def _parse(call: CallUpstream, status: int, data: bytes):
-    if status != 200:
-        return _failed(call, Phase.SENT, Outcome.FAILED)
-    try:
-        reply = upstream_api.SearchReply.model_validate_json(data)
-    except pydantic.ValidationError:
-        return _failed(call, Phase.SENT, Outcome.FAILED)
+    if status not in _ITEM_STATUSES:
+        return _failed(call, Phase.SENT, Outcome.REJECTED)
+    reply = upstream_api.parse_reply(data)
+    if reply is None:
+        return _failed(call, Phase.SENT, Outcome.REJECTED)
     return events.UpstreamAnswered(
         call.call_id,
         upstream_api.item_results(call.searcher.name, call.items, reply),
--- a/kumquatspur/wire/upstream_pool.py
+++ b/kumquatspur/wire/upstream_pool.py
@@ -112,6 +112,8 @@
                 if exchange.phase is Phase.QUEUED:
                     exchange.phase = Phase.CONNECTING
                 connection.connect()
+            if exchange.left_s() <= 0.0:
+                raise TimeoutError("the deadline passed before sending")
             exchange.phase = Phase.SENT
             exchange.sent = time.monotonic()
             connection.sock.settimeout(max(0.001, exchange.left_s()))
