--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -447,10 +447,10 @@
 
 
 def _reply(board: Blackboard, state: SubQueryState):
-    if state.pending and not (state.flushed and state.ready):
+    if state.pending and not _is_due(state):
         return []
     if not state.pending:
-        del board.sub_queries[state.sub_query.sub_id]
+        board.sub_queries.pop(state.sub_query.sub_id, None)
     if not state.ready:
         return []
     results = _trim_hits(state.ready, state.sub_query.limit)
@@ -467,6 +467,13 @@
     return [_send(board, state.sender, answer)]
 
 
+def _is_due(state: SubQueryState) -> bool:
+    """Results may be held to go together; a failure is told at once."""
+    if state.flushed and state.ready:
+        return True
+    return any(result.reason is not None for result in state.ready)
+
+
 def _trim_hits(results, limit: int) -> tuple[ShardResult, ...]:
     best = set(merge_hits((result.hits for result in results), limit))
     return tuple(
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -186,7 +186,10 @@
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and _pays_for_retry(board, state, result):
             chosen = [(shard, searcher)]
-            return query_scatter.send(board, state, chosen, now)
+            may_wait = not replica_selection.has_untried(state, shard)
+            return query_scatter.send(
+                board, state, chosen, now, may_wait=may_wait
+            )
     reason = reason_of_attempts(attempt.result for attempt in attempts)
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
     if reason is Reason.SNAPSHOT_NOT_HELD and left > MIN_ATTEMPT_S:
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -9,7 +9,11 @@
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.budget import ExtraAttemptBudget
-from kumquatspur.policy.hedging import LatencyWindow, hedge_delay_s
+from kumquatspur.policy.hedging import (
+    LatencyWindow,
+    flush_delay_s,
+    hedge_delay_s,
+)
 
 # Time kept back from the deadline for merging and sending the answer.
 ANSWER_MARGIN_S = 0.005
@@ -95,7 +99,7 @@
         by_owner[owner].append(messages.Target(shard, name))
     found = []
     query = state.query
-    flush_ms = second_attempt_delay_s(board, state, now) * 1000.0
+    flush_ms = flush_delay_s(_window(board, state)) * 1000.0
     for owner, targets in by_owner.items():
         sub_query = messages.SubQuery(
             sub_id=board.new_id(),
@@ -212,12 +216,16 @@
     if timeout_s is not None:
         return timeout_s
     return hedge_delay_s(
-        latency_window(board, state.service.name),
+        _window(board, state),
         state.service.profile.hedge_quantile,
         time_left_s(state, now),
     )
 
 
+def _window(board: Blackboard, state: QueryState) -> LatencyWindow:
+    return latency_window(board, state.service.name)
+
+
 def latency_window(board: Blackboard, service: str) -> LatencyWindow:
     """Returns the latencies of recent attempts for a service."""
     return board.latencies.setdefault(service, LatencyWindow())
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -133,10 +133,13 @@
     Returns:
         The searcher's name, or "" if there is none.
     """
-    tried = {a.searcher for a in state.attempts.get(shard, ()) if _tried(a)}
+    attempts = state.attempts.get(shard, ())
+    excluded = {a.searcher for a in attempts if _tried(a)}
+    if has_untried(state, shard):
+        excluded = {a.searcher for a in attempts}
     replicas = []
     for searcher in board.configuration.replicas.get(shard, ()):
-        if searcher.name in tried:
+        if searcher.name in excluded:
             continue
         if _obstacle(board, state, searcher, now) is None:
             replicas.append(_replica(board, searcher, now))
@@ -158,6 +161,21 @@
     )
 
 
+def has_untried(state: QueryState, shard: str) -> bool:
+    """Returns whether a shard has two replicas that were not asked yet.
+
+    Args:
+        state: The query.
+        shard: The shard.
+
+    Returns:
+        Whether an owner that has no free slot should decline the next attempt.
+    """
+    replicas = state.configuration.replicas.get(shard, ())
+    asked = {attempt.searcher for attempt in state.attempts.get(shard, ())}
+    return len(replicas) - len(asked) > 1
+
+
 def bounced(attempt: Attempt) -> bool:
     """Returns whether an owner declined an attempt for overload."""
     result = attempt.result
--- a/kumquatspur/policy/hedging.py
+++ b/kumquatspur/policy/hedging.py
@@ -9,6 +9,8 @@
 
 WINDOW = 400
 MIN_SAMPLES = 20
+FLUSH_QUANTILE = 0.5
+UNKNOWN_FLUSH_S = 0.005
 MIN_DELAY_S = 0.004
 UNKNOWN_DELAY_S = 0.020
 # A hedge must leave time for its own answer.
@@ -43,6 +45,21 @@
         return self._sorted[int(share * (len(self._sorted) - 1))]
 
 
+def flush_delay_s(window: LatencyWindow) -> float:
+    """Returns how long an owner may hold results to send them together.
+
+    It stays well below the delay of a hedge, so that no shard is asked again
+    while its result waits at the owner.
+
+    Args:
+        window: Latencies of recent attempts.
+
+    Returns:
+        Seconds.
+    """
+    return window.quantile(FLUSH_QUANTILE) or UNKNOWN_FLUSH_S
+
+
 def hedge_delay_s(
     window: LatencyWindow, quantile: float, time_left_s: float
 ) -> float:
