Hedges rescue shards that stay late; estimates see overdue requests

Cause: with one straggler in ten the traced misses were shards whose first attempt sat at the straggler while every hedge was declined for want of a free slot, and shards that chose the idle straggler again after a decline. Change: a hedge may queue once the shard is 1.5 hedge delays late; waiting items are ordered by deadline; a searcher too slow for the deadline declines but for one trial in two seconds; overdue calls raise the score; retries have a budget of their own and throttling counts final declines only.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -13,6 +13,7 @@
     HOST,
     SHAPES,
     Deployment,
+    Shape,
     daemon_settings,
     find_free_base_port,
     searcher_specs,
@@ -36,6 +37,16 @@
 }
 
 
+def scaled_shape(name: str, options, base_port: int = 0) -> Shape:
+    """Returns a deployment of the brief with the bench's deadline."""
+    shape = SHAPES[name]
+    return dataclasses.replace(
+        shape,
+        base_port=base_port or shape.base_port,
+        profile={**shape.profile, "deadline_ms": options.deadline_ms},
+    )
+
+
 class Cluster(Deployment):
     """One set of daemons a design, one store, shared searchers.
 
@@ -47,7 +58,7 @@
     def __init__(self, shape: str, folder: pathlib.Path, options):
         folder.mkdir(parents=True, exist_ok=True)
         base = find_free_base_port(PORTS)
-        shape = dataclasses.replace(SHAPES[shape], base_port=base)
+        shape = scaled_shape(shape, options, base)
         super().__init__(shape, folder, options.service_ms)
         self.options = options
         self.service = options.service
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -4,7 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bench.load import BIN_S, new_histogram
+from bench.arrivals import BIN_S, new_histogram
 
 PERCENTILES = {"p50_ms": 50.0, "p99_ms": 99.0, "p999_ms": 99.9}
 COMPARED = ("p50_ms", "p99_ms", "p999_ms", "extra_load", "cpu_ms_a_query")
--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -166,7 +166,9 @@
             list says are leaving.
         sub_queries: Sub-queries under way by id.
         call_searchers: The searcher of each call under way.
-        budgets: Extra-attempt budgets by service.
+        budgets: Budgets of hedges by service.
+        announced_ms: Latency last announced of each owned searcher.
+        retry_budgets: Budgets of retries by service.
         in_flight: Attempts of this node under way at each searcher.
         latencies: Latencies of recent attempts by service.
         throttles: Admission of each service's queries.
@@ -195,6 +197,8 @@
         self.sub_queries: dict[str, SubQueryState] = {}
         self.call_searchers: dict[str, str] = {}
         self.budgets: dict[str, ExtraAttemptBudget] = {}
+        self.announced_ms: dict[str, float] = {}
+        self.retry_budgets: dict[str, ExtraAttemptBudget] = {}
         self.in_flight = collections.Counter()
         self.latencies: dict[str, LatencyWindow] = {}
         self.throttles: dict[str, Throttle] = {}
--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -16,6 +16,7 @@
 from kumquatspur.policy.retry import MIN_ATTEMPT_S
 
 CLOCK_TOLERANCE_S = 0.0005
+RESCUE_FACTOR = 1.5
 
 
 def on_query(board: Blackboard, event: events.QueryReceived, now: float):
@@ -102,6 +103,8 @@
     delay_s = query_scatter.second_attempt_delay_s(board, state, now)
     budget = query_scatter.extra_budget(board, state.service)
     chosen = []
+    # Shards that stay late queue for a slot; others take only a free one.
+    may_wait = now - state.started >= RESCUE_FACTOR * delay_s
     for shard in _late_shards(state, now - delay_s):
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and budget.spend():
@@ -110,7 +113,7 @@
     if not designs.design_of(board).cancels_first:
         board.schedule(now + RECHECK_S, event)
         return query_scatter.send(
-            board, state, chosen, now, hedge=True, may_wait=False
+            board, state, chosen, now, hedge=True, may_wait=may_wait
         )
     shards = {shard for shard, _ in chosen}
     cancelled = query_scatter.cancel_unfinished(board, state, shards)
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -115,7 +115,7 @@
         revision=board.configuration.revision,
         leaving=board.stopping,
         reports=tuple(
-            owner.build_report(board.queues[name])
+            owner.build_report(board.queues[name], now)
             for name in sorted(names)
             if owner.is_known(board.queues[name])
         ),
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -15,6 +15,8 @@
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
 SLOW_FACTOR = 3.0
+# A latency that changed by less is not announced before its turn.
+REPORT_CHANGE_SHARE = 0.3
 
 _FAILURE_REASON = {
     Outcome.DECLINED: Reason.REFUSED,
@@ -63,7 +65,7 @@
     found = []
     for queue in touched:
         found += _dispatch(board, queue, now)
-    return found + _reply(board, state)
+    return found + _reply(board, state, now)
 
 
 def on_upstream_answered(
@@ -96,7 +98,7 @@
             result = _failed_result(
                 queue, item, Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_FAILED
             )
-        found += _complete(board, item, result)
+        found += _complete(board, item, result, now)
     return found + _dispatch(board, queue, now)
 
 
@@ -126,7 +128,7 @@
     reason = _FAILURE_REASON[event.outcome]
     for item in call.items:
         result = _failed_result(queue, item, verdict, reason)
-        found += _complete(board, item, result)
+        found += _complete(board, item, result, now)
     return found + _dispatch(board, queue, now)
 
 
@@ -151,7 +153,7 @@
     if state is None:
         return []
     state.flushed = True
-    return _reply(board, state)
+    return _reply(board, state, now)
 
 
 def on_sub_query_deadline(
@@ -172,7 +174,7 @@
     if state is None:
         return []
     state.flushed = True
-    return _abandon(board, state, list(state.pending))
+    return _abandon(board, state, list(state.pending), now)
 
 
 def on_cancel(board: Blackboard, peer: str, message, now: float):
@@ -193,7 +195,7 @@
     found = []
     for shard in message.shards:
         _withdraw(board, state, shard, found)
-    return found + _reply(board, state)
+    return found + _reply(board, state, now)
 
 
 def on_probe_due(board: Blackboard, event: events.ProbeDue, now: float):
@@ -316,11 +318,12 @@
     return queue.reachable or bool(queue.held)
 
 
-def build_report(queue: SearcherQueue) -> messages.SearcherReport:
+def build_report(queue: SearcherQueue, now: float) -> messages.SearcherReport:
     """Builds the report of an owned searcher.
 
     Args:
         queue: The searcher's queue.
+        now: The current time.
 
     Returns:
         The report for other entry hosts.
@@ -331,7 +334,7 @@
         draining=queue.draining,
         reachable=queue.reachable,
         backlog=queue.backlog(),
-        latency_ms=queue.latency_s * 1000.0,
+        latency_ms=queue.score_s(now) * 1000.0,
         slow_ms=queue.latency_s * 1000.0 * SLOW_FACTOR,
     )
 
@@ -372,11 +375,11 @@
 
 def _dispatch(board: Blackboard, queue: SearcherQueue, now: float):
     if queue.draining:
-        return _decline_waiting(board, queue)
+        return _decline_waiting(board, queue, now)
     found = []
     for item in queue.take_expired(now):
         result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.OVERLOADED)
-        found += _complete(board, item, result)
+        found += _complete(board, item, result, now)
     while items := queue.take_batch():
         call_id = board.new_id()
         queue.start(call_id, items, now)
@@ -394,12 +397,12 @@
     return result.shard == item.shard and same_snapshot
 
 
-def _decline_waiting(board: Blackboard, queue: SearcherQueue) -> list:
+def _decline_waiting(board, queue: SearcherQueue, now: float) -> list:
     found = []
     while queue.waiting:
-        item = queue.waiting.popleft()
+        item = queue.waiting.pop(0)
         result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.REFUSED)
-        found += _complete(board, item, result)
+        found += _complete(board, item, result, now)
     return found
 
 
@@ -437,16 +440,16 @@
     return ShardResult(item.shard, queue.searcher.name, verdict, reason)
 
 
-def _complete(board: Blackboard, item: actions.Item, result: ShardResult):
+def _complete(board, item: actions.Item, result: ShardResult, now: float):
     state = board.sub_queries.get(item.sub_id)
     if state is None or state.pending.pop(item.shard, None) is None:
         board.counters["late_item_results"] += 1
         return []
     state.ready.append(result)
-    return _reply(board, state)
+    return _reply(board, state, now)
 
 
-def _reply(board: Blackboard, state: SubQueryState):
+def _reply(board: Blackboard, state: SubQueryState, now: float):
     if state.pending and not _is_due(state):
         return []
     if not state.pending:
@@ -456,7 +459,7 @@
     results = _trim_hits(state.ready, state.sub_query.limit)
     names = sorted({result.searcher for result in results})
     reports = tuple(
-        build_report(board.queues[name])
+        build_report(board.queues[name], now)
         for name in names
         if name in board.queues and is_known(board.queues[name])
     )
@@ -496,12 +499,12 @@
     return actions.SendPeer(peer, address, message)
 
 
-def _abandon(board: Blackboard, state: SubQueryState, shards):
+def _abandon(board: Blackboard, state: SubQueryState, shards, now):
     found = []
     for shard in shards:
         verdict = _withdraw(board, state, shard, found)
         state.ready.append(ShardResult(shard, "", verdict, Reason.TIMED_OUT))
-    return found + _reply(board, state)
+    return found + _reply(board, state, now)
 
 
 def _withdraw(board, state: SubQueryState, shard: str, found: list) -> Verdict:
@@ -537,11 +540,22 @@
     _publish(board, queue, now, changed)
 
 
+def _moved(board: Blackboard, queue: SearcherQueue, now) -> bool:
+    """Returns whether a latency differs much from the one last announced."""
+    announced = board.announced_ms.get(queue.searcher.name, 0.0)
+    present = queue.score_s(now) * 1000.0
+    if abs(present - announced) <= REPORT_CHANGE_SHARE * announced:
+        return False
+    board.announced_ms[queue.searcher.name] = present
+    return True
+
+
 def _publish(board: Blackboard, queue: SearcherQueue, now, changed=True):
     draining = _takes_no_work(board, queue)
     changed = changed or draining != queue.draining
+    changed = changed or _moved(board, queue, now)
     queue.draining = draining
-    report = build_report(queue)
+    report = build_report(queue, now)
     in_flight = board.in_flight[report.searcher]
     if is_known(queue) and report.searcher in board.configuration.searchers:
         board.reports[report.searcher] = KnownReport(report, now, in_flight)
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -85,8 +85,6 @@
     if attempt.result.reason is None:
         window = query_scatter.latency_window(board, service)
         window.add(now - attempt.started)
-    elif replica_selection.bounced(attempt) and attempt.may_wait:
-        board.throttles.setdefault(service, Throttle()).decline(now)
 
 
 def finish_if_complete(board: Blackboard, state: QueryState) -> list:
@@ -192,6 +190,9 @@
             )
     reason = reason_of_attempts(attempt.result for attempt in attempts)
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
+    if reason is Reason.OVERLOADED:
+        name = state.service.name
+        board.throttles.setdefault(name, Throttle()).decline(now)
     if reason is Reason.SNAPSHOT_NOT_HELD and left > MIN_ATTEMPT_S:
         return _rechoose(board, state, now)
     return []
@@ -206,7 +207,7 @@
         # An owner declined it at once: no searcher has seen it.
         board.counters["bounces"] += 1
         return True
-    if query_scatter.extra_budget(board, state.service).spend():
+    if query_scatter.retry_budget(board, state.service).spend():
         board.counters["retries"] += 1
         return True
     return False
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -8,7 +8,12 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
-from kumquatspur.policy.budget import ExtraAttemptBudget
+from kumquatspur.policy.budget import (
+    HEDGE_BURST_TOKENS,
+    RETRY_BURST_TOKENS,
+    RETRY_SHARE,
+    ExtraAttemptBudget,
+)
 from kumquatspur.policy.hedging import (
     LatencyWindow,
     flush_delay_s,
@@ -42,6 +47,7 @@
                 shard, "", Verdict.NOT_RUN, reason
             )
     extra_budget(board, state.service).earn(len(chosen))
+    retry_budget(board, state.service).earn(len(chosen))
     _schedule(board, state, now)
     # A shard with other replicas does not wait for a slot at the first one.
     patient, others = _split(board, chosen)
@@ -182,7 +188,7 @@
 
 
 def extra_budget(board: Blackboard, service: Service) -> ExtraAttemptBudget:
-    """Returns the budget of a service's hedges and retries.
+    """Returns the budget of a service's hedges.
 
     Args:
         board: The blackboard.
@@ -193,12 +199,22 @@
     """
     budget = board.budgets.get(service.name)
     if budget is None:
-        budget = ExtraAttemptBudget(service.profile.hedge_share)
+        share = service.profile.hedge_share
+        budget = ExtraAttemptBudget(share, HEDGE_BURST_TOKENS)
         board.budgets[service.name] = budget
     budget.share = designs.extra_share(board, service)
     return budget
 
 
+def retry_budget(board: Blackboard, service: Service) -> ExtraAttemptBudget:
+    """Returns the budget of a service's retries of work that may have run."""
+    budget = board.retry_budgets.get(service.name)
+    if budget is None:
+        budget = ExtraAttemptBudget(RETRY_SHARE, RETRY_BURST_TOKENS)
+        board.retry_budgets[service.name] = budget
+    return budget
+
+
 def second_attempt_delay_s(
     board: Blackboard, state: QueryState, now: float
 ) -> float:
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -225,9 +225,10 @@
 
 def _tried(attempt: Attempt) -> bool:
     """Searchers of a lost owner or with all slots busy may be asked again."""
+    if bounced(attempt):
+        return attempt.may_wait
     result = attempt.result
-    again = (Reason.PEER_LOST, Reason.OVERLOADED)
-    return result is None or result.reason not in again
+    return result is None or result.reason is not Reason.PEER_LOST
 
 
 def is_leaving(board: Blackboard, name: str) -> bool:
--- a/kumquatspur/policy/budget.py
+++ b/kumquatspur/policy/budget.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-BURST_TOKENS = 10.0
+HEDGE_BURST_TOKENS = 3.0
+RETRY_BURST_TOKENS = 10.0
+RETRY_SHARE = 0.1
 
 
 @dataclasses.dataclass
@@ -11,16 +13,21 @@
 
     Attributes:
         share: Tokens earned a first attempt.
-        tokens: The tokens left.
+        burst: The most tokens kept.
+        tokens: The tokens left; at first a full burst.
     """
 
     share: float
-    tokens: float = BURST_TOKENS
+    burst: float
+    tokens: float = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.tokens = self.burst
 
     def earn(self, first_attempts: int) -> None:
         """Adds the tokens of some first attempts."""
         earned = self.tokens + first_attempts * self.share
-        self.tokens = min(earned, max(BURST_TOKENS, first_attempts))
+        self.tokens = min(earned, self.burst)
 
     def refund(self) -> None:
         """Gives back the token of an attempt that did not run."""
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -4,7 +4,7 @@
 next free slot takes as many of them as should share a request.
 """
 
-import collections
+import bisect
 import dataclasses
 
 from kumquatspur.core.actions import Item
@@ -21,6 +21,8 @@
 IDLE_DECAY = 0.9
 # An item is admitted only if this many times its service time is left.
 DEADLINE_RESERVE = 1.3
+# A searcher too slow for any deadline is tried again after this time.
+TRIAL_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass
@@ -37,7 +39,7 @@
 
     Attributes:
         searcher: The searcher.
-        waiting: Items that wait for a slot, oldest first.
+        waiting: Items that wait for a slot, earliest deadline first.
         calls: Requests under way, by call id.
         held: The snapshots that it holds.
         draining: Whether it is leaving.
@@ -48,12 +50,11 @@
         max_calls: Requests that may be under way at once.
         max_batch: Items that may share a request.
         used: Whether a request ended since the last probe.
+        ended: When the last request ended.
     """
 
     searcher: Searcher
-    waiting: collections.deque = dataclasses.field(
-        default_factory=collections.deque
-    )
+    waiting: list[Item] = dataclasses.field(default_factory=list)
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
     held: tuple[int, ...] = ()
     draining: bool = False
@@ -63,6 +64,7 @@
     max_calls: int = 1
     max_batch: int = MAX_BATCH_ITEMS
     used: bool = False
+    ended: float = float("-inf")
 
     def backlog(self) -> int:
         """Returns the number of items waiting or running."""
@@ -113,11 +115,15 @@
         wait = self.expected_wait_s(now)
         if not may_wait and wait > 0.0:
             return Reason.OVERLOADED
-        if wait > 0.0 and not self._in_time(item, now + wait):
+        if not self._in_time(item, now + wait) and not self._is_trial(now):
             return Reason.OVERLOADED
-        self.waiting.append(item)
+        bisect.insort(self.waiting, item, key=lambda other: other.deadline)
         return None
 
+    def _is_trial(self, now: float) -> bool:
+        """A searcher known as too slow gets one item now and then."""
+        return not self.backlog() and now - self.ended >= TRIAL_INTERVAL_S
+
     def _in_time(self, item: Item, start: float) -> bool:
         needed = DEADLINE_RESERVE * self.cost.predict_s(1)
         return start + needed <= item.deadline
@@ -133,10 +139,8 @@
         """
         needed = self.cost.predict_s(1)
         late = [i for i in self.waiting if now + needed > i.deadline]
-        if self.cost.count and late:
-            self.waiting = collections.deque(
-                item for item in self.waiting if item not in late
-            )
+        if late and len(self.waiting) + len(self.calls) > 1:
+            self.waiting = [i for i in self.waiting if i not in late]
             return late
         return []
 
@@ -155,14 +159,14 @@
         # Free slots share what waits.
         share = -(-len(self.waiting) // free)
         most = min(share, self.cost.best_batch(self.max_batch))
-        batch = [self.waiting.popleft()]
+        batch = [self.waiting.pop(0)]
         while (
             batch[0].repeatable
             and self.waiting
             and self.waiting[0].repeatable
             and len(batch) < most
         ):
-            batch.append(self.waiting.popleft())
+            batch.append(self.waiting.pop(0))
         return tuple(batch)
 
     def start(self, call_id: str, items: tuple[Item, ...], now: float) -> None:
@@ -186,6 +190,7 @@
         if call is None:
             return None
         self.used = True
+        self.ended = now
         elapsed = now - call.started
         if succeeded:
             self.cost.add(len(call.items), elapsed)
@@ -210,6 +215,7 @@
         """
         call = self.calls.pop(call_id, None)
         if call is not None:
+            self.ended = now
             self._note_lower_bound(call, now - call.started)
         return call
 
@@ -220,6 +226,18 @@
             self.used = True
             self._score(elapsed)
 
+    def score_s(self, now: float) -> float:
+        """Returns what replicas are compared by.
+
+        Args:
+            now: The current time.
+
+        Returns:
+            Seconds: the smoothed latency, or more while a request is overdue.
+        """
+        oldest = min((c.started for c in self.calls.values()), default=now)
+        return max(self.latency_s, now - oldest)
+
     def note_probe(self) -> None:
         """Lets the score of an idle searcher fall."""
         if not self.used:
