--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -6,13 +6,44 @@
 
 import pathlib  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 import unittest  # noqa: E402
 
 from testing.known_red import KnownRed, parse_known_red  # noqa: E402
 
+SLOWEST = 10
 LIST = pathlib.Path("KNOWN-RED.txt")
 
 
+class TimedResult(unittest.TextTestResult):
+    """Remembers how long each test took.
+
+    Attributes:
+        seconds: Duration by test identifier.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.seconds = {}
+
+    def startTest(self, test):  # noqa: N802
+        """Notes the start of a test."""
+        self.seconds[test.id()] = -time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test):  # noqa: N802
+        """Notes the end of a test."""
+        super().stopTest(test)
+        self.seconds[test.id()] += time.monotonic()
+
+
+def print_slowest(result: TimedResult) -> None:
+    """Prints the tests that took longest."""
+    rows = sorted(result.seconds.items(), key=lambda row: -row[1])
+    for name, seconds in rows[:SLOWEST]:
+        print(f"{seconds:6.1f} s  {name}")
+
+
 def read_list() -> dict[str, KnownRed]:
     """Returns the known failures by test identifier.
 
@@ -49,7 +80,9 @@
     """
     known = read_list()
     suite = unittest.defaultTestLoader.discover(".", "*_test.py", ".")
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    runner = unittest.TextTestRunner(resultclass=TimedResult)
+    result = runner.run(suite)
+    print_slowest(result)
     failed = failed_tests(result)
     for name in failed:
         if name in known:
