--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -3,7 +3,12 @@
 import collections
 import dataclasses
 
-from kumquatspur.controllers import query_scatter, replica_selection
+from kumquatspur.controllers import (
+    claims,
+    crash_trial,
+    query_scatter,
+    replica_selection,
+)
 from kumquatspur.controllers.blackboard import (
     Attempt,
     Blackboard,
@@ -76,7 +81,7 @@
         return []
     if result.reason is None:
         state.results[result.shard] = result
-        return []
+        return crash_trial.passed(board, state, result.shard, now)
     return _retry_or_give_up(board, state, result, now)
 
 
@@ -174,6 +179,7 @@
 def _retry_or_give_up(board, state: QueryState, result: ShardResult, now):
     shard = result.shard
     attempts = state.attempts[shard]
+    crash_trial.take_failure(state, result)
     if any(attempt.result is None for attempt in attempts):
         if result.verdict is Verdict.NOT_RUN:
             # The hedge was declined and costs nothing.
@@ -182,16 +188,19 @@
     verdict = _shard_verdict(state, shard)
     left = query_scatter.time_left_s(state, now)
     step = next_step(verdict, state.query.repeatable, left, len(attempts))
-    if step is NextStep.RETRY:
+    if step is NextStep.RETRY and not crash_trial.is_condemned(state):
+        if crash_trial.must_wait(state, shard):
+            return []
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and _pays_for_retry(board, state, result):
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, now)
     reason = reason_of_attempts(attempt.result for attempt in attempts)
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
-    if reason is Reason.SNAPSHOT_NOT_HELD and left > MIN_ATTEMPT_S:
+    not_held = reason is Reason.SNAPSHOT_NOT_HELD
+    if not_held and left > MIN_ATTEMPT_S and state.trial is None:
         return _rechoose(board, state, now)
-    return []
+    return crash_trial.given_up(board, state, shard, now)
 
 
 def _pays_for_retry(board: Blackboard, state: QueryState, result) -> bool:
@@ -288,6 +297,7 @@
     query = state.query
     del board.queries[query.request_id]
     found = query_scatter.cancel_unfinished(board, state)
+    claims.release(board, query, _joined(state))
     latest = _settle(state, Reason.TIMED_OUT)
     best = max(filter(None, (latest, state.fallback)), key=_covered_share)
     results = [_with_verdict(state, result) for result in best.results]
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -2,7 +2,12 @@
 
 from collections import defaultdict
 
-from kumquatspur.controllers import designs, placement, replica_selection
+from kumquatspur.controllers import (
+    crash_guard,
+    designs,
+    placement,
+    replica_selection,
+)
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.reason import Reason
@@ -37,10 +42,11 @@
             state.results[shard] = ShardResult(
                 shard, "", Verdict.NOT_RUN, reason
             )
+    chosen = crash_guard.hold_back(board, state, chosen, now)
     extra_budget(board, state.service).earn(len(chosen))
     _schedule(board, state, now)
     # A shard with other replicas does not wait for a slot at the first one.
-    patient, others = _split(board, chosen)
+    patient, others = _split(board, state, chosen)
     return [
         *send(board, state, patient, now),
         *send(board, state, others, now, may_wait=False),
@@ -58,8 +64,8 @@
         board.schedule(due, events.QueryEarlyDue(request_id))
 
 
-def _split(board: Blackboard, chosen):
-    if not designs.design_of(board).shares_owners:
+def _split(board: Blackboard, state: QueryState, chosen):
+    if state.trial or not designs.design_of(board).shares_owners:
         return chosen, []
     replicas = board.configuration.replicas
     others = [pair for pair in chosen if len(replicas[pair[0]]) > 1]
@@ -110,6 +116,7 @@
             hedge=hedge,
             may_wait=may_wait,
             targets=tuple(targets),
+            suspect_of=state.trial.suspect_of if state.trial else "",
         )
         for target in targets:
             board.in_flight[target.searcher] += 1
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -70,7 +70,13 @@
         return len(self.waiting) + running
 
     def free_slots(self) -> int:
-        """Returns the number of requests that may be started now."""
+        """Returns the number of requests that may be started now.
+
+        While a suspected item runs, nothing else is started, so that the loss
+        of the searcher would have one explanation.
+        """
+        if any(call.items[0].suspect_of for call in self.calls.values()):
+            return 0
         return max(0, self.max_calls - len(self.calls))
 
     def expected_wait_s(self, now: float) -> float:
@@ -131,9 +137,9 @@
         Returns:
             The items removed, which were not run.
         """
-        needed = self.cost.predict_s(1)
-        late = [i for i in self.waiting if now + needed > i.deadline]
-        if self.cost.count and late:
+        needed = self.cost.predict_s(1) if self.cost.count else 0.0
+        late = [i for i in self.waiting if now + needed >= i.deadline]
+        if late:
             self.waiting = collections.deque(
                 item for item in self.waiting if item not in late
             )
@@ -144,7 +150,8 @@
         """Takes the items of the next request.
 
         An item that is not repeatable travels alone, so that its verdict
-        depends on no other item.
+        depends on no other item. An item suspected of crashing its upstream
+        also waits until nothing else runs there.
 
         Returns:
             The items; empty if no slot is free or nothing waits.
@@ -152,14 +159,16 @@
         free = self.free_slots()
         if not self.waiting or not free:
             return ()
+        if self.waiting[0].suspect_of and self.calls:
+            return ()
         # Free slots share what waits.
         share = -(-len(self.waiting) // free)
         most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.popleft()]
         while (
-            batch[0].repeatable
+            _may_share(batch[0])
             and self.waiting
-            and self.waiting[0].repeatable
+            and _may_share(self.waiting[0])
             and len(batch) < most
         ):
             batch.append(self.waiting.popleft())
@@ -228,3 +237,7 @@
 
     def _score(self, seconds: float) -> None:
         self.latency_s += SCORE_WEIGHT * (seconds - self.latency_s)
+
+
+def _may_share(item: Item) -> bool:
+    return item.repeatable and not item.suspect_of
--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -29,6 +29,9 @@
 )
 _TIMEOUTS = (urllib3.exceptions.TimeoutError, TimeoutError)
 
+# Statuses whose body may say what became of each item.
+_ITEM_STATUSES = (200, 503)
+
 
 class UpstreamClient:
     """Sends requests to searchers over kept connections.
@@ -184,11 +187,11 @@
 
 
 def _parse(call: CallUpstream, status: int, data: bytes):
-    if status != 200:
-        return _failed(call, Phase.SENT, Outcome.FAILED)
+    if status not in _ITEM_STATUSES:
+        return _failed(call, Phase.SENT, Outcome.REJECTED)
     reply = upstream_api.parse_reply(data)
     if reply is None:
-        return _failed(call, Phase.SENT, Outcome.FAILED)
+        return _failed(call, Phase.SENT, Outcome.REJECTED)
     return events.UpstreamAnswered(
         call.call_id,
         upstream_api.item_results(call.searcher.name, call.items, reply),
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -8,8 +8,11 @@
 import dataclasses
 import heapq
 import itertools
+import json
 import random
+from typing import Any
 
+from kumquatspur.border.config_files import load_configuration
 from kumquatspur.border.settings import Settings
 from kumquatspur.controllers.node import Node
 from kumquatspur.core import actions, events
@@ -17,9 +20,11 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Configuration, Hit, Host, ShardResult
 from kumquatspur.core.verdict import Outcome, Phase, Verdict
+from standins.deployment import Shape, config_files, daemon_settings
 
 PEER_DELAY_S = 0.001
 STORE_DELAY_S = 0.003
+WARM_UP_S = 2.5
 
 
 @dataclasses.dataclass
@@ -33,6 +38,13 @@
         frozen: Execute nothing and never answer.
         lose_answers: Execute, then break the connection.
         draining: Decline all work and say so.
+        failure: Phase and outcome of every request; those that were sent
+            and not declined are executed. None for none.
+        crash_on: Contents whose execution crashes it.
+        restart_s: Time until it is back after a crash, in seconds.
+        down_until: When it is back.
+        crashes: Contents that crashed it, in order.
+        omit_results: Execute, but leave the last result out of the answer.
         hides_draining: Tell status probes that it is not draining.
         refuse_calls: Coming requests refused while probes are answered.
         executed: The items executed, in order.
@@ -46,6 +58,12 @@
     frozen: bool = False
     lose_answers: bool = False
     draining: bool = False
+    failure: tuple[Phase, Outcome] | None = None
+    omit_results: bool = False
+    crash_on: frozenset[str] = frozenset()
+    restart_s: float = 1.0
+    down_until: float = 0.0
+    crashes: list[str] = dataclasses.field(default_factory=list)
     hides_draining: bool = False
     refuse_calls: int = 0
     executed: list = dataclasses.field(default_factory=list)
@@ -72,6 +90,29 @@
     )
 
 
+@dataclasses.dataclass
+class CallEnd:
+    """The end of a call, which a crash of its searcher changes.
+
+    Attributes:
+        fake: The searcher.
+        crashes: Its number of crashes when the call began.
+        event: How the call ends without a crash.
+    """
+
+    fake: FakeSearcher
+    crashes: int
+    event: Any
+
+    def resolve(self):
+        """Returns how the call ends."""
+        if len(self.fake.crashes) == self.crashes:
+            return self.event
+        return events.UpstreamFailed(
+            self.event.call_id, Phase.SENT, Outcome.FAILED
+        )
+
+
 class NodeDriver:
     """Several nodes, fake searchers and a fake store.
 
@@ -86,6 +127,7 @@
         peer_jitter_s: Longest extra delay of a message between nodes.
         cut_links: Pairs of names (sender, receiver) whose messages are lost.
         frozen_nodes: Nodes that handle nothing until they are removed here.
+        configuration: The configuration given last.
         rng: The source of all randomness.
     """
 
@@ -104,6 +146,7 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.frozen_nodes: set[str] = set()
         self.cancelled: set[str] = set()
+        self.configuration = Configuration()
         self._queue = []
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
@@ -133,6 +176,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Gives a configuration to all nodes and creates its searchers."""
+        self.configuration = configuration
         for name in configuration.searchers:
             self.searchers.setdefault(name, FakeSearcher())
         for name in self.nodes:
@@ -161,6 +205,8 @@
             self.now = max(self.now, at)
             while self._queue and self._queue[0][0] <= self.now:
                 _, _, name, event = heapq.heappop(self._queue)
+                if isinstance(event, CallEnd):
+                    event = event.resolve()
                 self.inject(name, event)
             for name in sorted(self.nodes):
                 wakeup = self.nodes[name].next_wakeup()
@@ -215,7 +261,7 @@
 
     def _on_ProbeUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
-        if fake.down or fake.frozen:
+        if self.is_down(fake) or fake.frozen:
             event = events.ProbeFailed(action.searcher.name)
         else:
             draining = fake.draining and not fake.hides_draining
@@ -227,7 +273,7 @@
     def _on_CallUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
         call_id = action.call_id
-        if fake.down or fake.refuse_calls:
+        if self.is_down(fake) or fake.refuse_calls:
             fake.refuse_calls = max(0, fake.refuse_calls - 1)
             event = events.UpstreamFailed(
                 call_id, Phase.CONNECTING, Outcome.FAILED
@@ -241,14 +287,40 @@
             self.after(max(0.0, action.deadline - self.now), name, event)
             return
         fake.called_at.append(self.now)
+        if fake.failure is not None:
+            self._fail(name, action, fake)
+            return
+        crashes = len(fake.crashes)
         results = tuple(self._execute(action, fake, i) for i in action.items)
+        if fake.omit_results:
+            results = results[:-1]
         if fake.lose_answers:
             event = events.UpstreamFailed(call_id, Phase.SENT, Outcome.FAILED)
         else:
             event = events.UpstreamAnswered(
                 call_id, results, 0, fake.draining, fake.held
             )
-        self.after(fake.service_s, name, event)
+        self.after(fake.service_s, name, CallEnd(fake, crashes, event))
+
+    def crash(self, fake: FakeSearcher, content: str = "") -> None:
+        """Crashes a searcher; all its calls under way fail."""
+        fake.crashes.append(content)
+        fake.down_until = self.now + fake.restart_s
+
+    def is_down(self, fake: FakeSearcher) -> bool:
+        """Returns whether a searcher refuses connections."""
+        return fake.down or self.now < fake.down_until
+
+    def _fail(self, name, action, fake: FakeSearcher):
+        phase, outcome = fake.failure
+        if phase is Phase.SENT and outcome is not Outcome.DECLINED:
+            for item in action.items:
+                self._execute(action, fake, item)
+        delay = fake.service_s
+        if outcome is Outcome.TIMED_OUT:
+            delay = max(0.0, action.deadline - self.now)
+        event = events.UpstreamFailed(action.call_id, phase, outcome)
+        self.after(delay, name, event)
 
     def _execute(self, action, fake: FakeSearcher, item: actions.Item):
         name = action.searcher.name
@@ -264,6 +336,8 @@
             )
             return events.ItemResult(item.item_id, result)
         fake.executed.append(item)
+        if item.content in fake.crash_on and not self.is_down(fake):
+            self.crash(fake, item.content)
         key = f"{item.shard}@{item.snapshot}"
         hit = Hit(1.0, item.shard, key, item.content)
         result = ShardResult(
@@ -314,3 +388,24 @@
             status, value, version = StoreStatus.UNAVAILABLE, None, 0
         event = StoreCallEnded(action.call_id, status, value, version)
         self.after(delay, name, event)
+
+
+def start_driver(shape: Shape, seed: int = 0) -> NodeDriver:
+    """Starts the nodes of a deployment and waits until they know each other.
+
+    Args:
+        shape: The deployment.
+        seed: Seed of all randomness.
+
+    Returns:
+        The driver.
+    """
+    settings = [Settings.model_validate(s) for s in daemon_settings(shape)]
+    driver = NodeDriver(settings, seed)
+    files = {name: json.dumps(v) for name, v in config_files(shape).items()}
+    configuration, _ = load_configuration(files, 1)
+    for name in driver.settings:
+        driver.start(name)
+    driver.configure(configuration)
+    driver.run(WARM_UP_S)
+    return driver
