--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -13,8 +13,17 @@
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
-from kumquatspur.policy.budget import ExtraAttemptBudget
-from kumquatspur.policy.hedging import LatencyWindow, hedge_delay_s
+from kumquatspur.policy.budget import (
+    HEDGE_BURST_TOKENS,
+    RETRY_BURST_TOKENS,
+    RETRY_SHARE,
+    ExtraAttemptBudget,
+)
+from kumquatspur.policy.hedging import (
+    LatencyWindow,
+    flush_delay_s,
+    hedge_delay_s,
+)
 
 # Time kept back from the deadline for merging and sending the answer.
 ANSWER_MARGIN_S = 0.005
@@ -44,6 +53,7 @@
             )
     chosen = crash_guard.hold_back(board, state, chosen, now)
     extra_budget(board, state.service).earn(len(chosen))
+    retry_budget(board, state.service).earn(len(chosen))
     _schedule(board, state, now)
     # A shard with other replicas does not wait for a slot at the first one.
     patient, others = _split(board, state, chosen)
@@ -101,7 +111,7 @@
         by_owner[owner].append(messages.Target(shard, name))
     found = []
     query = state.query
-    flush_ms = second_attempt_delay_s(board, state, now) * 1000.0
+    flush_ms = flush_delay_s(_window(board, state)) * 1000.0
     for owner, targets in by_owner.items():
         sub_query = messages.SubQuery(
             sub_id=board.new_id(),
@@ -185,7 +195,7 @@
 
 
 def extra_budget(board: Blackboard, service: Service) -> ExtraAttemptBudget:
-    """Returns the budget of a service's hedges and retries.
+    """Returns the budget of a service's hedges.
 
     Args:
         board: The blackboard.
@@ -196,12 +206,22 @@
     """
     budget = board.budgets.get(service.name)
     if budget is None:
-        budget = ExtraAttemptBudget(service.profile.hedge_share)
+        share = service.profile.hedge_share
+        budget = ExtraAttemptBudget(share, HEDGE_BURST_TOKENS)
         board.budgets[service.name] = budget
     budget.share = designs.extra_share(board, service)
     return budget
 
 
+def retry_budget(board: Blackboard, service: Service) -> ExtraAttemptBudget:
+    """Returns the budget of a service's retries of work that may have run."""
+    budget = board.retry_budgets.get(service.name)
+    if budget is None:
+        budget = ExtraAttemptBudget(RETRY_SHARE, RETRY_BURST_TOKENS)
+        board.retry_budgets[service.name] = budget
+    return budget
+
+
 def second_attempt_delay_s(
     board: Blackboard, state: QueryState, now: float
 ) -> float:
@@ -219,12 +239,16 @@
     if timeout_s is not None:
         return timeout_s
     return hedge_delay_s(
-        latency_window(board, state.service.name),
+        _window(board, state),
         state.service.profile.hedge_quantile,
         time_left_s(state, now),
     )
 
 
+def _window(board: Blackboard, state: QueryState) -> LatencyWindow:
+    return latency_window(board, state.service.name)
+
+
 def latency_window(board: Blackboard, service: str) -> LatencyWindow:
     """Returns the latencies of recent attempts for a service."""
     return board.latencies.setdefault(service, LatencyWindow())
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -349,7 +349,7 @@
         queue = board.queues.get(name)
         if queue is None or not owner.is_known(board, queue):
             continue
-        report = owner.build_report(queue)
+        report = owner.build_report(queue, now)
         old = state.reports.get(name)
         entry = ReportEntry(
             name,
