--- a/bench/run.py
+++ b/bench/run.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import signal
 import subprocess
 import sys
 import time
@@ -25,6 +26,7 @@
 GENERATORS = 2
 GENERATOR_START_S = 0.9
 SETTLE_S = 0.2
+EXIT_STOPPED = 143
 
 
 def capacity_queries(cluster: Cluster) -> float:
@@ -235,6 +237,8 @@
     Returns:
         The exit code: 0 whatever the figures are.
     """
+    # Ends the processes started, also when this one is asked to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_STOPPED))
     options = parse_options()
     shapes = options.shapes.split(",")
     options.seconds /= len(shapes)
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -14,7 +14,6 @@
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
-SLOW_FACTOR = 3.0
 # A latency that changed by less is not announced before its turn.
 REPORT_CHANGE_SHARE = 0.3
 
@@ -336,7 +335,6 @@
         reachable=queue.reachable,
         backlog=queue.backlog(),
         latency_ms=queue.score_s(now) * 1000.0,
-        slow_ms=queue.latency_s * 1000.0 * SLOW_FACTOR,
     )
 
 
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -38,7 +38,6 @@
         reachable: Whether its last request or probe succeeded.
         backlog: Items waiting or running there.
         latency_ms: Smoothed latency of one request.
-        slow_ms: Latency that one request in twenty exceeds.
     """
 
     searcher: str
@@ -47,7 +46,6 @@
     reachable: bool
     backlog: int
     latency_ms: float
-    slow_ms: float
 
 
 @record
