--- a/kumquatspur/wire/peer_stream_test.py
+++ b/kumquatspur/wire/peer_stream_test.py
@@ -133,7 +133,7 @@
         hello = peer_codec.encode(make_hello())
         heartbeat = make_heartbeat()
         report = messages.SearcherReport(
-            "s", (1,), False, True, 1, float("nan"), 1.0
+            "s", (1,), False, True, 1, float("nan")
         )
         cases = {
             "wrong key": pack(make_hello(key="x" * 20)),
