Batches are explored seldom and never at the cost of a deadline

Cause: a prior that gave 60% of a request's time to its items never let two items share one, so no cost was ever learned and nothing was batched.

--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -379,7 +379,7 @@
     for item in queue.take_expired(now):
         result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.OVERLOADED)
         found += _complete(board, item, result, now)
-    while items := queue.take_batch():
+    while items := queue.take_batch(now):
         call_id = board.new_id()
         queue.start(call_id, items, now)
         board.call_searchers[call_id] = queue.searcher.name
--- a/kumquatspur/policy/request_cost.py
+++ b/kumquatspur/policy/request_cost.py
@@ -9,10 +9,12 @@
 import dataclasses
 
 WEIGHT = 0.05
+# The effect of batches is remembered longer, so that it is seldom explored.
+SPREAD_WEIGHT = 0.01
 INITIAL_S = 0.005
 # Share of a request's time that the prior gives to its items.
-PRIOR_ITEM_SHARE = 0.6
-PRIOR_VARIANCE = 0.02
+PRIOR_ITEM_SHARE = 0.45
+PRIOR_VARIANCE = 0.005
 # The items take at least this share of a request's time.
 MIN_ITEM_SHARE = 0.05
 
@@ -48,10 +50,11 @@
         seconds_off = seconds - self.seconds
         self.items += weight * items_off
         self.seconds += weight * seconds_off
-        keep = 1.0 - weight
-        self.variance = keep * (self.variance + weight * items_off**2)
+        spread = max(SPREAD_WEIGHT, 1.0 / self.count)
+        keep = 1.0 - spread
+        self.variance = keep * (self.variance + spread * items_off**2)
         self.covariance = keep * (
-            self.covariance + weight * items_off * seconds_off
+            self.covariance + spread * items_off * seconds_off
         )
 
     def each_s(self) -> float:
--- a/kumquatspur/policy/request_cost_test.py
+++ b/kumquatspur/policy/request_cost_test.py
@@ -27,7 +27,7 @@
         cost = RequestCost()
         for _ in range(100):
             cost.add(1, 0.02)
-        self.assertEqual(cost.best_batch(16), 1)
+        self.assertEqual(cost.best_batch(16), 2)
         self.assertAlmostEqual(cost.predict_s(1), 0.02, places=3)
 
 
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -144,11 +144,14 @@
             return late
         return []
 
-    def take_batch(self) -> tuple[Item, ...]:
+    def take_batch(self, now: float) -> tuple[Item, ...]:
         """Takes the items of the next request.
 
         An item that is not repeatable travels alone, so that its verdict
-        depends on no other item.
+        depends on no other item. None joins that would make the first one late.
+
+        Args:
+            now: The current time.
 
         Returns:
             The items; empty if no slot is free or nothing waits.
@@ -160,11 +163,13 @@
         share = -(-len(self.waiting) // free)
         most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.pop(0)]
+        left_s = batch[0].deadline - now
         while (
             batch[0].repeatable
             and self.waiting
             and self.waiting[0].repeatable
             and len(batch) < most
+            and DEADLINE_RESERVE * self.cost.predict_s(len(batch) + 1) <= left_s
         ):
             batch.append(self.waiting.pop(0))
         return tuple(batch)
--- a/kumquatspur/policy/searcher_queue_test.py
+++ b/kumquatspur/policy/searcher_queue_test.py
@@ -55,17 +55,19 @@
 
     def test_batches(self):
         alone = [make_item("1", repeatable=False), make_item("2")]
+        hurried = [make_item(str(n), 0.025) for n in range(8)]
         many = [make_item(str(n)) for n in range(8)]
         cases = [
             ("cost in items", 0.0, 0.02, many, [1, 1]),
             ("fixed cost", 0.018, 0.002, many, [4, 4]),
+            ("little time left", 0.018, 0.002, hurried, [1, 1]),
             ("not repeatable", 0.018, 0.002, alone, [1, 1]),
         ]
         for name, fixed, each, items, sizes in cases:
             queue = make_queue(fixed, each)
             queue.waiting.extend(items)
             taken = []
-            while batch := queue.take_batch():
+            while batch := queue.take_batch(0.0):
                 queue.start(batch[0].item_id, batch, 0.0)
                 taken.append(len(batch))
             with self.subTest(name):
