--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -66,15 +66,17 @@
     Returns:
         Actions: messages to owners, or a refusal.
     """
-    snapshot = replica_selection.choose_snapshot(
-        board, board.configuration, query, now
-    )
+    # The configuration may have changed while the query waited for its claim.
+    reason = _refusal_reason(board, query, now)
+    snapshot = 0
+    if reason is None:
+        snapshot = replica_selection.choose_snapshot(
+            board, board.configuration, query, now
+        )
     if not snapshot:
         claims.release(board, query, Verdict.NOT_RUN)
-        refusal = query_results.refuse(
-            query.request_id, Reason.NO_SNAPSHOT, Verdict.NOT_RUN
-        )
-        return [refusal]
+        reason = reason or Reason.NO_SNAPSHOT
+        return [query_results.refuse(query.request_id, reason, Verdict.NOT_RUN)]
     state = QueryState(query, board.configuration, snapshot, now)
     board.queries[query.request_id] = state
     board.schedule(
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -196,6 +196,9 @@
             chosen = [(shard, searcher)]
             return query_scatter.send(board, state, chosen, now)
     reason = reason_of_attempts(attempt.result for attempt in attempts)
+    lost = replica_selection.is_snapshot_lost(board, state, shard, now)
+    if lost and verdict is Verdict.NOT_RUN:
+        reason = Reason.SNAPSHOT_NOT_HELD
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
     not_held = reason is Reason.SNAPSHOT_NOT_HELD
     if not_held and left > MIN_ATTEMPT_S and state.trial is None:
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -200,6 +200,27 @@
     return reason_without_replica(filter(None, obstacles))
 
 
+def is_snapshot_lost(
+    board: Blackboard, state: QueryState, shard: str, now: float
+) -> bool:
+    """Returns whether no replica of a shard holds the snapshot any more.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: The shard.
+        now: The current time.
+
+    Returns:
+        True if none can be asked, at least one for lack of the snapshot.
+    """
+    obstacles = {
+        _obstacle(board, state, searcher, now)
+        for searcher in board.configuration.replicas.get(shard, ())
+    }
+    return None not in obstacles and Reason.SNAPSHOT_NOT_HELD in obstacles
+
+
 def _obstacle(
     board: Blackboard, state: QueryState, searcher: Searcher, now: float
 ) -> Reason | None:
