--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -90,8 +90,6 @@
     if attempt.result.reason is None:
         window = query_scatter.latency_window(board, service)
         window.add(now - attempt.started)
-    elif replica_selection.bounced(attempt) and attempt.may_wait:
-        board.throttles.setdefault(service, Throttle()).decline(now)
 
 
 def finish_if_complete(board: Blackboard, state: QueryState) -> list:
@@ -194,12 +192,20 @@
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and _pays_for_retry(board, state, result):
             chosen = [(shard, searcher)]
-            return query_scatter.send(board, state, chosen, now)
+            may_wait = not replica_selection.has_untried(
+                board, state, shard, now
+            )
+            return query_scatter.send(
+                board, state, chosen, now, may_wait=may_wait
+            )
     reason = reason_of_attempts(attempt.result for attempt in attempts)
     lost = replica_selection.is_snapshot_lost(board, state, shard, now)
     if lost and verdict is Verdict.NOT_RUN:
         reason = Reason.SNAPSHOT_NOT_HELD
     state.results[shard] = ShardResult(shard, result.searcher, verdict, reason)
+    if reason is Reason.OVERLOADED:
+        name = state.service.name
+        board.throttles.setdefault(name, Throttle()).decline(now)
     not_held = reason is Reason.SNAPSHOT_NOT_HELD
     if not_held and left > MIN_ATTEMPT_S and state.trial is None:
         return _rechoose(board, state, now)
@@ -215,7 +221,7 @@
         # An owner declined it at once: no searcher has seen it.
         board.counters["bounces"] += 1
         return True
-    if query_scatter.extra_budget(board, state.service).spend():
+    if query_scatter.retry_budget(board, state.service).spend():
         board.counters["retries"] += 1
         return True
     return False
