--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -156,12 +156,16 @@
             return late
         return []
 
-    def take_batch(self) -> tuple[Item, ...]:
+    def take_batch(self, now: float) -> tuple[Item, ...]:
         """Takes the items of the next request.
 
         An item that is not repeatable travels alone, so that its verdict
         depends on no other item. An item suspected of crashing its upstream
-        also waits until nothing else runs there.
+        also waits until nothing else runs there. No item joins that would make
+        the first one late.
+
+        Args:
+            now: The current time.
 
         Returns:
             The items; empty if no slot is free or nothing waits.
@@ -175,11 +179,13 @@
         share = -(-len(self.waiting) // free)
         most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.pop(0)]
+        left_s = batch[0].deadline - now
         while (
             _may_share(batch[0])
             and self.waiting
             and _may_share(self.waiting[0])
             and len(batch) < most
+            and DEADLINE_RESERVE * self.cost.predict_s(len(batch) + 1) <= left_s
         ):
             batch.append(self.waiting.pop(0))
         return tuple(batch)
