--- a/kumquatspur/controllers/crash_guard.py
+++ b/kumquatspur/controllers/crash_guard.py
@@ -211,6 +211,9 @@
     last = board.breaks.get(name)
     if last is not None and call.started <= last.at:
         return []
+    if not queue.reachable:
+        # It gave no sign of life since it was lost.
+        return []
     running = [*call.items]
     for other in queue.calls.values():
         running.extend(other.items)
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -382,6 +382,9 @@
 def _admit(board, queue, message, item, now: float) -> Reason | None:
     if queue is None:
         return Reason.NO_REPLICA
+    if item.suspect_of and not queue.reachable:
+        # Only a searcher known to live shows whether the content kills it.
+        return Reason.NO_REPLICA
     return queue.admit(item, now, message.may_wait)
 
 
