--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -15,7 +15,6 @@
 from kumquatspur.policy.merge import merge_hits
 from kumquatspur.policy.searcher_queue import SearcherQueue
 
-SLOW_FACTOR = 3.0
 REMEMBER_SUB_ID_S = 60.0
 # A latency that changed by less is not announced before its turn.
 REPORT_CHANGE_SHARE = 0.3
@@ -346,7 +345,6 @@
         reachable=queue.reachable,
         backlog=queue.backlog(),
         latency_ms=queue.score_s(now) * 1000.0,
-        slow_ms=queue.latency_s * 1000.0 * SLOW_FACTOR,
     )
 
 
@@ -396,7 +394,7 @@
         result = _failed_result(queue, item, Verdict.NOT_RUN, Reason.OVERLOADED)
         found += _complete(board, item, result, now)
     found += _refuse_crashing(board, queue, now)
-    while items := queue.take_batch():
+    while items := queue.take_batch(now):
         call_id = board.new_id()
         queue.start(call_id, items, now)
         board.call_searchers[call_id] = queue.searcher.name
