--- a/kumquatspur/wire/upstream_client.py
+++ b/kumquatspur/wire/upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the searchers: one connection pool a searcher."""
 
 import collections
+import dataclasses
 import http.client
 import logging
 import time
@@ -11,8 +12,8 @@
 from kumquatspur.border import upstream_api
 from kumquatspur.core import events
 from kumquatspur.core.actions import CallUpstream
-from kumquatspur.core.records import Searcher
-from kumquatspur.core.verdict import Outcome, Phase
+from kumquatspur.core.records import Searcher, ShardResult
+from kumquatspur.core.verdict import Outcome, Phase, Verdict
 from kumquatspur.wire.upstream_pool import Exchange, UpstreamPool
 
 _log = logging.getLogger(__name__)
@@ -74,7 +75,8 @@
             return _failed(call, exchange.phase, Outcome.FAILED)
         finally:
             del self.exchanges[call.call_id]
-        return _parse(call, status, data)
+        event = _parse(call, status, data)
+        return _without_not_run(event) if exchange.resent else event
 
     def phase(self, call_id: str) -> Phase:
         """Returns how far a call under way has come."""
@@ -144,6 +146,7 @@
             self._retire(pool, exchange)
             if repeatable:
                 pool.discard(exchange)
+                exchange.resent = True
                 self.counters["upstream_resent"] += 1
                 pool.start(exchange)
         pool.wait(exchange, exchange.left_s())
@@ -186,6 +189,23 @@
     return events.UpstreamFailed(call.call_id, phase, outcome)
 
 
+def _without_not_run(event):
+    """Corrects an answer to work that an earlier sending may have run."""
+    if not isinstance(event, events.UpstreamAnswered):
+        return event
+    results = tuple(
+        dataclasses.replace(entry, result=_may_have_run(entry.result))
+        for entry in event.results
+    )
+    return dataclasses.replace(event, results=results)
+
+
+def _may_have_run(result: ShardResult) -> ShardResult:
+    if result.verdict is not Verdict.NOT_RUN:
+        return result
+    return dataclasses.replace(result, verdict=Verdict.MAY_HAVE_RUN)
+
+
 def _parse(call: CallUpstream, status: int, data: bytes):
     if status not in _ITEM_STATUSES:
         return _failed(call, Phase.SENT, Outcome.REJECTED)
--- a/kumquatspur/wire/upstream_client_test.py
+++ b/kumquatspur/wire/upstream_client_test.py
@@ -102,6 +102,18 @@
         self.assertEqual(len(self.standin.executed), 1)
         self.assert_answered(self.search_together(1, repeatable=False))
 
+    def test_work_sent_again_and_declined_may_have_run(self):
+        self.open()
+        self.assert_answered(self.search_together(1))
+        self.standin.spec["service_ms"] = 60_000.0
+        thread = eventlet.spawn(self.client.search, self.call())
+        self.wait_until(lambda: len(self.standin.executed) == 2)
+        self.relay.set_mode("silent")
+        self.standin.set_faults({"draining": True})
+        (found,) = thread.wait().results
+        self.assertEqual(self.client.counters["upstream_resent"], 1)
+        self.assertIs(found.result.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_slow_searcher_keeps_its_connections_while_others_progress(self):
         self.open(service_ms=40.0)
         for _ in range(8):
@@ -170,10 +182,7 @@
             "other shard": (b"[%s]" % dump({**good, "shard": "b"}), failed),
             "other snapshot": (b"[%s]" % dump({**good, "snapshot": 2}), failed),
             "unknown status": (b"[%s]" % dump({**good, "status": "?"}), failed),
-            "twice": (
-                b"[%s, %s]" % (dump(good), dump(good)),
-                (Verdict.RAN, None),
-            ),
+            "twice": (b"[%s, %s]" % (dump(good), dump(good)), failed),
             "oversize": (b" " * (5 * 1024 * 1024), None),
         }
         for name, (items, expected) in cases.items():
@@ -190,18 +199,19 @@
 
     def test_broken_replies(self):
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{"
+        bare = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
         cases = {
-            "cut off": head,
-            "no HTTP": b"\x00\x01\x02\r\n\r\n",
-            "status 500": b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
-            "wrong length": head.replace(b"50", b"x"),
-            "closed": b"",
+            "cut off": (head, Outcome.FAILED),
+            "no HTTP": (b"\x00\x01\x02\r\n\r\n", Outcome.FAILED),
+            "status 500": (bare, Outcome.REJECTED),
+            "wrong length": (head.replace(b"50", b"x"), Outcome.REJECTED),
+            "closed": (b"", Outcome.FAILED),
         }
-        for name, data in cases.items():
+        for name, (data, outcome) in cases.items():
             with self.subTest(name):
                 event = self.answer_raw(data)
                 self.assertEqual(
-                    (event.phase, event.outcome), (Phase.SENT, Outcome.FAILED)
+                    (event.phase, event.outcome), (Phase.SENT, outcome)
                 )
 
     def answer_with(self, body):
--- a/kumquatspur/wire/upstream_pool.py
+++ b/kumquatspur/wire/upstream_pool.py
@@ -33,6 +33,7 @@
         phase: How far it has come.
         sent: When it was sent.
         connection: The connection that carries it.
+        resent: Whether it was sent again on another connection.
     """
 
     def __init__(self, method, path, body, items: int, deadline: float):
@@ -44,6 +45,7 @@
         self.phase = Phase.QUEUED
         self.sent = 0.0
         self.connection = None
+        self.resent = False
 
     def left_s(self) -> float:
         """Returns the time left, in seconds."""
