Prove silent connections to a searcher over real processes

Before, with endless patience (scratch copy, python -m unittest kumquatspur. wire.zone_cut_test.ZoneCutTest.test_silent_connections_to_a_searcher): 1 failure, an answer without the shard. After: passes.

--- a/kumquatspur/wire/zone_cut_test.py
+++ b/kumquatspur/wire/zone_cut_test.py
@@ -62,8 +62,12 @@
             if settings["zone"] == shape.zones[1]:
                 for role in ("store", "host_list"):
                     settings[role] = cls.relay_to(settings[role])
+        searchers = deployment.files["20-purchasing.json"]["searchers"]
+        (lone_searcher,) = searchers.values()
+        route = cls.relay_to(lone_searcher)
+        cls.searcher_control = cls.controls.pop()
         deployment.spawn("relays", "standins.relay", *cls.arguments)
-        start_small(deployment)
+        start_small(deployment, lambda: lone_searcher.update(route))
 
     @classmethod
     def route_peers(cls, name, target):
@@ -164,6 +168,17 @@
             self.attempts() - before, LINKS * (elapsed_s + 2.0)
         )
 
+    def test_silent_connections_to_a_searcher(self):
+        names = list(self.deployment.settings)
+        for _ in range(3):
+            for name in names:
+                self.assertTrue(self.full(name, LONE_SERVICE), name)
+            self.deployment.call(
+                "POST", self.searcher_control, "/fault", {"mode": "silent"}
+            )
+        for name in names:
+            self.assertTrue(self.full(name, LONE_SERVICE), name)
+
     def test_paused_entry_host(self):
         name = "oslo-1-b"
         others = [n for n in self.deployment.settings if n != name]
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -47,9 +47,16 @@
     return deployment
 
 
-def start_small(deployment: Deployment) -> None:
-    """Starts a deployment and waits until all daemons give full answers."""
+def start_small(deployment: Deployment, before_push=lambda: None) -> None:
+    """Starts a deployment and waits until all daemons give full answers.
+
+    Args:
+        deployment: The deployment.
+        before_push: Called when the stand-ins run; may change the
+            configuration that the daemons get.
+    """
     deployment.start()
+    before_push()
     deployment.push()
     deployment.wait_until(lambda: ready(deployment, 1))
     deployment.wait_until(lambda: full_answer(deployment, SERVICE))
