--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -20,6 +20,7 @@
 from kumquatspur.policy.retry import MIN_ATTEMPT_S
 
 CLOCK_TOLERANCE_S = 0.0005
+RESCUE_FACTOR = 1.5
 
 
 def on_query(board: Blackboard, event: events.QueryReceived, now: float):
@@ -66,15 +67,17 @@
     Returns:
         Actions: messages to owners, or a refusal.
     """
-    snapshot = replica_selection.choose_snapshot(
-        board, board.configuration, query, now
-    )
+    # The configuration may have changed while the query waited for its claim.
+    reason = _refusal_reason(board, query, now)
+    snapshot = 0
+    if reason is None:
+        snapshot = replica_selection.choose_snapshot(
+            board, board.configuration, query, now
+        )
     if not snapshot:
         claims.release(board, query, Verdict.NOT_RUN)
-        refusal = query_results.refuse(
-            query.request_id, Reason.NO_SNAPSHOT, Verdict.NOT_RUN
-        )
-        return [refusal]
+        reason = reason or Reason.NO_SNAPSHOT
+        return [query_results.refuse(query.request_id, reason, Verdict.NOT_RUN)]
     state = QueryState(query, board.configuration, snapshot, now)
     board.queries[query.request_id] = state
     board.schedule(
@@ -128,6 +131,8 @@
     delay_s = query_scatter.second_attempt_delay_s(board, state, now)
     budget = query_scatter.extra_budget(board, state.service)
     chosen = []
+    # Shards that stay late queue for a slot; others take only a free one.
+    may_wait = now - state.started >= RESCUE_FACTOR * delay_s
     for shard in _late_shards(state, now - delay_s):
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and budget.spend():
@@ -136,7 +141,7 @@
     if not designs.design_of(board).cancels_first:
         board.schedule(now + RECHECK_S, event)
         return query_scatter.send(
-            board, state, chosen, now, hedge=True, may_wait=False
+            board, state, chosen, now, hedge=True, may_wait=may_wait
         )
     shards = {shard for shard, _ in chosen}
     cancelled = query_scatter.cancel_unfinished(board, state, shards)
--- a/kumquatspur/controllers/replica_selection.py
+++ b/kumquatspur/controllers/replica_selection.py
@@ -147,16 +147,33 @@
         The searcher's name, or "" if there is none.
     """
     tried = {a.searcher for a in state.attempts.get(shard, ()) if _tried(a)}
-    replicas = []
-    for searcher in board.configuration.replicas.get(shard, ()):
-        if searcher.name in tried:
-            continue
-        if _obstacle(board, state, searcher, now) is None:
-            replicas.append(_replica(board, searcher))
+    candidates = _untried(board, state, shard, now)
+    if len(candidates) < 2:
+        candidates = [
+            searcher
+            for searcher in board.configuration.replicas.get(shard, ())
+            if searcher.name not in tried
+            and _obstacle(board, state, searcher, now) is None
+        ]
+    replicas = [_replica(board, searcher) for searcher in candidates]
     replica = designs.choose(board, shard, replicas, now)
     return replica.searcher if replica else ""
 
 
+def _untried(
+    board: Blackboard, state: QueryState, shard: str, now: float
+) -> list[Searcher]:
+    """Returns the replicas in reach that were not asked for a shard yet."""
+    asked = {attempt.searcher for attempt in state.attempts.get(shard, ())}
+    return [
+        searcher
+        for searcher in board.configuration.replicas.get(shard, ())
+        if searcher.name not in asked
+        and _obstacle(board, state, searcher, now) is None
+        and board.reports[searcher.name].report.reachable
+    ]
+
+
 def _replica(board: Blackboard, searcher: Searcher) -> Replica:
     known = board.reports[searcher.name]
     return Replica(
@@ -171,6 +188,23 @@
     )
 
 
+def has_untried(
+    board: Blackboard, state: QueryState, shard: str, now: float
+) -> bool:
+    """Returns whether two replicas in reach were not asked for a shard yet.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: The shard.
+        now: The current time.
+
+    Returns:
+        Whether an owner that has no free slot should decline the next attempt.
+    """
+    return len(_untried(board, state, shard, now)) > 1
+
+
 def bounced(attempt: Attempt) -> bool:
     """Returns whether an owner declined an attempt for overload."""
     result = attempt.result
@@ -200,6 +234,27 @@
     return reason_without_replica(filter(None, obstacles))
 
 
+def is_snapshot_lost(
+    board: Blackboard, state: QueryState, shard: str, now: float
+) -> bool:
+    """Returns whether no replica of a shard holds the snapshot any more.
+
+    Args:
+        board: The blackboard.
+        state: The query.
+        shard: The shard.
+        now: The current time.
+
+    Returns:
+        True if none can be asked, at least one for lack of the snapshot.
+    """
+    obstacles = {
+        _obstacle(board, state, searcher, now)
+        for searcher in board.configuration.replicas.get(shard, ())
+    }
+    return None not in obstacles and Reason.SNAPSHOT_NOT_HELD in obstacles
+
+
 def _obstacle(
     board: Blackboard, state: QueryState, searcher: Searcher, now: float
 ) -> Reason | None:
@@ -222,9 +277,10 @@
 
 def _tried(attempt: Attempt) -> bool:
     """Searchers of a lost owner or with all slots busy may be asked again."""
+    if bounced(attempt):
+        return attempt.may_wait
     result = attempt.result
-    again = (Reason.PEER_LOST, Reason.OVERLOADED)
-    return result is None or result.reason not in again
+    return result is None or result.reason is not Reason.PEER_LOST
 
 
 def is_leaving(board: Blackboard, name: str) -> bool:
