--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -39,7 +39,6 @@
     reachable=True,
     backlog=0,
     latency_ms=UNKNOWN_LATENCY_MS,
-    slow_ms=UNKNOWN_LATENCY_MS * owner.SLOW_FACTOR,
 )
 
 
