Overdue requests count for twice their time

Cause: cancelled requests enter the estimates with the time until the cancel, so a straggler looked two to three times faster than it is and got first attempts.

--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -19,6 +19,8 @@
 # The score of an idle searcher falls by this factor a probe, so that it is
 # tried again.
 IDLE_DECAY = 0.9
+# A request that is overdue is expected to take as long again.
+OVERDUE_FACTOR = 2.0
 # An item is admitted only if this many times its service time is left.
 DEADLINE_RESERVE = 1.3
 # A searcher too slow for any deadline is tried again after this time.
@@ -94,8 +96,7 @@
     def _left_s(self, call: Call, now: float) -> float:
         expected = self.cost.predict_s(len(call.items))
         elapsed = now - call.started
-        # A request that is overdue is expected to take as long again.
-        return max(expected - elapsed, elapsed - expected)
+        return abs(expected - elapsed)
 
     def admit(
         self, item: Item, now: float, may_wait: bool = True
@@ -208,8 +209,8 @@
     def cancel(self, call_id: str, now: float) -> Call | None:
         """Records that a request was abandoned.
 
-        Its time so far is a lower bound of its latency: it counts only if it is
-        above the estimate.
+        Its time so far is a lower bound of its latency: it counts, multiplied
+        by `OVERDUE_FACTOR`, only if it is above the estimate.
 
         Args:
             call_id: The request.
@@ -225,11 +226,12 @@
         return call
 
     def _note_lower_bound(self, call: Call, elapsed: float) -> None:
+        likely = OVERDUE_FACTOR * elapsed
         if elapsed > self.cost.predict_s(len(call.items)):
-            self.cost.add(len(call.items), elapsed)
+            self.cost.add(len(call.items), likely)
         if elapsed > self.latency_s:
             self.used = True
-            self._score(elapsed)
+            self._score(likely)
 
     def score_s(self, now: float) -> float:
         """Returns what replicas are compared by.
