--- a/standins/fault_schedules.py
+++ b/standins/fault_schedules.py
@@ -325,7 +325,7 @@
             fake.crash_on = frozenset({CRASHING_CONTENT})
     for number in range(8):
         at = schedule.driver.now + number * RESEND_S
-        request_id = f"crash{number}"
+        request_id = f"crash{number}-{schedule.driver.now:.6f}"
         schedule.at(
             at, lambda r=request_id: _send_random(schedule, r, CRASHING_CONTENT)
         )
