--- a/kumquatspur/controllers/coordinator_test.py
+++ b/kumquatspur/controllers/coordinator_test.py
@@ -5,10 +5,10 @@
 from kumquatspur.core.verdict import Verdict
 from standins.fault_schedules import (
     OLD_SHARDS,
-    check_schedule,
     send_query,
     start_schedule,
 )
+from standins.schedule_checks import check_schedule
 
 HOST = "z1-a"
 A0 = ("a-0-z1", "a-0-z2", "a-0-z3")
--- a/kumquatspur/controllers/leaving_test.py
+++ b/kumquatspur/controllers/leaving_test.py
@@ -1,11 +1,11 @@
 import unittest
 
 from standins.fault_schedules import (
-    check_schedule,
     list_upstream,
     send_query,
     start_schedule,
 )
+from standins.schedule_checks import check_schedule
 
 VICTIM = "a-0-z1"
 # The target: no new work this long after the first signal.
--- a/kumquatspur/controllers/query_results_test.py
+++ b/kumquatspur/controllers/query_results_test.py
@@ -6,10 +6,10 @@
 from kumquatspur.core.records import Hit, ShardResult
 from kumquatspur.core.verdict import Verdict
 from standins.fault_schedules import (
-    check_schedule,
     send_query,
     start_schedule,
 )
+from standins.schedule_checks import check_schedule
 
 HOST = "z1-a"
 FORGED = Hit(99.0, "a/0", "forged", "null")
--- a/standins/fault_schedules_test.py
+++ b/standins/fault_schedules_test.py
@@ -2,11 +2,9 @@
 import unittest
 
 from standins.fault_schedules import (
-    MAX_CRASHES,
-    check_schedule,
-    count_crashes,
     run_schedule,
 )
+from standins.schedule_checks import MAX_CRASHES, check_schedule, count_crashes
 
 # These failed before the decision code was mended.
 REGRESSIONS = (1, 13, 15, 16, 22, 25, 28, 30, 33, 34, 36, 39)
