--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -11,17 +11,21 @@
 from kumquatspur.controllers import (
     claim_writer,
     claims,
+    configuration,
     coordinator,
     crash_guard,
     membership,
     owner,
+    replication,
+    view,
+    watcher,
 )
 from kumquatspur.controllers.blackboard import Blackboard
 from kumquatspur.core import actions, events, messages
 
 
 def _on_sub_answer(board, peer, message, now):
-    membership.take_reports(board, message.reports, now)
+    replication.take_reports(board, message.reports, now)
     return coordinator.on_sub_answer(board, peer, message, now)
 
 
@@ -46,7 +50,7 @@
     ),
     events.ProbeFailed: (owner.on_probe_failed, crash_guard.on_probe_failed),
     events.ConfigurationReceived: (
-        membership.on_configuration,
+        configuration.on_configuration,
         owner.on_configuration,
     ),
     events.HostsListed: (membership.on_hosts_listed, owner.on_hosts_listed),
@@ -55,7 +59,7 @@
         coordinator.on_peer_lost,
         claims.on_peer_lost,
     ),
-    events.StopRequested: (membership.on_stop,),
+    events.StopRequested: (watcher.on_stop, membership.on_stop),
     events.QueryHedgeDue: (coordinator.on_hedge_due,),
     events.QueryEarlyDue: (coordinator.on_early_due,),
     events.QueryDeadlineDue: (coordinator.on_deadline_due,),
@@ -65,6 +69,10 @@
         membership.on_heartbeat_due,
         crash_guard.on_heartbeat_due,
     ),
+    events.StateUpdateDue: (replication.on_state_update_due,),
+    events.TrustDue: (membership.on_trust_due,),
+    events.ConfigurationDue: (configuration.on_configuration_due,),
+    events.WatchDue: (configuration.on_watch_due,),
     events.ProbeDue: (owner.on_probe_due,),
     events.ClaimWriteDue: (claim_writer.on_step_due,),
     events.ClaimRerouteDue: (claims.on_reroute_due,),
@@ -73,6 +81,10 @@
 }
 
 _MESSAGE_CONTROLLERS = {
+    messages.StateUpdate: replication.on_state_update,
+    messages.StateRequest: replication.on_state_request,
+    messages.ConfigurationUpdate: configuration.on_update,
+    messages.ConfigurationRequest: configuration.on_request,
     messages.Heartbeat: _on_heartbeat,
     messages.CrashReports: crash_guard.on_reports,
     messages.SubQuery: owner.on_sub_query,
@@ -100,6 +112,9 @@
         self.board = Blackboard(settings, rng, incarnation)
         self.board.schedule(now, events.HeartbeatDue())
         self.board.schedule(now, events.ProbeDue())
+        first = now + rng.uniform(0.0, configuration.TICK_S)
+        self.board.schedule(first, events.ConfigurationDue())
+        self.board.gossip.toggle_member(view.own_entry(self.board))
 
     def next_wakeup(self) -> float | None:
         """Returns when a `TimerFired` event is due, or None."""
@@ -119,7 +134,13 @@
             found = self._run_timers(now)
         else:
             found = self._dispatch(event, now)
-        return self._deliver_local(found, now)
+        if self.board.changed_reports:
+            replication.publish_reports(self.board, now)
+        found = self._deliver_local(found, now)
+        if self.board.gossip.notices:
+            found += self.board.gossip.notices
+            self.board.gossip.notices = []
+        return found
 
     def _run_timers(self, now: float) -> list:
         found = []
@@ -132,6 +153,7 @@
             controller = _MESSAGE_CONTROLLERS.get(type(event.message))
             if controller is None:
                 return []
+            membership.note_heard(self.board, event.peer, now)
             return controller(self.board, event.peer, event.message, now)
         found = []
         for controller in _CONTROLLERS[type(event)]:
--- a/kumquatspur/wire/peer_stream_test.py
+++ b/kumquatspur/wire/peer_stream_test.py
@@ -36,7 +36,9 @@
 
 def make_heartbeat(name="a", zone="z1", reports=()):
     address = Address("127.0.0.1", 1)
-    return messages.Heartbeat(name, zone, 1, address, 0, False, reports)
+    return messages.Heartbeat(
+        name, zone, 1, 0, address, 0, False, False, False, reports=reports
+    )
 
 
 def make_hello(name="a", zone="z1", key=KEY):
@@ -150,7 +152,8 @@
             "unknown type": hello + msgpack.packb(["Nonsense", {}]),
             "map key": hello + msgpack.packb({1: 2}),
             "other sender": hello + pack(heartbeat, name="c", zone="z3"),
-            "not a number": hello + pack(make_heartbeat(reports=(report,))),
+            "not a number": hello
+            + pack(messages.SubAnswer("s", "r", (), (report,))),
             "lone surrogate": pack(make_hello()).replace(
                 KEY.encode(), b"\xed\xa0\x80" + KEY.encode()[3:]
             ),
