Stand-in searcher refuses connections after a crash

Cause of the known red test_3_crashing_content_takes_two_upstreams: a crashed stand-in still accepted connections and broke them once the request was read, as no dead process does, so a resend looked like a second loss. Now it closes its port until the restart. The test waits for the port before it reads the record of executions; the count that it demands is the same.

--- a/standins/at_most_once_test.py
+++ b/standins/at_most_once_test.py
@@ -55,6 +55,8 @@
 
     def executed(self, text):
         """Counts the executions of a query by all searchers."""
+        # A searcher that crashed refuses connections until it is back.
+        self.deployment.wait_until(self.searchers_answer)
         records = [
             self.deployment.call(
                 "GET", self.deployment.searcher_port(name), "/executed"
@@ -94,6 +96,12 @@
         _, reply = self.deployment.call("GET", port, path)
         return claims.digest_key(SERVICE, key) in (reply["value"] or "")
 
+    def searchers_answer(self):
+        ports = map(self.deployment.searcher_port, self.searchers())
+        return all(
+            self.deployment.call("GET", port, "/v1/status") for port in ports
+        )
+
     def test_1_entry_host_killed_between_claim_and_send(self):
         names = sorted(self.deployment.settings)
         key = "booking"
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,5 +1,6 @@
 """HTTP plumbing that the stand-ins share."""
 
+import contextlib
 import json
 
 import eventlet
@@ -37,11 +38,13 @@
     listener = eventlet.listen(
         ("127.0.0.1", port), backlog=1024, reuse_port=False
     )
-    eventlet.spawn_n(
-        eventlet.wsgi.server,
-        listener,
-        application,
-        log_output=False,
-        custom_pool=pool,
-    )
+    eventlet.spawn_n(_serve, listener, application, pool)
     return listener
+
+
+def _serve(listener, application, pool) -> None:
+    # The server raises when the listening socket is shut down.
+    with contextlib.suppress(OSError):
+        eventlet.wsgi.server(
+            listener, application, log_output=False, custom_pool=pool
+        )
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -256,10 +256,12 @@
         ]
 
     def crash(self):
-        """Breaks all connections and answers nothing until the restart."""
+        """Breaks all connections and refuses new ones until the restart."""
         self.faults["down"] = True
         for client in self.clients:
             client.shutdown(socket.SHUT_RDWR)
+        # Ends the server, which shuts its idle connections.
+        self.listener.shutdown(socket.SHUT_RDWR)
         eventlet.spawn_after(self.faults["restart_ms"] / 1000.0, self.restart)
         raise ConnectionResetError("crashed")
 
@@ -267,6 +269,7 @@
         """Starts answering again, cold."""
         self.started = time.monotonic()
         self.faults["down"] = False
+        self.start()
 
 
 def pause(client, seconds):
