--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -41,7 +41,6 @@
         reachable: Whether its last request or probe succeeded.
         backlog: Items waiting or running there.
         latency_ms: Smoothed latency of one request.
-        slow_ms: Latency that one request in twenty exceeds.
     """
 
     searcher: str
@@ -50,7 +49,6 @@
     reachable: bool
     backlog: int
     latency_ms: float
-    slow_ms: float
 
 
 class Status(enum.IntEnum):
