--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -150,6 +150,7 @@
         searchers: Searchers by name.
         teams: Teams by name.
         drained: Names of searchers that must receive no new work.
+        replicas: Searchers by shard.
     """
 
     services: dict[str, records.Service]
@@ -157,6 +158,7 @@
     searchers: dict[str, records.Searcher]
     teams: dict[str, records.Team]
     drained: tuple[str, ...]
+    replicas: dict[str, tuple[records.Searcher, ...]]
 
 
 def build_definitions(model: FileModel) -> Definitions:
@@ -168,12 +170,14 @@
     Returns:
         Its definitions.
     """
+    searchers = {n: _build_searcher(n, m) for n, m in model.searchers.items()}
     return Definitions(
         {n: _build_service(n, m) for n, m in model.services.items()},
         {n: _build_catalogue(n, m) for n, m in model.catalogues.items()},
-        {n: _build_searcher(n, m) for n, m in model.searchers.items()},
+        searchers,
         {n: records.Team(n, **m.model_dump()) for n, m in model.teams.items()},
         model.drain,
+        _group_by_shard(searchers.values()),
     )
 
 
@@ -217,7 +221,7 @@
     Returns:
         The merged definitions.
     """
-    merged = Definitions({}, {}, {}, {}, ())
+    merged = Definitions({}, {}, {}, {}, (), {})
     drained = []
     for name in sorted(files):
         merged.services.update(files[name].services)
@@ -225,7 +229,23 @@
         merged.searchers.update(files[name].searchers)
         merged.teams.update(files[name].teams)
         drained.extend(files[name].drained)
-    return dataclasses.replace(merged, drained=tuple(drained))
+    replicas = _merge_replicas(files, merged)
+    return dataclasses.replace(
+        merged, drained=tuple(drained), replicas=replicas
+    )
+
+
+def _merge_replicas(files: Mapping[str, Definitions], merged: Definitions):
+    defined = sum(len(entry.searchers) for entry in files.values())
+    if defined > len(merged.searchers):
+        # A later file replaced a searcher of an earlier one.
+        return _group_by_shard(merged.searchers.values())
+    replicas = {}
+    for name in sorted(files):
+        for shard, found in files[name].replicas.items():
+            earlier = replicas.get(shard)
+            replicas[shard] = earlier + found if earlier else found
+    return replicas
 
 
 def check_references(merged: Definitions) -> list[Diagnostic]:
@@ -251,9 +271,8 @@
             if catalogue not in merged.catalogues:
                 source = f"services.{name}.catalogues"
                 errors.append(Diagnostic(source, f"unknown {catalogue!r}"))
-    for name, searcher in merged.searchers.items():
-        if shards.issuperset(searcher.shards):
-            continue
+    unknown = merged.replicas.keys() - shards
+    for name, searcher in merged.searchers.items() if unknown else ():
         for shard in searcher.shards:
             if shard not in shards:
                 source = f"searchers.{name}.shards"
@@ -285,7 +304,7 @@
         drained=frozenset(merged.drained),
         teams=merged.teams,
         files=dict(hashes),
-        replicas=_group_by_shard(merged.searchers.values()),
+        replicas=merged.replicas,
     )
 
 
--- a/kumquatspur/policy/ownership.py
+++ b/kumquatspur/policy/ownership.py
@@ -171,16 +171,17 @@
     return merged[: merged.index(ranking[-1]) + 1]
 
 
-def load_bound(searchers: int, hosts: int) -> int:
+def load_bound(searchers: int, hosts: int, largest: int) -> int:
     """Returns how many searchers a host may own.
 
     Args:
         searchers: Number of searchers of the zone.
         hosts: Number of live hosts.
+        largest: Number of searchers of the largest piece.
     """
     wanted = max(1.0, LOAD_BOUND * searchers / hosts)
     steps = math.ceil(math.log(wanted, BOUND_STEP) - 1e-9)
-    return math.ceil(BOUND_STEP**steps)
+    return max(math.ceil(BOUND_STEP**steps), 2 * largest)
 
 
 class _Matching:
@@ -195,7 +196,9 @@
         self._pieces = pieces
         self._members = members
         self._sizes = {piece.name: len(piece.searchers) for piece in pieces}
-        self._bound = load_bound(sum(self._sizes.values()), len(members))
+        sizes = self._sizes.values()
+        largest = max(sizes, default=1)
+        self._bound = load_bound(sum(sizes), len(members), largest)
         self._loads = dict.fromkeys(members, 0)
         self._held = {member: [] for member in members}
         self._asked = dict.fromkeys(rankings, 0)
