--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -95,12 +95,12 @@
 
     Attributes:
         at: When it was noticed.
-        contents: Fingerprints in flight there, until a probe told whether the
-            searcher was lost.
+        contents: Shard by fingerprint of what was in flight there, until a
+            probe told whether the searcher was lost.
     """
 
     at: float
-    contents: frozenset[str]
+    contents: dict[str, str]
 
 
 @dataclasses.dataclass
--- a/kumquatspur/controllers/crash_guard.py
+++ b/kumquatspur/controllers/crash_guard.py
@@ -139,7 +139,7 @@
     """
     last = board.breaks.get(event.searcher)
     if last is not None:
-        last.contents = frozenset()
+        last.contents = {}
     return []
 
 
@@ -160,6 +160,7 @@
             report.death_id,
             report.fingerprint,
             report.searcher,
+            report.shard,
             report.alone,
             now - report.age_ms / 1000.0,
             now + report.remaining_ms / 1000.0,
@@ -211,20 +212,21 @@
     last = board.breaks.get(name)
     if last is not None and call.started <= last.at:
         return []
-    if not queue.reachable:
-        # It gave no sign of life since it was lost.
+    if not call.reachable:
+        # It had given no sign of life since it was lost.
         return []
     running = [*call.items]
     for other in queue.calls.values():
         running.extend(other.items)
-    contents = frozenset(item.fingerprint for item in running)
+    contents = {item.fingerprint: item.shard for item in running}
     board.breaks[name] = UpstreamBreak(now, contents)
     first = call.items[0]
     if first.suspect_of:
-        board.breaks[name].contents = frozenset()
+        board.breaks[name].contents = {}
+        content, shard = first.fingerprint, first.shard
         deaths = [
-            _death(board, first.fingerprint, first.suspect_of, False, now),
-            _death(board, first.fingerprint, name, True, now),
+            _death(board, content, first.suspect_of, shard, False, now),
+            _death(board, content, name, shard, True, now),
         ]
         return _remember(board, deaths, now)
     return [actions.ProbeUpstream(queue.searcher)]
@@ -234,18 +236,18 @@
     last = board.breaks.get(searcher)
     if last is None or not last.contents:
         return []
-    contents, last.contents = last.contents, frozenset()
+    contents, last.contents = last.contents, {}
     alone = len(contents) == 1
     deaths = [
-        _death(board, content, searcher, alone, now)
-        for content in sorted(contents)
+        _death(board, content, searcher, shard, alone, now)
+        for content, shard in sorted(contents.items())
     ]
     return _remember(board, deaths, now)
 
 
-def _death(board: Blackboard, content: str, searcher: str, alone, now):
+def _death(board: Blackboard, content, searcher, shard, alone, now) -> Death:
     expires = now + crash_suspects.MEMORY_S
-    return Death(board.new_id(), content, searcher, alone, now, expires)
+    return Death(board.new_id(), content, searcher, shard, alone, now, expires)
 
 
 def _remember(board: Blackboard, deaths: list[Death], now: float):
@@ -269,6 +271,7 @@
             death.death_id,
             death.fingerprint,
             death.searcher,
+            death.shard,
             death.alone,
             (now - death.noted) * 1000.0,
             (death.expires - now) * 1000.0,
--- a/kumquatspur/controllers/owner.py
+++ b/kumquatspur/controllers/owner.py
@@ -385,7 +385,7 @@
         return Reason.NO_REPLICA
     if item.suspect_of and not queue.reachable:
         # Only a searcher known to live shows whether the content kills it.
-        return Reason.NO_REPLICA
+        return Reason.UPSTREAM_FAILED
     return queue.admit(item, now, message.may_wait)
 
 
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -183,6 +183,7 @@
         death_id: Unique over all entry hosts.
         fingerprint: The content.
         searcher: The upstream lost.
+        shard: The shard that the content was to search there.
         alone: Whether no other content was in flight there.
         age_ms: Time since it was noted.
         remaining_ms: Time until it is forgotten.
@@ -191,6 +192,7 @@
     death_id: str
     fingerprint: str
     searcher: str
+    shard: str
     alone: bool
     age_ms: float
     remaining_ms: float
--- a/kumquatspur/policy/crash_suspects.py
+++ b/kumquatspur/policy/crash_suspects.py
@@ -2,9 +2,10 @@
 
 A death is the loss of an upstream while a content was in flight there. It is
 alone if no other content was in flight there, and no other upstream was lost
-at about the same time without this content. A content is refused after two
-deaths of which at least one was alone; deaths among several contents never
-suffice, so the loss of many upstreams accuses none of them.
+at about the same time without this content. It counts as alone, too, if it is
+the only content in flight at the loss of two replicas of one shard, which stand
+in different zones. A content is refused after two deaths of which at least one
+was alone, so the loss of many upstreams accuses none.
 """
 
 import dataclasses
@@ -37,6 +38,7 @@
         death_id: Unique over all entry hosts.
         fingerprint: The content.
         searcher: The upstream lost.
+        shard: The shard that the content was to search there.
         alone: Whether no other content was in flight there.
         noted: When it was noted.
         expires: When it is forgotten.
@@ -45,6 +47,7 @@
     death_id: str
     fingerprint: str
     searcher: str
+    shard: str
     alone: bool
     noted: float
     expires: float
@@ -82,9 +85,27 @@
             self._put(death)
             if len(self.deaths) > MAX_CONTENTS:
                 self._evict()
+        for death in new:
+            self._single_out(death)
         for death in new:
             self._compare(death)
 
+    def _single_out(self, death: Death) -> None:
+        """Notes a content that alone explains the loss of two replicas."""
+        for other in list(self.deaths.get(death.fingerprint, {}).values()):
+            replica = other.shard == death.shard
+            if not replica or other.searcher == death.searcher:
+                continue
+            common = self._contents(death) & self._contents(other)
+            if common == {death.fingerprint}:
+                self._put(dataclasses.replace(death, alone=True))
+
+    def _contents(self, death: Death) -> set[str]:
+        """Returns the contents in flight at the loss behind a death."""
+        return {
+            content for content in self.deaths if self._lost(content, death)
+        }
+
     def _compare(self, death: Death) -> None:
         """Notes which deaths coincide with one that they do not explain."""
         coinciding = [
@@ -95,6 +116,7 @@
             and abs(other.noted - death.noted) < COINCIDENCE_S
         ]
         for other in coinciding:
+            death = self.deaths[death.fingerprint][death.death_id]
             for first, second in ((death, other), (other, death)):
                 if first.alone and not self._lost(first.fingerprint, second):
                     self._put(dataclasses.replace(first, alone=False))
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -27,10 +27,17 @@
 
 @dataclasses.dataclass
 class Call:
-    """A request that is under way."""
+    """A request that is under way.
+
+    Attributes:
+        items: Its items.
+        started: When it was started.
+        reachable: Whether the searcher was known to answer then.
+    """
 
     items: tuple[Item, ...]
     started: float
+    reachable: bool = True
 
 
 @dataclasses.dataclass
@@ -192,7 +199,7 @@
 
     def start(self, call_id: str, items: tuple[Item, ...], now: float) -> None:
         """Records that a request was started."""
-        self.calls[call_id] = Call(items, now)
+        self.calls[call_id] = Call(items, now, self.reachable)
 
     def finish(
         self, call_id: str, now: float, succeeded: bool = True
