An attempt that its owner declined does not count as an attempt

Traced attempt by attempt. Ruled out: a higher limit of attempts, which would also allow more attempts that reach a searcher. Change: only attempts that reached a searcher's queue count. Declines stay bounded: each replica declines at most once without and once with waiting.

--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -185,7 +185,9 @@
         return []
     verdict = _shard_verdict(state, shard)
     left = query_scatter.time_left_s(state, now)
-    step = next_step(verdict, state.query.repeatable, left, len(attempts))
+    # An attempt that its owner declined has reached no searcher.
+    reached = sum(not replica_selection.bounced(a) for a in attempts)
+    step = next_step(verdict, state.query.repeatable, left, reached)
     if step is NextStep.RETRY and not crash_trial.is_condemned(state):
         if crash_trial.must_wait(state, shard):
             return []
