--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 VENV ?= .venv
 RUN = $(VENV)/bin/python -W ignore
 
-.PHONY: demo test lint format clean
+BENCH_SECONDS ?= 320
+
+.PHONY: bench bench-full demo slopes test lint format clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +14,9 @@
 demo: $(VENV)/installed
 	$(RUN) -m standins.demo $(if $(KEEP),--keep)
 
+slopes: $(VENV)/installed
+	$(RUN) -m bench.slopes
+
 test: lint
 	$(RUN) -m testing
 
@@ -23,5 +28,11 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+bench: $(VENV)/installed
+	$(RUN) -m bench.run --seconds $(BENCH_SECONDS)
+
+bench-full: $(VENV)/installed
+	$(RUN) -m bench.run --full --shapes oslo,salish --seconds 2400
+
 clean:
 	rm -rf build
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -19,6 +19,8 @@
 # The score of an idle searcher falls by this factor a probe, so that it is
 # tried again.
 IDLE_DECAY = 0.9
+# A request that is overdue is expected to take as long again.
+OVERDUE_FACTOR = 2.0
 # An item is admitted only if this many times its service time is left.
 DEADLINE_RESERVE = 1.3
 # A searcher too slow for any deadline is tried again after this time.
@@ -101,14 +103,16 @@
             return 0.0
         running = sum(self._left_s(call, now) for call in self.calls.values())
         batch = self.cost.best_batch(self.max_batch)
-        queued = len(self.waiting) / batch * self.cost.predict_s(batch)
+        sharing = sum(map(_may_share, self.waiting))
+        alone = len(self.waiting) - sharing
+        queued = sharing / batch * self.cost.predict_s(batch)
+        queued += alone * self.cost.predict_s(1)
         return (running + queued) / self.max_calls
 
     def _left_s(self, call: Call, now: float) -> float:
         expected = self.cost.predict_s(len(call.items))
         elapsed = now - call.started
-        # A request that is overdue is expected to take as long again.
-        return max(expected - elapsed, elapsed - expected)
+        return abs(expected - elapsed)
 
     def admit(
         self, item: Item, now: float, may_wait: bool = True
@@ -168,7 +172,7 @@
 
         An item that is not repeatable travels alone, so that its verdict
         depends on no other item. An item suspected of crashing its upstream
-        also waits until nothing else runs there. No item joins that would make
+        also waits until nothing else runs there. None joins that would make
         the first one late.
 
         Args:
@@ -231,8 +235,8 @@
     def cancel(self, call_id: str, now: float) -> Call | None:
         """Records that a request was abandoned.
 
-        Its time so far is a lower bound of its latency: it counts only if it is
-        above the estimate.
+        Its time so far is a lower bound of its latency: it counts, multiplied
+        by `OVERDUE_FACTOR`, only if it is above the estimate.
 
         Args:
             call_id: The request.
@@ -248,11 +252,12 @@
         return call
 
     def _note_lower_bound(self, call: Call, elapsed: float) -> None:
+        likely = OVERDUE_FACTOR * elapsed
         if elapsed > self.cost.predict_s(len(call.items)):
-            self.cost.add(len(call.items), elapsed)
+            self.cost.add(len(call.items), likely)
         if elapsed > self.latency_s:
             self.used = True
-            self._score(elapsed)
+            self._score(likely)
 
     def score_s(self, now: float) -> float:
         """Returns what replicas are compared by.
--- a/standins/node_driver.py
+++ b/standins/node_driver.py
@@ -79,12 +79,20 @@
         values: Value and version by key.
         down: Answer nothing.
         lose_writes: Number of coming writes whose answer is lost.
+        cut: Nodes that get no answer.
         calls: Number of calls by action name.
+        leases: When each lease ends.
+        key_leases: The lease of each key that has one.
+        watches: Waiting watches as node name and action.
     """
 
     values: dict = dataclasses.field(default_factory=dict)
     down: bool = False
     lose_writes: int = 0
+    cut: set = dataclasses.field(default_factory=set)
+    leases: dict = dataclasses.field(default_factory=dict)
+    key_leases: dict = dataclasses.field(default_factory=dict)
+    watches: list = dataclasses.field(default_factory=list)
     calls: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -122,6 +130,7 @@
         searchers: The fake searchers by name.
         store: The fake store.
         outcomes: Final actions by request id.
+        addresses: Nodes by a name that stands for their address.
         outcome_times: When they were taken, by request id.
         duplicate_share: Share of messages between nodes that arrive twice.
         peer_jitter_s: Longest extra delay of a message between nodes.
@@ -143,6 +152,7 @@
         self.duplicate_share = 0.0
         self.peer_jitter_s = 0.0
         self.logs: list[actions.LogEvent] = []
+        self.addresses: dict[str, str] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.frozen_nodes: set[str] = set()
         self.cancelled: set[str] = set()
@@ -153,8 +163,13 @@
         self._lease_ids = itertools.count(1)
         self._versions = itertools.count(1)
 
-    def start(self, name: str) -> None:
-        """Starts a node, or starts it again with nothing remembered."""
+    def start(self, name: str, listed: bool = True) -> None:
+        """Starts a node, or starts it again with nothing remembered.
+
+        Args:
+            name: The node.
+            listed: Whether it reads the host list.
+        """
         node = Node(
             self.settings[name],
             random.Random(self.rng.random()),
@@ -162,6 +177,8 @@
             self.now,
         )
         self.nodes[name] = node
+        if not listed:
+            return
         hosts = tuple(
             Host(s.name, s.zone, s.peer.address(), False, "entry")
             for s in self.settings.values()
@@ -198,6 +215,11 @@
         entry = (self.now + seconds, next(self._order), name, event)
         heapq.heappush(self._queue, entry)
 
+    def at(self, when: float, function) -> None:
+        """Calls a function at a time."""
+        entry = (when, next(self._order), "", function)
+        heapq.heappush(self._queue, entry)
+
     def run(self, seconds: float) -> None:
         """Advances the time."""
         end = self.now + seconds
@@ -207,7 +229,10 @@
                 _, _, name, event = heapq.heappop(self._queue)
                 if isinstance(event, CallEnd):
                     event = event.resolve()
-                self.inject(name, event)
+                if name:
+                    self.inject(name, event)
+                else:
+                    event()
             for name in sorted(self.nodes):
                 wakeup = self.nodes[name].next_wakeup()
                 due = wakeup is not None and wakeup <= self.now
@@ -248,16 +273,17 @@
         self.after(0.0, name, event)
 
     def _on_SendPeer(self, name, action):  # noqa: N802
-        if (name, action.peer) in self.cut_links:
+        peer = self.addresses.get(action.peer, action.peer)
+        if (name, peer) in self.cut_links:
             return
-        if action.peer not in self.nodes:
+        if peer not in self.nodes:
             self.after(PEER_DELAY_S, name, events.PeerLost(action.peer))
             return
         event = events.PeerMessageReceived(name, action.message)
         copies = 1 + (self.rng.random() < self.duplicate_share)
         for _ in range(copies):
             jitter = self.rng.uniform(0.0, self.peer_jitter_s)
-            self.after(PEER_DELAY_S + jitter, action.peer, event)
+            self.after(PEER_DELAY_S + jitter, peer, event)
 
     def _on_ProbeUpstream(self, name, action):  # noqa: N802
         fake = self.searchers[action.searcher.name]
@@ -345,49 +371,86 @@
         )
         return events.ItemResult(item.item_id, result)
 
+    def write_store(self, key: str, value: str | None, lease="") -> int:
+        """Writes a key as another client of the store would.
+
+        Returns:
+            The new version.
+        """
+        version = next(self._versions)
+        self.store.values[key] = (value, version)
+        if value is None:
+            del self.store.values[key]
+        self.store.key_leases[key] = lease
+        waiting, self.store.watches = self.store.watches, []
+        for name, action in waiting:
+            if action.key == key:
+                self._end_watch(name, action)
+            else:
+                self.store.watches.append((name, action))
+        return version
+
+    def _read_store(self, key: str):
+        lease = self.store.key_leases.get(key)
+        if lease and self.store.leases[lease] < self.now:
+            self.store.values.pop(key, None)
+            self.store.key_leases.pop(key)
+        return self.store.values.get(key, (None, 0))
+
     def _on_ReadStoreKey(self, name, action):  # noqa: N802
-        value, version = self.store.values.get(action.key, (None, 0))
+        value, version = self._read_store(action.key)
         self._end_store_call(name, action, StoreStatus.OK, value, version)
 
     def _on_WriteStoreKey(self, name, action):  # noqa: N802
-        _, version = self.store.values.get(action.key, (None, 0))
-        if self.store.down or version != action.version:
+        _, version = self._read_store(action.key)
+        ended = self.store.leases.get(action.lease, 0.0) < self.now
+        conflict = version != action.version or (action.lease and ended)
+        if self._store_is_cut(name) or conflict:
             status = StoreStatus.CONFLICT
             self._end_store_call(name, action, status, None, version)
             return
-        version = next(self._versions)
-        self.store.values[action.key] = (action.value, version)
+        version = self.write_store(action.key, action.value, action.lease)
+        status = StoreStatus.OK
         if self.store.lose_writes:
             self.store.lose_writes -= 1
-            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
-            self.after(STORE_DELAY_S, name, event)
-            return
-        self._end_store_call(
-            name, action, StoreStatus.OK, action.value, version
-        )
+            status = StoreStatus.UNAVAILABLE
+        self._end_store_call(name, action, status, action.value, version)
 
     def _on_WatchStoreKey(self, name, action):  # noqa: N802
-        value, version = self.store.values.get(action.key, (None, 0))
-        delay = action.wait_s if version == action.version else STORE_DELAY_S
-        self._end_store_call(
-            name, action, StoreStatus.OK, value, version, delay
-        )
+        _, version = self._read_store(action.key)
+        if self._store_is_cut(name) or version != action.version:
+            self._end_watch(name, action)
+            return
+        self.store.watches.append((name, action))
+        self.at(self.now + action.wait_s, lambda: self._time_out(name, action))
+
+    def _time_out(self, name, action):
+        if (name, action) in self.store.watches:
+            self.store.watches.remove((name, action))
+            self._end_watch(name, action)
+
+    def _end_watch(self, name, action):
+        value, version = self._read_store(action.key)
+        self._end_store_call(name, action, StoreStatus.OK, value, version)
 
     def _on_KeepStoreLease(self, name, action):  # noqa: N802
         lease = action.lease or f"lease-{next(self._lease_ids)}"
-        event = StoreCallEnded(action.call_id, StoreStatus.OK, lease=lease)
-        if self.store.down:
-            event = StoreCallEnded(action.call_id, StoreStatus.UNAVAILABLE)
-        self.after(STORE_DELAY_S, name, event)
+        status = StoreStatus.OK
+        if action.lease and self.store.leases.get(lease, 0.0) < self.now:
+            status = StoreStatus.UNAVAILABLE
+        elif not self._store_is_cut(name):
+            self.store.leases[lease] = self.now + action.ttl_s
+        self._end_store_call(name, action, status, None, 0, lease)
+
+    def _store_is_cut(self, name) -> bool:
+        return self.store.down or name in self.store.cut
 
-    def _end_store_call(
-        self, name, action, status, value, version, delay=STORE_DELAY_S
-    ):
+    def _end_store_call(self, name, action, status, value, version, lease=""):
         self.store.calls[type(action).__name__] += 1
-        if self.store.down:
-            status, value, version = StoreStatus.UNAVAILABLE, None, 0
-        event = StoreCallEnded(action.call_id, status, value, version)
-        self.after(delay, name, event)
+        if self._store_is_cut(name):
+            status, value, version, lease = StoreStatus.UNAVAILABLE, None, 0, ""
+        event = StoreCallEnded(action.call_id, status, value, version, lease)
+        self.after(STORE_DELAY_S, name, event)
 
 
 def start_driver(
