--- a/kumquatspur/controllers/coordinator.py
+++ b/kumquatspur/controllers/coordinator.py
@@ -20,7 +20,8 @@
 from kumquatspur.policy.retry import MIN_ATTEMPT_S
 
 CLOCK_TOLERANCE_S = 0.0005
-RESCUE_FACTOR = 1.5
+RESCUE_FACTOR = 2.0
+MAX_RESCUE_SHARE = 0.6
 
 
 def on_query(board: Blackboard, event: events.QueryReceived, now: float):
@@ -132,7 +133,7 @@
     budget = query_scatter.extra_budget(board, state.service)
     chosen = []
     # Shards that stay late queue for a slot; others take only a free one.
-    may_wait = now - state.started >= RESCUE_FACTOR * delay_s
+    may_wait = now - state.started >= _rescue_after_s(state, delay_s)
     for shard in _late_shards(state, now - delay_s):
         searcher = replica_selection.choose_searcher(board, state, shard, now)
         if searcher and budget.spend():
@@ -148,6 +149,12 @@
     return query_scatter.send(board, state, chosen, now) + cancelled
 
 
+def _rescue_after_s(state: QueryState, delay_s: float) -> float:
+    """Returns when hedges of a query may queue, in seconds from its start."""
+    longest = MAX_RESCUE_SHARE * (state.query.deadline - state.started)
+    return min(RESCUE_FACTOR * delay_s, longest)
+
+
 def _late_shards(state: QueryState, started_before: float) -> list[str]:
     """Returns the shards whose only attempt under way is late."""
     late = []
--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -186,8 +186,8 @@
             return ()
         if self.waiting[0].suspect_of and self.calls:
             return ()
-        # Free slots share what waits.
-        share = -(-len(self.waiting) // free)
+        # All slots share what waits, those that are free soon as well.
+        share = -(-len(self.waiting) // self.max_calls)
         most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.pop(0)]
         left_s = batch[0].deadline - now
