--- a/kumquatspur/policy/ownership.py
+++ b/kumquatspur/policy/ownership.py
@@ -28,8 +28,6 @@
 BOUND_STEP = 1.1
 LOAD_BOUND = 1.1
 RANKS_KEPT = 6
-# Owners that may use a searcher at once while their views differ.
-OWNERS_AT_ONCE = 2
 
 _MIX = 0x9E3779B97F4A7C15
 _MASK = (1 << 64) - 1
@@ -249,18 +247,6 @@
         return rejected
 
 
-def connection_share(searcher: Searcher) -> int:
-    """Returns how many connections one owner may open to a searcher.
-
-    Two hosts that both take themselves for the owner together stay within the
-    connections that the searcher allows.
-
-    Args:
-        searcher: The searcher.
-    """
-    return max(1, searcher.connections // OWNERS_AT_ONCE)
-
-
 def foster_zone(zone: str, live: Mapping[str, list[str]]) -> str | None:
     """Chooses whose hosts own the searchers of a zone.
 
