--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -172,7 +172,7 @@
 
         An item that is not repeatable travels alone, so that its verdict
         depends on no other item. An item suspected of crashing its upstream
-        also waits until nothing else runs there. None joins that would make
+        also waits until nothing else runs there. No item joins that would make
         the first one late.
 
         Args:
