--- a/kumquatspur/policy/searcher_queue.py
+++ b/kumquatspur/policy/searcher_queue.py
@@ -29,10 +29,17 @@
 
 @dataclasses.dataclass
 class Call:
-    """A request that is under way."""
+    """A request that is under way.
+
+    Attributes:
+        items: Its items.
+        started: When it was started.
+        reachable: Whether the searcher was known to answer then.
+    """
 
     items: tuple[Item, ...]
     started: float
+    reachable: bool = True
 
 
 @dataclasses.dataclass
@@ -179,8 +186,8 @@
             return ()
         if self.waiting[0].suspect_of and self.calls:
             return ()
-        # Free slots share what waits.
-        share = -(-len(self.waiting) // free)
+        # All slots share what waits, those that are free soon as well.
+        share = -(-len(self.waiting) // self.max_calls)
         most = min(share, self.cost.best_batch(self.max_batch))
         batch = [self.waiting.pop(0)]
         left_s = batch[0].deadline - now
@@ -196,7 +203,7 @@
 
     def start(self, call_id: str, items: tuple[Item, ...], now: float) -> None:
         """Records that a request was started."""
-        self.calls[call_id] = Call(items, now)
+        self.calls[call_id] = Call(items, now, self.reachable)
 
     def finish(
         self, call_id: str, now: float, succeeded: bool = True
