Split the owner's module by job

Change: searcher_state (what an owner knows), searcher_probes, searcher_dispatch, sub_query_results and owner; one placement.send_peer; query_scatter.send in two functions. No behaviour changes.

--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -17,6 +17,7 @@
     membership,
     owner,
     replication,
+    searcher_probes,
     view,
     watcher,
 )
@@ -45,15 +46,21 @@
     events.UpstreamAnswered: (owner.on_upstream_answered,),
     events.UpstreamFailed: (owner.on_upstream_failed,),
     events.ProbeAnswered: (
-        owner.on_probe_answered,
+        searcher_probes.on_probe_answered,
         crash_guard.on_probe_answered,
     ),
-    events.ProbeFailed: (owner.on_probe_failed, crash_guard.on_probe_failed),
+    events.ProbeFailed: (
+        searcher_probes.on_probe_failed,
+        crash_guard.on_probe_failed,
+    ),
     events.ConfigurationReceived: (
         configuration.on_configuration,
-        owner.on_configuration,
+        searcher_probes.on_configuration,
+    ),
+    events.HostsListed: (
+        membership.on_hosts_listed,
+        searcher_probes.on_hosts_listed,
     ),
-    events.HostsListed: (membership.on_hosts_listed, owner.on_hosts_listed),
     events.PeerLost: (
         membership.on_peer_lost,
         coordinator.on_peer_lost,
@@ -73,7 +80,7 @@
     events.TrustDue: (membership.on_trust_due,),
     events.ConfigurationDue: (configuration.on_configuration_due,),
     events.WatchDue: (configuration.on_watch_due,),
-    events.ProbeDue: (owner.on_probe_due,),
+    events.ProbeDue: (searcher_probes.on_probe_due,),
     events.ClaimWriteDue: (claim_writer.on_step_due,),
     events.ClaimRerouteDue: (claims.on_reroute_due,),
     events.ClaimReleaseDue: (claims.on_release_due,),
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -9,7 +9,7 @@
     replica_selection,
 )
 from kumquatspur.controllers.blackboard import Attempt, Blackboard, QueryState
-from kumquatspur.core import actions, events, messages
+from kumquatspur.core import events, messages
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Service, ShardResult
 from kumquatspur.core.verdict import Verdict
@@ -110,39 +110,45 @@
         owner = placement.ranked_owners(board, searcher, now)[0]
         by_owner[owner].append(messages.Target(shard, name))
     found = []
-    query = state.query
-    flush_ms = flush_delay_s(_window(board, state)) * 1000.0
     for owner, targets in by_owner.items():
-        sub_query = messages.SubQuery(
-            sub_id=board.new_id(),
-            request_id=query.request_id,
-            service=query.service,
-            content=query.content,
-            limit=query.limit,
-            snapshot=state.snapshot,
-            remaining_ms=time_left_s(state, now) * 1000.0,
-            flush_after_ms=flush_ms,
-            repeatable=query.repeatable,
-            hedge=hedge,
-            may_wait=may_wait,
-            targets=tuple(targets),
-            suspect_of=state.trial.suspect_of if state.trial else "",
+        sub_query = _build_sub_query(
+            board, state, targets, now, hedge, may_wait
         )
         for target in targets:
             board.in_flight[target.searcher] += 1
-            state.attempts[target.shard].append(
-                Attempt(
-                    sub_query.sub_id,
-                    owner,
-                    target.searcher,
-                    now,
-                    may_wait=may_wait,
-                )
+            attempt = Attempt(
+                sub_query.sub_id,
+                owner,
+                target.searcher,
+                now,
+                may_wait=may_wait,
             )
-        found.append(_send_peer(board, owner, sub_query))
+            state.attempts[target.shard].append(attempt)
+        found.append(placement.send_peer(board, owner, sub_query))
     return found
 
 
+def _build_sub_query(
+    board: Blackboard, state: QueryState, targets, now, hedge, may_wait
+) -> messages.SubQuery:
+    query = state.query
+    return messages.SubQuery(
+        sub_id=board.new_id(),
+        request_id=query.request_id,
+        service=query.service,
+        content=query.content,
+        limit=query.limit,
+        snapshot=state.snapshot,
+        remaining_ms=time_left_s(state, now) * 1000.0,
+        flush_after_ms=flush_delay_s(_window(board, state)) * 1000.0,
+        repeatable=query.repeatable,
+        hedge=hedge,
+        may_wait=may_wait,
+        targets=tuple(targets),
+        suspect_of=state.trial.suspect_of if state.trial else "",
+    )
+
+
 def cancel_unfinished(board: Blackboard, state: QueryState, only=None) -> list:
     """Cancels all attempts of a query that are under way.
 
@@ -163,7 +169,9 @@
                 end_attempt(board, attempt, _cancelled(shard, attempt))
                 late[(attempt.owner, attempt.sub_id)].append(shard)
     return [
-        _send_peer(board, owner, messages.CancelSubQuery(sub_id, tuple(shards)))
+        placement.send_peer(
+            board, owner, messages.CancelSubQuery(sub_id, tuple(shards))
+        )
         for (owner, sub_id), shards in late.items()
         if owner == board.settings.name or owner in board.members
     ]
@@ -252,11 +260,3 @@
 def latency_window(board: Blackboard, service: str) -> LatencyWindow:
     """Returns the latencies of recent attempts for a service."""
     return board.latencies.setdefault(service, LatencyWindow())
-
-
-def _send_peer(board: Blackboard, peer: str, message):
-    if peer == board.settings.name:
-        address = board.settings.peer.address()
-    else:
-        address = board.members[peer].address
-    return actions.SendPeer(peer, address, message)
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from kumquatspur.controllers import owner, view
+from kumquatspur.controllers import searcher_state, view
 from kumquatspur.controllers.blackboard import (
     Blackboard,
     KnownReport,
@@ -346,9 +346,9 @@
         board.changed_reports.clear()
     for name in board.changed_reports:
         queue = board.queues.get(name)
-        if queue is None or not owner.is_known(board, queue):
+        if queue is None or not searcher_state.is_known(board, queue):
             continue
-        report = owner.build_report(queue, now)
+        report = searcher_state.build_report(queue, now)
         old = state.reports.get(name)
         entry = ReportEntry(
             name,
--- /dev/null
+++ b/kumquatspur/controllers/sub_query_results.py
@@ -0,0 +1,136 @@
+"""Collects the results of sub-queries and sends them to their senders."""
+
+from kumquatspur.controllers import placement, searcher_state
+from kumquatspur.controllers.blackboard import Blackboard, SubQueryState
+from kumquatspur.core import actions, messages
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.records import ShardResult
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.merge import merge_hits
+
+
+def failed_result(queue, item, verdict, reason) -> ShardResult:
+    """Builds the result of an item that has no hits."""
+    return ShardResult(item.shard, queue.searcher.name, verdict, reason)
+
+
+def complete(board, item: actions.Item, result: ShardResult, now: float):
+    """Takes the result of an item.
+
+    Args:
+        board: The blackboard.
+        item: The item.
+        result: Its result.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    state = board.sub_queries.get(item.sub_id)
+    if state is None or state.pending.pop(item.shard, None) is None:
+        board.counters["late_item_results"] += 1
+        return []
+    state.ready.append(result)
+    return reply(board, state, now)
+
+
+def reply(board: Blackboard, state: SubQueryState, now: float):
+    """Sends the results of a sub-query that are due.
+
+    Args:
+        board: The blackboard.
+        state: The sub-query.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    if state.sub_query.sub_id not in board.sub_queries:
+        return []
+    if state.pending and not _is_due(state):
+        return []
+    if not state.pending:
+        board.sub_queries.pop(state.sub_query.sub_id, None)
+    if not state.ready:
+        return []
+    results = _trim_hits(state.ready, state.sub_query.limit)
+    names = sorted({result.searcher for result in results})
+    reports = tuple(
+        searcher_state.build_report(board.queues[name], now)
+        for name in names
+        if name in board.queues
+        and searcher_state.is_known(board, board.queues[name])
+    )
+    state.ready = []
+    answer = messages.SubAnswer(
+        state.sub_query.sub_id, state.sub_query.request_id, results, reports
+    )
+    return [placement.send_peer(board, state.sender, answer)]
+
+
+def abandon(board: Blackboard, state: SubQueryState, shards, now):
+    """Gives up on some shards of a sub-query.
+
+    Args:
+        board: The blackboard.
+        state: The sub-query.
+        shards: The shards.
+        now: The current time.
+
+    Returns:
+        Actions.
+    """
+    found = []
+    for shard in shards:
+        verdict = withdraw(board, state, shard, found)
+        state.ready.append(ShardResult(shard, "", verdict, Reason.TIMED_OUT))
+    return found + reply(board, state, now)
+
+
+def withdraw(board, state: SubQueryState, shard: str, found: list) -> Verdict:
+    """Removes an item from its queue, or cancels its call if it is the last."""
+    item = state.pending.pop(shard, None)
+    if item is None:
+        return Verdict.NOT_RUN
+    targets = state.sub_query.targets
+    name = next(t.searcher for t in targets if t.shard == shard)
+    queue = board.queues.get(name)
+    if queue is not None and item in queue.waiting:
+        queue.waiting.remove(item)
+        return Verdict.NOT_RUN
+    for call_id, call in queue.calls.items() if queue else ():
+        if item in call.items and not _wanted(board, call):
+            found.append(actions.CancelUpstream(call_id))
+    return Verdict.MAY_HAVE_RUN
+
+
+def _is_due(state: SubQueryState) -> bool:
+    """Results may be held to go together; a failure is told at once."""
+    if state.flushed and state.ready:
+        return True
+    return any(result.reason is not None for result in state.ready)
+
+
+def _trim_hits(results, limit: int) -> tuple[ShardResult, ...]:
+    best = set(merge_hits((result.hits for result in results), limit))
+    return tuple(
+        ShardResult(
+            result.shard,
+            result.searcher,
+            result.verdict,
+            result.reason,
+            result.snapshot,
+            tuple(hit for hit in result.hits if hit in best),
+            result.held,
+        )
+        for result in results
+    )
+
+
+def _wanted(board: Blackboard, call) -> bool:
+    """Returns whether anybody still waits for an item of a request."""
+    for item in call.items:
+        state = board.sub_queries.get(item.sub_id)
+        if state is not None and state.pending.get(item.shard) is item:
+            return True
+    return False
