Plain names in the crash guard and in ownership

Cause: deaths, standing, acquittal, condemned, greeted and fostering are figures of speech; the field says incident, state, clear, stop, inform and failover.

--- a/kumquatspur/controllers/blackboard.py
+++ b/kumquatspur/controllers/blackboard.py
@@ -104,13 +104,13 @@
         suspect_of: The searcher lost.
         shard: The one shard that may be attempted.
         waiting: Shards that wait for its result.
-        condemned: Whether another searcher was lost; nothing more is sent.
+        stopped: Whether another searcher was lost; nothing more is sent.
     """
 
     suspect_of: str
     shard: str
     waiting: list[str] = dataclasses.field(default_factory=list)
-    condemned: bool = False
+    stopped: bool = False
 
 
 @dataclasses.dataclass
@@ -263,7 +263,7 @@
             be repeated, by id, oldest first.
         crash_suspects: Contents suspected of crashing upstreams.
         breaks: The last broken connection of each searcher.
-        greeted: Incarnation of each entry host that was told what is refused.
+        informed: Incarnation of each entry host that was told what is refused.
         claims: Queries that wait for their claim, by nonce.
         claim_writers: Claim buckets that this node writes, by number.
         stopping: Whether a graceful stop has begun.
@@ -301,7 +301,7 @@
         self.recent_sub_ids: dict[str, float] = {}
         self.crash_suspects = CrashSuspects()
         self.breaks: dict[str, UpstreamBreak] = {}
-        self.greeted: dict[str, int] = {}
+        self.informed: dict[str, int] = {}
         self.claims: dict[str, PendingClaim] = {}
         self.claim_writers: dict[int, BucketWriter] = {}
         self.stopping = False
--- a/kumquatspur/controllers/crash_guard.py
+++ b/kumquatspur/controllers/crash_guard.py
@@ -18,7 +18,7 @@
 from kumquatspur.core.records import Query, Refusal
 from kumquatspur.core.verdict import Outcome, Phase, Verdict
 from kumquatspur.policy import crash_suspects
-from kumquatspur.policy.crash_suspects import Death, Standing
+from kumquatspur.policy.crash_suspects import ContentState, Incident
 from kumquatspur.policy.searcher_queue import Call, SearcherQueue
 
 MAX_REPORTS = 256
@@ -51,13 +51,13 @@
 
 def is_refused(board: Blackboard, content: str, now: float) -> bool:
     """Returns whether a content, given by its fingerprint, is refused."""
-    standing = board.crash_suspects.standing(content, now)
-    return standing is Standing.REFUSED
+    state = board.crash_suspects.state_of(content, now)
+    return state is ContentState.REFUSED
 
 
 def suspect_of(board: Blackboard, content: str, now: float) -> str:
     """Returns a searcher that was lost under a content, or ""."""
-    return next(iter(board.crash_suspects.dead_searchers(content, now)), "")
+    return next(iter(board.crash_suspects.lost_searchers(content, now)), "")
 
 
 def hold_back(board: Blackboard, state: QueryState, chosen: list, now: float):
@@ -74,16 +74,19 @@
     """
     query = state.query
     content = crash_suspects.fingerprint(query.service, query.content)
-    dead = board.crash_suspects.dead_searchers(content, now)
-    if not dead or not chosen:
+    lost = board.crash_suspects.lost_searchers(content, now)
+    if not lost or not chosen:
         return chosen
     searchers = board.configuration.searchers
-    lost = {
-        s for name in dead if name in searchers for s in searchers[name].shards
+    shards = {
+        shard
+        for name in lost
+        if name in searchers
+        for shard in searchers[name].shards
     }
-    first = next((pair for pair in chosen if pair[0] in lost), chosen[0])
+    first = next((pair for pair in chosen if pair[0] in shards), chosen[0])
     waiting = [shard for shard, _ in chosen if shard != first[0]]
-    state.trial = Trial(dead[0], first[0], waiting)
+    state.trial = Trial(lost[0], first[0], waiting)
     board.counters["crash_trials"] += 1
     return [first]
 
@@ -144,7 +147,7 @@
 
 
 def on_reports(board: Blackboard, peer: str, message, now: float):
-    """Takes the deaths that another entry host knows of.
+    """Takes the incidents that another entry host knows of.
 
     Args:
         board: The blackboard.
@@ -155,9 +158,9 @@
     Returns:
         Actions.
     """
-    deaths = [
-        Death(
-            report.death_id,
+    incidents = [
+        Incident(
+            report.incident_id,
             report.fingerprint,
             report.searcher,
             report.shard,
@@ -167,7 +170,7 @@
         )
         for report in message.reports
     ]
-    board.crash_suspects.add(deaths)
+    board.crash_suspects.add(incidents)
     return []
 
 
@@ -183,9 +186,9 @@
     Returns:
         Actions.
     """
-    if board.greeted.get(message.name) == message.incarnation:
+    if board.informed.get(message.name) == message.incarnation:
         return []
-    board.greeted[message.name] = message.incarnation
+    board.informed[message.name] = message.incarnation
     return _tell(board, [message.name], board.crash_suspects.refused(now), now)
 
 
@@ -224,11 +227,11 @@
     if first.suspect_of:
         board.breaks[name].contents = {}
         content, shard = first.fingerprint, first.shard
-        deaths = [
-            _death(board, content, first.suspect_of, shard, False, now),
-            _death(board, content, name, shard, True, now),
+        incidents = [
+            _incident(board, content, first.suspect_of, shard, False, now),
+            _incident(board, content, name, shard, True, now),
         ]
-        return _remember(board, deaths, now)
+        return _remember(board, incidents, now)
     return [actions.ProbeUpstream(queue.searcher)]
 
 
@@ -238,45 +241,49 @@
         return []
     contents, last.contents = last.contents, {}
     alone = len(contents) == 1
-    deaths = [
-        _death(board, content, searcher, shard, alone, now)
+    incidents = [
+        _incident(board, content, searcher, shard, alone, now)
         for content, shard in sorted(contents.items())
     ]
-    return _remember(board, deaths, now)
+    return _remember(board, incidents, now)
 
 
-def _death(board: Blackboard, content, searcher, shard, alone, now) -> Death:
+def _incident(
+    board: Blackboard, content, searcher, shard, alone, now
+) -> Incident:
     expires = now + crash_suspects.MEMORY_S
-    return Death(board.new_id(), content, searcher, shard, alone, now, expires)
+    return Incident(
+        board.new_id(), content, searcher, shard, alone, now, expires
+    )
 
 
-def _remember(board: Blackboard, deaths: list[Death], now: float):
+def _remember(board: Blackboard, incidents: list[Incident], now: float):
     found = []
-    board.crash_suspects.add(deaths)
-    for death in deaths:
-        standing = board.crash_suspects.standing(death.fingerprint, now)
+    board.crash_suspects.add(incidents)
+    for incident in incidents:
+        state = board.crash_suspects.state_of(incident.fingerprint, now)
         fields = (
-            ("fingerprint", death.fingerprint),
-            ("searcher", death.searcher),
-            ("alone", death.alone),
-            ("standing", str(standing)),
+            ("fingerprint", incident.fingerprint),
+            ("searcher", incident.searcher),
+            ("alone", incident.alone),
+            ("state", str(state)),
         )
         found.append(actions.LogEvent("upstream_lost_under_query", fields))
-    return found + _tell(board, list(board.members), deaths, now)
+    return found + _tell(board, list(board.members), incidents, now)
 
 
-def _tell(board, peers: Iterable[str], deaths: list[Death], now: float):
+def _tell(board, peers: Iterable[str], incidents: list[Incident], now: float):
     reports = tuple(
         messages.CrashReport(
-            death.death_id,
-            death.fingerprint,
-            death.searcher,
-            death.shard,
-            death.alone,
-            (now - death.noted) * 1000.0,
-            (death.expires - now) * 1000.0,
+            incident.incident_id,
+            incident.fingerprint,
+            incident.searcher,
+            incident.shard,
+            incident.alone,
+            (now - incident.noted) * 1000.0,
+            (incident.expires - now) * 1000.0,
         )
-        for death in deaths[:MAX_REPORTS]
+        for incident in incidents[:MAX_REPORTS]
     )
     if not reports:
         return []
--- a/kumquatspur/controllers/crash_trial.py
+++ b/kumquatspur/controllers/crash_trial.py
@@ -23,14 +23,14 @@
 
 
 def take_failure(state: QueryState, result: ShardResult) -> None:
-    """Puts a query on trial, or condemns it, after an attempt that failed.
+    """Puts a query on trial, or stops it, after an attempt that failed.
 
     Args:
         state: The query.
         result: The result of the attempt, which is recorded already.
     """
-    if _condemns(state, result):
-        _condemn(state, result)
+    if _must_stop(state, result):
+        _stop(state, result)
     elif state.trial is None and is_break(result):
         state.trial = Trial(result.searcher, result.shard)
 
@@ -44,9 +44,9 @@
     return True
 
 
-def is_condemned(state: QueryState) -> bool:
+def is_stopped(state: QueryState) -> bool:
     """Returns whether no further attempt is allowed."""
-    return state.trial is not None and state.trial.condemned
+    return state.trial is not None and state.trial.stopped
 
 
 def passed(board: Blackboard, state: QueryState, shard: str, now: float):
@@ -62,7 +62,7 @@
         Actions.
     """
     trial = state.trial
-    if trial is None or trial.condemned or trial.shard != shard:
+    if trial is None or trial.stopped or trial.shard != shard:
         return []
     searchers = [
         searcher.name
@@ -71,7 +71,7 @@
     ]
     query = state.query
     content = crash_suspects.fingerprint(query.service, query.content)
-    board.crash_suspects.acquit(content, searchers)
+    board.crash_suspects.clear(content, searchers)
     state.trial = None
     chosen = []
     for waiting in trial.waiting:
@@ -92,7 +92,7 @@
         Actions.
     """
     trial = state.trial
-    if trial is None or trial.condemned or trial.shard != shard:
+    if trial is None or trial.stopped or trial.shard != shard:
         return []
     while trial.waiting:
         trial.shard = trial.waiting.pop(0)
@@ -121,7 +121,7 @@
     return ShardResult(shard, searcher, verdict, reason)
 
 
-def _condemns(state: QueryState, result: ShardResult) -> bool:
+def _must_stop(state: QueryState, result: ShardResult) -> bool:
     if result.reason is Reason.CRASHES_UPSTREAMS:
         return True
     if not is_break(result):
@@ -136,11 +136,11 @@
     return state.trial is not None and state.trial.shard == result.shard
 
 
-def _condemn(state: QueryState, result: ShardResult) -> None:
+def _stop(state: QueryState, result: ShardResult) -> None:
     """Ends all shards that wait, and allows no further attempt."""
     if state.trial is None:
         state.trial = Trial(result.searcher, result.shard)
-    state.trial.condemned = True
+    state.trial.stopped = True
     for shard in state.trial.waiting:
         state.results[shard] = final_result(
             state, shard, Reason.CRASHES_UPSTREAMS
--- a/kumquatspur/controllers/gossip.py
+++ b/kumquatspur/controllers/gossip.py
@@ -59,7 +59,7 @@
         zone_order: Other zones that are still to be probed.
         zone_failures: Probes failed in a row, by other zone.
         empty_zones: Since when each zone with searchers has no live host.
-        fostered: Zones whose searchers are owned in other zones.
+        failed_over: Zones whose searchers are owned in other zones.
         notices: Log events to be written.
         synced: Whether all state was received since the start.
         requested_at: When state was last requested.
@@ -82,7 +82,7 @@
         self.zone_order: list[str] = []
         self.zone_failures: dict[str, int] = collections.defaultdict(int)
         self.empty_zones: dict[str, float] = {}
-        self.fostered: set[str] = set()
+        self.failed_over: set[str] = set()
         self.notices: list[LogEvent] = []
         self.synced = False
         self.requested_at = 0.0
--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -124,7 +124,7 @@
     board.counters["heartbeats"] += 1
     _end_probes(board, interval, now)
     replication.contest_reports(board, now)
-    placement.update_fostered(board, now)
+    placement.update_failed_over(board, now)
     _forget(board, now)
     found = [
         _heartbeat(board, member, True, now)
--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -11,12 +11,12 @@
     Piece,
     assign_pieces,
     cut_groups,
-    foster_zone,
+    failover_zone,
     rank_members,
 )
 
 # How long a zone must be without live hosts before others own its searchers.
-FOSTER_DELAY_S = 5.0
+FAILOVER_DELAY_S = 5.0
 
 
 def live_members(board: Blackboard, zone: str, now: float) -> list[str]:
@@ -63,7 +63,7 @@
     return bool(owners) and owners[0] == board.settings.name
 
 
-def update_fostered(board: Blackboard, now: float) -> None:
+def update_failed_over(board: Blackboard, now: float) -> None:
     """Finds zones that have been without live entry hosts for a while.
 
     Args:
@@ -73,13 +73,13 @@
     cache, state = _refresh(board, now), board.gossip
     empty = {zone for zone in cache.pieces if not cache.live.get(zone)}
     state.empty_zones = {z: state.empty_zones.get(z, now) for z in empty}
-    fostered = {
+    failed_over = {
         zone
         for zone, since in state.empty_zones.items()
-        if now - since >= FOSTER_DELAY_S
+        if now - since >= FAILOVER_DELAY_S
     }
-    if fostered != state.fostered:
-        state.fostered = fostered
+    if failed_over != state.failed_over:
+        state.failed_over = failed_over
         state.view_version += 1
 
 
@@ -89,8 +89,8 @@
     """Computes the owners of a zone unless neither side has changed."""
     pieces = cache.pieces.get(zone, [])
     owning_zone = zone
-    if zone in board.gossip.fostered:
-        owning_zone = foster_zone(zone, cache.live)
+    if zone in board.gossip.failed_over:
+        owning_zone = failover_zone(zone, cache.live)
     members = sorted(cache.live.get(owning_zone, []))
     source, assignment = cache.assigned.get(zone, (None, None))
     if source != (pieces, members):
--- a/kumquatspur/controllers/query_results.py
+++ b/kumquatspur/controllers/query_results.py
@@ -188,7 +188,7 @@
     # An attempt that its owner declined has reached no searcher.
     reached = sum(not replica_selection.bounced(a) for a in attempts)
     step = next_step(verdict, state.query.repeatable, left, reached)
-    if step is NextStep.RETRY and not crash_trial.is_condemned(state):
+    if step is NextStep.RETRY and not crash_trial.is_stopped(state):
         if crash_trial.must_wait(state, shard):
             return []
         searcher = replica_selection.choose_searcher(board, state, shard, now)
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -303,7 +303,7 @@
     """Loss of an upstream while a query content was in flight there.
 
     Attributes:
-        death_id: Unique over all entry hosts.
+        incident_id: Unique over all entry hosts.
         fingerprint: The content.
         searcher: The upstream lost.
         shard: The shard that the content was to search there.
@@ -312,7 +312,7 @@
         remaining_ms: Time until it is forgotten.
     """
 
-    death_id: str
+    incident_id: str
     fingerprint: str
     searcher: str
     shard: str
--- a/kumquatspur/policy/crash_suspects.py
+++ b/kumquatspur/policy/crash_suspects.py
@@ -1,11 +1,11 @@
 """Which query contents are suspected of crashing upstreams.
 
-A death is the loss of an upstream while a content was in flight there. It is
-alone if no other content was in flight there, and no other upstream was lost
+An incident is the loss of an upstream while a content was in flight there. It
+is alone if no other content was in flight there, and no other upstream was lost
 at about the same time without this content. It counts as alone, too, if it is
 the only content in flight at the loss of two replicas of one shard, which stand
-in different zones. A content is refused after two deaths of which at least one
-was alone, so the loss of many upstreams accuses none.
+in different zones. A content is refused after two incidents of which at least
+one was alone, so the loss of many upstreams at once is held against none.
 """
 
 import dataclasses
@@ -18,11 +18,11 @@
 
 MEMORY_S = 600.0
 COINCIDENCE_S = 0.25
-REFUSAL_DEATHS = 2
+REFUSAL_INCIDENTS = 2
 MAX_CONTENTS = 1024
 
 
-class Standing(enum.StrEnum):
+class ContentState(enum.StrEnum):
     """How a content is treated."""
 
     CLEAR = "clear"
@@ -31,11 +31,11 @@
 
 
 @record
-class Death:
+class Incident:
     """The loss of an upstream under a content.
 
     Attributes:
-        death_id: Unique over all entry hosts.
+        incident_id: Unique over all entry hosts.
         fingerprint: The content.
         searcher: The upstream lost.
         shard: The shard that the content was to search there.
@@ -44,7 +44,7 @@
         expires: When it is forgotten.
     """
 
-    death_id: str
+    incident_id: str
     fingerprint: str
     searcher: str
     shard: str
@@ -60,80 +60,92 @@
 
 @dataclasses.dataclass
 class CrashSuspects:
-    """The deaths that are remembered.
+    """The incidents that are remembered.
 
     Attributes:
-        deaths: Deaths by fingerprint and death id, oldest content first.
+        incidents: Incidents by fingerprint and incident id, oldest content
+            first.
     """
 
-    deaths: dict[str, dict[str, Death]] = dataclasses.field(
+    incidents: dict[str, dict[str, Incident]] = dataclasses.field(
         default_factory=dict
     )
 
-    def add(self, deaths: Iterable[Death]) -> None:
-        """Remembers deaths.
+    def add(self, incidents: Iterable[Incident]) -> None:
+        """Remembers incidents.
 
         Args:
-            deaths: The deaths; all those of one loss together.
+            incidents: The incidents; all those of one loss together.
         """
         new = [
-            death
-            for death in deaths
-            if death.death_id not in self.deaths.get(death.fingerprint, ())
+            incident
+            for incident in incidents
+            if incident.incident_id
+            not in self.incidents.get(incident.fingerprint, ())
         ]
-        for death in new:
-            self._put(death)
-            if len(self.deaths) > MAX_CONTENTS:
+        for incident in new:
+            self._put(incident)
+            if len(self.incidents) > MAX_CONTENTS:
                 self._evict()
-        for death in new:
-            self._single_out(death)
-        for death in new:
-            self._compare(death)
+        for incident in new:
+            self._single_out(incident)
+        for incident in new:
+            self._compare(incident)
 
-    def _single_out(self, death: Death) -> None:
+    def _is_known(self, incident: Incident) -> bool:
+        known = self.incidents.get(incident.fingerprint, ())
+        return incident.incident_id in known
+
+    def _single_out(self, incident: Incident) -> None:
         """Notes a content that alone explains the loss of two replicas."""
-        for other in list(self.deaths.get(death.fingerprint, {}).values()):
-            replica = other.shard == death.shard
-            if not replica or other.searcher == death.searcher:
+        for other in list(
+            self.incidents.get(incident.fingerprint, {}).values()
+        ):
+            replica = other.shard == incident.shard
+            if not replica or other.searcher == incident.searcher:
                 continue
-            common = self._contents(death) & self._contents(other)
-            if common == {death.fingerprint}:
-                self._put(dataclasses.replace(death, alone=True))
+            common = self._contents(incident) & self._contents(other)
+            if common == {incident.fingerprint}:
+                self._put(dataclasses.replace(incident, alone=True))
 
-    def _contents(self, death: Death) -> set[str]:
-        """Returns the contents in flight at the loss behind a death."""
+    def _contents(self, incident: Incident) -> set[str]:
+        """Returns the contents in flight at the loss behind an incident."""
         return {
-            content for content in self.deaths if self._lost(content, death)
+            content
+            for content in self.incidents
+            if self._lost(content, incident)
         }
 
-    def _compare(self, death: Death) -> None:
-        """Notes which deaths coincide with one that they do not explain."""
+    def _compare(self, incident: Incident) -> None:
+        """Notes which incidents coincide with one that they do not explain."""
         coinciding = [
             other
-            for known in self.deaths.values()
+            for known in self.incidents.values()
             for other in known.values()
-            if other.searcher != death.searcher
-            and abs(other.noted - death.noted) < COINCIDENCE_S
+            if other.searcher != incident.searcher
+            and abs(other.noted - incident.noted) < COINCIDENCE_S
         ]
         for other in coinciding:
-            death = self.deaths[death.fingerprint][death.death_id]
-            for first, second in ((death, other), (other, death)):
+            incident = self.incidents[incident.fingerprint][
+                incident.incident_id
+            ]
+            for first, second in ((incident, other), (other, incident)):
                 if first.alone and not self._lost(first.fingerprint, second):
                     self._put(dataclasses.replace(first, alone=False))
 
-    def _lost(self, content: str, death: Death) -> bool:
-        """Returns whether a content was in flight in a death's loss."""
+    def _lost(self, content: str, incident: Incident) -> bool:
+        """Returns whether a content was in flight in an incident's loss."""
         return any(
-            known.searcher == death.searcher
-            and abs(known.noted - death.noted) < COINCIDENCE_S
-            for known in self.deaths.get(content, {}).values()
+            known.searcher == incident.searcher
+            and abs(known.noted - incident.noted) < COINCIDENCE_S
+            for known in self.incidents.get(content, {}).values()
         )
 
-    def _put(self, death: Death) -> None:
-        known = self.deaths.setdefault(death.fingerprint, {})
-        known[death.death_id] = death
+    def _put(self, incident: Incident) -> None:
+        known = self.incidents.setdefault(incident.fingerprint, {})
+        known[incident.incident_id] = incident
 
-    def standing(self, content: str, now: float) -> Standing:
+    def state_of(self, content: str, now: float) -> ContentState:
         """Returns how a content is treated.
 
         Args:
@@ -141,62 +153,68 @@
             now: The current time.
 
         Returns:
-            The standing.
+            The state.
         """
         live = self._live(content, now)
         if not live:
-            return Standing.CLEAR
-        alone = any(death.alone for death in live)
-        if alone and len(live) >= REFUSAL_DEATHS:
-            return Standing.REFUSED
-        return Standing.SUSPECT
-
-    def dead_searchers(self, content: str, now: float) -> list[str]:
-        """Returns the upstreams that died under a content."""
-        return sorted({death.searcher for death in self._live(content, now)})
+            return ContentState.CLEAR
+        alone = any(incident.alone for incident in live)
+        if alone and len(live) >= REFUSAL_INCIDENTS:
+            return ContentState.REFUSED
+        return ContentState.SUSPECT
+
+    def lost_searchers(self, content: str, now: float) -> list[str]:
+        """Returns the upstreams that were lost under a content."""
+        return sorted(
+            {incident.searcher for incident in self._live(content, now)}
+        )
 
     def expires(self, content: str, now: float) -> float:
-        """Returns when the last death of a content is forgotten."""
+        """Returns when the last incident of a content is forgotten."""
         live = self._live(content, now)
-        return max((death.expires for death in live), default=now)
+        return max((incident.expires for incident in live), default=now)
 
-    def acquit(self, content: str, searchers: Container[str]) -> None:
-        """Forgets deaths after a content ran without harm.
+    def clear(self, content: str, searchers: Container[str]) -> None:
+        """Forgets incidents after a content ran without harm.
 
         Args:
             content: Its fingerprint.
-            searchers: The searchers of the shard on which it ran; deaths of
+            searchers: The searchers of the shard on which it ran; incidents of
                 others are forgotten only if they were not alone.
         """
         kept = {
-            death_id: death
-            for death_id, death in self.deaths.pop(content, {}).items()
-            if death.alone and death.searcher not in searchers
+            incident_id: incident
+            for incident_id, incident in self.incidents.pop(content, {}).items()
+            if incident.alone and incident.searcher not in searchers
         }
         if kept:
-            self.deaths[content] = kept
+            self.incidents[content] = kept
 
-    def refused(self, now: float) -> list[Death]:
-        """Returns the deaths of all contents that are refused."""
+    def refused(self, now: float) -> list[Incident]:
+        """Returns the incidents of all contents that are refused."""
         return [
-            death
-            for content in list(self.deaths)
-            if self.standing(content, now) is Standing.REFUSED
-            for death in self.deaths[content].values()
+            incident
+            for content in list(self.incidents)
+            if self.state_of(content, now) is ContentState.REFUSED
+            for incident in self.incidents[content].values()
         ]
 
-    def _live(self, content: str, now: float) -> list[Death]:
-        known = self.deaths.get(content)
+    def _live(self, content: str, now: float) -> list[Incident]:
+        known = self.incidents.get(content)
         if known is None:
             return []
-        live = {n: death for n, death in known.items() if death.expires > now}
+        live = {
+            n: incident
+            for n, incident in known.items()
+            if incident.expires > now
+        }
         if live:
-            self.deaths[content] = live
+            self.incidents[content] = live
         else:
-            del self.deaths[content]
+            del self.incidents[content]
         return list(live.values())
 
     def _evict(self) -> None:
-        """Forgets the oldest content with the fewest deaths."""
-        oldest = min(self.deaths, key=lambda name: len(self.deaths[name]))
-        del self.deaths[oldest]
+        """Forgets the oldest content with the fewest incidents."""
+        oldest = min(self.incidents, key=lambda name: len(self.incidents[name]))
+        del self.incidents[oldest]
--- a/kumquatspur/policy/crash_suspects_test.py
+++ b/kumquatspur/policy/crash_suspects_test.py
@@ -2,16 +2,16 @@
 
 from kumquatspur.policy.crash_suspects import (
     MEMORY_S,
+    ContentState,
     CrashSuspects,
-    Death,
-    Standing,
+    Incident,
 )
 
 
 def loss(searcher, contents, at=0.0, shard="s"):
-    """Returns the deaths of one loss."""
+    """Returns the incidents of one loss."""
     return [
-        Death(
+        Incident(
             f"{searcher}@{at}/{content}",
             content,
             searcher,
@@ -25,57 +25,57 @@
 
 
 class CrashSuspectsTest(unittest.TestCase):
-    def test_standing_of_content_x(self):
+    def test_state_of_content_x(self):
         cases = {
-            "one death": ([loss("a", "x")], Standing.SUSPECT),
+            "one incident": ([loss("a", "x")], ContentState.SUSPECT),
             "alone twice": ([loss("a", "x"), loss("b", "x", 1)], "refused"),
             "alone once": ([loss("a", "xy"), loss("b", "x", 1)], "refused"),
             "twice the same": (
                 [loss("a", "x"), loss("a", "x", 1)],
-                Standing.REFUSED,
+                ContentState.REFUSED,
             ),
             "told twice": ([loss("a", "x"), loss("a", "x")], "suspect"),
             "only common content of two replicas": (
                 [loss("a", "xy"), loss("b", "xz", 0.01)],
-                Standing.REFUSED,
+                ContentState.REFUSED,
             ),
             "common content of two shards": (
                 [loss("a", "xy"), loss("b", "xz", 0.01, "t")],
-                Standing.SUSPECT,
+                ContentState.SUSPECT,
             ),
             "two common contents": (
                 [loss("a", "xyv"), loss("b", "xyz", 1)],
-                Standing.SUSPECT,
+                ContentState.SUSPECT,
             ),
             "another loss without it": (
                 [loss("a", "x"), loss("b", "x", 0.01), loss("c", "y", 0.02)],
-                Standing.SUSPECT,
+                ContentState.SUSPECT,
             ),
             "another loss without it, first": (
                 [loss("c", "y"), loss("a", "xy"), loss("b", "xz", 0.01)],
-                Standing.SUSPECT,
+                ContentState.SUSPECT,
             ),
             "another loss, later": (
                 [loss("a", "x"), loss("b", "x"), loss("c", "y", 9)],
-                Standing.REFUSED,
+                ContentState.REFUSED,
             ),
         }
         for name, (losses, expected) in cases.items():
             with self.subTest(name):
                 suspects = CrashSuspects()
-                for deaths in losses:
-                    suspects.add(deaths)
-                self.assertEqual(suspects.standing("x", 10.0), expected)
-                after = suspects.standing("x", 10.0 + MEMORY_S)
-                self.assertEqual(after, Standing.CLEAR)
+                for incidents in losses:
+                    suspects.add(incidents)
+                self.assertEqual(suspects.state_of("x", 10.0), expected)
+                after = suspects.state_of("x", 10.0 + MEMORY_S)
+                self.assertEqual(after, ContentState.CLEAR)
 
-    def test_acquittal(self):
+    def test_clear(self):
         suspects = CrashSuspects()
         suspects.add(loss("a", "x"))
-        suspects.acquit("x", ["b"])
-        self.assertEqual(suspects.standing("x", 1.0), Standing.SUSPECT)
-        suspects.acquit("x", ["a", "b"])
-        self.assertEqual(suspects.standing("x", 1.0), Standing.CLEAR)
+        suspects.clear("x", ["b"])
+        self.assertEqual(suspects.state_of("x", 1.0), ContentState.SUSPECT)
+        suspects.clear("x", ["a", "b"])
+        self.assertEqual(suspects.state_of("x", 1.0), ContentState.CLEAR)
 
 
 if __name__ == "__main__":
--- a/kumquatspur/policy/ownership.py
+++ b/kumquatspur/policy/ownership.py
@@ -247,7 +247,7 @@
         return rejected
 
 
-def foster_zone(zone: str, live: Mapping[str, list[str]]) -> str | None:
+def failover_zone(zone: str, live: Mapping[str, list[str]]) -> str | None:
     """Chooses whose hosts own the searchers of a zone.
 
     Args:
@@ -260,4 +260,4 @@
     if live.get(zone):
         return zone
     others = [name for name, members in live.items() if members]
-    return rank_members(f"foster\0{zone}", others)[0] if others else None
+    return rank_members(f"failover\0{zone}", others)[0] if others else None
--- a/kumquatspur/policy/ownership_test.py
+++ b/kumquatspur/policy/ownership_test.py
@@ -8,7 +8,7 @@
     PIECE_SEARCHERS,
     assign_pieces,
     cut_groups,
-    foster_zone,
+    failover_zone,
     load_bound,
     rank_members,
 )
@@ -120,11 +120,11 @@
         met = {o for name, o in assigned.items() if name.startswith("3-")}
         self.assertLessEqual(len(met), 250 / PIECE_SEARCHERS + 1)
 
-    def test_zone_without_hosts_is_fostered_by_one_other(self):
+    def test_zone_without_hosts_fails_over_to_one_other(self):
         live = {"a": [], "b": ["h1"], "c": ["h2"]}
-        self.assertEqual(foster_zone("b", live), "b")
-        self.assertIn(foster_zone("a", live), ("b", "c"))
-        self.assertIsNone(foster_zone("a", {"a": []}))
+        self.assertEqual(failover_zone("b", live), "b")
+        self.assertIn(failover_zone("a", live), ("b", "c"))
+        self.assertIsNone(failover_zone("a", {"a": []}))
 
 
 if __name__ == "__main__":
