The bound of lost upstreams is two, crowded or not

Cause: the schedules allowed three losses under one content at crowded searchers, a bound written after what was seen; the target says two. Conclusion: the guard misses when both first losses happen among other contents.

--- a/standins/fault_schedules_test.py
+++ b/standins/fault_schedules_test.py
@@ -1,9 +1,7 @@
 import os
 import unittest
 
-from standins.fault_schedules import (
-    run_schedule,
-)
+from standins.fault_schedules import run_schedule
 from standins.schedule_checks import MAX_CRASHES, check_schedule, count_crashes
 
 # These failed before the decision code was mended.
@@ -24,6 +22,12 @@
         schedule = run_schedule(113, keyed=True)
         self.assertLessEqual(count_crashes(schedule), MAX_CRASHES)
 
+    def test_crashes_in_open_seeds(self):
+        for seed in (50297, 70033):
+            with self.subTest(seed=seed):
+                schedule = run_schedule(seed, keyed=True)
+                self.assertLessEqual(count_crashes(schedule), MAX_CRASHES)
+
     def check(self, seeds, keyed):
         for seed in seeds:
             schedule = run_schedule(seed, keyed)
--- a/standins/schedule_checks.py
+++ b/standins/schedule_checks.py
@@ -15,11 +15,8 @@
 from standins.node_driver import NodeDriver
 
 ANSWER_GRACE_S = 0.002
-# The target: upstreams that may die under one content.
+# The target: upstreams that may be lost under one content.
 MAX_CRASHES = 2
-# Under load a hedge may meet the content before its first loss is noticed, and
-# two losses among other contents accuse none; the next one is alone.
-MAX_CRASHES_CROWDED = 3
 
 _ANY_HOST = {"host_killed", "host_restarted", "host_frozen"}
 _ANY_CUT = {"zone_cut", "link_cut_one_way"}
@@ -110,9 +107,9 @@
 
 
 def _allowed_crashes(schedule: Schedule) -> int:
-    allowed = MAX_CRASHES_CROWDED if schedule.crowded else MAX_CRASHES
     # The sides of a cut cannot tell each other.
-    return allowed * 2 if "zone_cut" in schedule.faults else allowed
+    sides = 2 if "zone_cut" in schedule.faults else 1
+    return MAX_CRASHES * sides
 
 
 def count_crashes(schedule: Schedule) -> int:
