--- a/kumquatspur/controllers/membership.py
+++ b/kumquatspur/controllers/membership.py
@@ -6,7 +6,12 @@
 digests so that what was lost is repaired.
 """
 
-from kumquatspur.controllers import placement, replication, view
+from kumquatspur.controllers import (
+    placement,
+    replication,
+    report_replication,
+    view,
+)
 from kumquatspur.controllers.blackboard import (
     CUT_FAILURES,
     Blackboard,
@@ -123,7 +128,7 @@
     )
     board.counters["heartbeats"] += 1
     _end_probes(board, interval, now)
-    replication.contest_reports(board, now)
+    report_replication.contest_reports(board, now)
     placement.update_failed_over(board, now)
     _forget(board, now)
     found = [
--- a/kumquatspur/controllers/node.py
+++ b/kumquatspur/controllers/node.py
@@ -17,6 +17,7 @@
     membership,
     owner,
     replication,
+    report_replication,
     searcher_probes,
     view,
     watcher,
@@ -26,7 +27,7 @@
 
 
 def _on_sub_answer(board, peer, message, now):
-    replication.take_reports(board, message.reports, now)
+    report_replication.take_reports(board, message.reports, now)
     return coordinator.on_sub_answer(board, peer, message, now)
 
 
@@ -142,7 +143,7 @@
         else:
             found = self._dispatch(event, now)
         if self.board.changed_reports:
-            replication.publish_reports(self.board, now)
+            report_replication.publish_reports(self.board, now)
         found = self._deliver_local(found, now)
         if self.board.gossip.notices:
             found += self.board.gossip.notices
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -3,13 +3,11 @@
 import dataclasses
 from collections.abc import Iterable
 
-from kumquatspur.controllers import searcher_state, view
+from kumquatspur.controllers import report_replication, view
 from kumquatspur.controllers.blackboard import (
     Blackboard,
-    KnownReport,
     Member,
 )
-from kumquatspur.controllers.designs import design_of
 from kumquatspur.controllers.gossip import (
     MEMBER,
     REPORT,
@@ -20,26 +18,14 @@
 from kumquatspur.core import actions, events, messages
 from kumquatspur.core.messages import MemberEntry, ReportEntry, Status
 from kumquatspur.policy.members import damping_s, is_return, supersedes
-from kumquatspur.policy.searcher_queue import INITIAL_S
 
 PIGGYBACK_ENTRIES = 4
 ENTRIES_PER_UPDATE = 200
 MISMATCHES_TOLERATED = 2
 REQUEST_INTERVAL_S = 1.0
 SERVE_INTERVAL_S = 0.2
-CONTEST_INTERVAL = 4
 # Suspicion lasts this share of the setting `suspect_s`.
 SUSPICION_SHARE = 0.4
-# Latency of a searcher before an owner's answer tells it.
-UNKNOWN_LATENCY_MS = INITIAL_S * 1000.0
-_UNKNOWN_LOAD = messages.SearcherReport(
-    searcher="",
-    held=(),
-    draining=False,
-    reachable=True,
-    backlog=0,
-    latency_ms=UNKNOWN_LATENCY_MS,
-)
 
 
 def delivery_from(board: Blackboard, zone: str, origin: str) -> Delivery:
@@ -204,7 +190,7 @@
     for entry in entries:
         take_member(board, entry, delivery, now)
     for entry in reports:
-        _take_report(board, entry, delivery, now)
+        report_replication.take_report(board, entry, delivery, now)
 
 
 def take_member(
@@ -291,89 +277,6 @@
         board.schedule(end, events.TrustDue())
 
 
-def _take_report(
-    board: Blackboard,
-    entry: ReportEntry,
-    delivery: Delivery | None,
-    now: float,
-) -> None:
-    old = board.gossip.reports.get(entry.searcher)
-    if old is not None and _age(entry) <= _age(old):
-        return
-    board.gossip.put_report(entry)
-    view.pass_on(board, EntryKey(REPORT, entry.searcher), delivery, now)
-    shared = design_of(board).shares_owners
-    if entry.searcher in board.queues or not shared:
-        return
-    known = board.reports.get(entry.searcher)
-    load = known.report if known else _UNKNOWN_LOAD
-    report = dataclasses.replace(
-        load,
-        searcher=entry.searcher,
-        held=entry.held,
-        draining=entry.draining,
-        reachable=entry.reachable,
-    )
-    # The load is as old as before, and so is what was in flight then.
-    in_flight = known.in_flight if known else 0
-    board.reports[entry.searcher] = KnownReport(report, now, in_flight)
-
-
-def _age(entry: ReportEntry) -> tuple:
-    """Orders entries, also those that two owners made at once."""
-    return (entry.version, entry.held, entry.draining, entry.reachable)
-
-
-def take_reports(board: Blackboard, reports, now: float) -> None:
-    """Stores reports that came with an owner's answer.
-
-    Args:
-        board: The blackboard.
-        reports: The reports.
-        now: The current time.
-    """
-    if not design_of(board).shares_owners:
-        return
-    for report in reports:
-        in_flight = board.in_flight[report.searcher]
-        board.reports[report.searcher] = KnownReport(report, now, in_flight)
-
-
-def publish_reports(board: Blackboard, now: float) -> None:
-    """Passes on what changed of the searchers that this node owns."""
-    state = board.gossip
-    if not design_of(board).shares_owners:
-        board.changed_reports.clear()
-    for name in board.changed_reports:
-        queue = board.queues.get(name)
-        if queue is None or not searcher_state.is_known(board, queue):
-            continue
-        report = searcher_state.build_report(queue, now)
-        old = state.reports.get(name)
-        entry = ReportEntry(
-            name,
-            old.version if old else 1,
-            report.held,
-            report.draining,
-            report.reachable,
-        )
-        if entry == old:
-            continue
-        if old is not None:
-            entry = dataclasses.replace(entry, version=old.version + 1)
-        state.put_report(entry)
-        delivery = Delivery(board.settings.name, True)
-        view.pass_on(board, EntryKey(REPORT, name), delivery, now)
-    board.changed_reports.clear()
-
-
-def contest_reports(board: Blackboard, now: float) -> None:
-    """Publishes again where another host's entry hides this owner's."""
-    if board.counters["heartbeats"] % CONTEST_INTERVAL == 0:
-        board.changed_reports.update(board.queues.keys())
-        publish_reports(board, now)
-
-
 def build_heartbeat(board: Blackboard, peer: str, wants_answer: bool, now):
     """Builds a heartbeat with recent changes.
 
