One way to run a command with the store; a broken base file is an error

Cause: four commands repeated opening the store and its errors; a damaged .kumquatspur-base ended 'config push' with a traceback (new case in kumquatspur_test, exit code 2 now). 8 tests of the tool and the store pass.

--- a/kumquatspur/scripts/config_commands.py
+++ b/kumquatspur/scripts/config_commands.py
@@ -74,27 +74,15 @@
     files, errors = read_folder(arguments.folder)
     if not errors:
         _, errors = load_configuration(files)
-    store, found = _open_store(arguments)
-    if errors or found:
-        print_errors(errors + found)
-        return http_calls.EXIT_BAD_INPUT
-    author = arguments.author or getpass.getuser()
-    try:
-        result, errors = store.push(files, _read_base(arguments), author)
-    except StoreUnavailableError as error:
-        return _unreachable(arguments, error)
-    if errors:
-        print_errors(errors)
-        return http_calls.EXIT_CONFLICT
-    _write_base(arguments, files)
-    if arguments.json:
-        print_json(
-            {"revision": result.revision, "changed": list(result.changed)}
-        )
-    else:
-        changed = ", ".join(result.changed) or "nothing"
-        print(f"revision {result.revision} accepted; changed: {changed}")
-    return http_calls.EXIT_OK
+    base, found = _read_base(arguments)
+
+    def push(store: ConfigStore) -> int:
+        result, conflicts = store.push(files, base, _author(arguments))
+        if not conflicts:
+            _write_base(arguments, files)
+        return _print_change(arguments, result, conflicts)
+
+    return _with_store(arguments, errors + found, push)
 
 
 def run_diff(arguments) -> int:
@@ -107,26 +95,19 @@
         The exit code.
     """
     files, errors = read_folder(arguments.folder)
-    store, found = _open_store(arguments)
-    if errors or found:
-        print_errors(errors + found)
-        return http_calls.EXIT_BAD_INPUT
-    try:
-        head = store.read_head()
-    except StoreUnavailableError as error:
-        return _unreachable(arguments, error)
     local = {name: content_hash(text) for name, text in files.items()}
-    rows = [
-        {"file": name, "change": _change(local.get(name), head.files.get(name))}
-        for name in sorted({*local, *head.files})
-        if local.get(name) != head.files.get(name)
-    ]
-    if arguments.json:
-        print_json({"revision": head.revision, "changes": rows})
-    else:
-        for row in rows:
-            print(f"{row['change']} {row['file']}")
-    return http_calls.EXIT_OK
+
+    def diff(store: ConfigStore) -> int:
+        head = store.read_head()
+        rows = _differences(local, head.files)
+        if arguments.json:
+            print_json({"revision": head.revision, "changes": rows})
+        else:
+            for row in rows:
+                print(f"{row['change']} {row['file']}")
+        return http_calls.EXIT_OK
+
+    return _with_store(arguments, errors, diff)
 
 
 def run_history(arguments) -> int:
@@ -138,29 +119,25 @@
     Returns:
         The exit code.
     """
-    store, errors = _open_store(arguments)
-    if errors:
-        print_errors(errors)
-        return http_calls.EXIT_BAD_INPUT
-    try:
-        head = store.read_head()
-    except StoreUnavailableError as error:
-        return _unreachable(arguments, error)
-    rows = [
-        {
-            "revision": entry.revision,
-            "author": entry.author,
-            "changed": sorted(entry.changed),
-        }
-        for entry in head.history
-    ]
-    if arguments.json:
-        print_json(rows)
-    else:
-        for row in rows:
-            names = ", ".join(row["changed"])
-            print(f"{row['revision']}  {row['author']}  {names}")
-    return http_calls.EXIT_OK
+
+    def history(store: ConfigStore) -> int:
+        rows = [
+            {
+                "revision": entry.revision,
+                "author": entry.author,
+                "changed": sorted(entry.changed),
+            }
+            for entry in store.read_head().history
+        ]
+        if arguments.json:
+            print_json(rows)
+        else:
+            for row in rows:
+                names = ", ".join(row["changed"])
+                print(f"{row['revision']}  {row['author']}  {names}")
+        return http_calls.EXIT_OK
+
+    return _with_store(arguments, [], history)
 
 
 def run_rollback(arguments) -> int:
@@ -172,47 +149,75 @@
     Returns:
         The exit code.
     """
-    store, errors = _open_store(arguments)
-    if errors:
-        print_errors(errors)
+
+    def rollback(store: ConfigStore) -> int:
+        result, errors = store.rollback(arguments.revision, _author(arguments))
+        return _print_change(arguments, result, errors)
+
+    return _with_store(arguments, [], rollback)
+
+
+def _with_store(arguments, errors: list[Diagnostic], use) -> int:
+    """Runs a function with the store, or prints why it cannot.
+
+    Args:
+        arguments: A command that names a store.
+        errors: The errors found in the command's other input.
+        use: A function of the store that returns an exit code.
+
+    Returns:
+        The exit code.
+    """
+    address, found = http_calls.parse_address(arguments.store)
+    if errors or found:
+        print_errors(errors + found)
         return http_calls.EXIT_BAD_INPUT
-    author = arguments.author or getpass.getuser()
     try:
-        result, errors = store.rollback(arguments.revision, author)
+        return use(ConfigStore(StoreClient(address), arguments.prefix))
     except StoreUnavailableError as error:
-        return _unreachable(arguments, error)
+        message = f"store unavailable: {error}"
+        print_errors([Diagnostic(arguments.store, message)])
+        return http_calls.EXIT_UNREACHABLE
+
+
+def _author(arguments) -> str:
+    return arguments.author or getpass.getuser()
+
+
+def _print_change(arguments, result, errors: list[Diagnostic]) -> int:
     if errors:
         print_errors(errors)
         return http_calls.EXIT_CONFLICT
     if arguments.json:
         print_json(dataclasses.asdict(result))
     else:
-        names = ", ".join(result.changed) or "nothing"
-        print(f"revision {result.revision} accepted, changed {names}")
+        changed = ", ".join(result.changed) or "nothing"
+        print(f"revision {result.revision} accepted; changed: {changed}")
     return http_calls.EXIT_OK
 
 
+def _differences(local: dict[str, str], stored: dict[str, str]) -> list[dict]:
+    return [
+        {"file": name, "change": _change(local.get(name), stored.get(name))}
+        for name in sorted({*local, *stored})
+        if local.get(name) != stored.get(name)
+    ]
+
+
 def _change(local: str | None, stored: str | None) -> str:
     if stored is None:
         return "add"
     return "remove" if local is None else "replace"
 
 
-def _open_store(arguments):
-    address, errors = http_calls.parse_address(arguments.store)
-    if errors:
-        return None, errors
-    return ConfigStore(StoreClient(address), arguments.prefix), []
-
-
-def _unreachable(arguments, error) -> int:
-    print_errors([Diagnostic(arguments.store, f"store unavailable: {error}")])
-    return http_calls.EXIT_UNREACHABLE
-
-
-def _read_base(arguments) -> dict[str, str]:
+def _read_base(arguments) -> tuple[dict[str, str], list[Diagnostic]]:
     path = pathlib.Path(arguments.folder) / BASE_FILE
-    return json.loads(path.read_text()) if path.exists() else {}
+    if not path.exists():
+        return {}, []
+    try:
+        return json.loads(path.read_text()), []
+    except (OSError, ValueError) as error:
+        return {}, [Diagnostic(str(path), f"cannot be read: {error}")]
 
 
 def _write_base(arguments, files: dict[str, str]) -> None:
--- a/kumquatspur/scripts/kumquatspur_test.py
+++ b/kumquatspur/scripts/kumquatspur_test.py
@@ -103,11 +103,15 @@
         bad = self.folder.parent / "bad"
         bad.mkdir()
         (bad / "a.json").write_text("{")
+        broken = self.folder.parent / "broken"
+        broken.mkdir()
+        (broken / ".kumquatspur-base").write_text("{")
         store = ("--store", f"{HOST}:1")
         admin = ("--admin", self.admin, "--admin-key", "wrong")
         cases = [
             (("config", "check", str(bad)), 2, "a.json:1"),
             (("config", "push", str(bad), *store), 2, "a.json:1"),
+            (("config", "push", str(broken), *store), 2, "cannot be read"),
             (("config", "check", "missing"), 2, "is not a folder"),
             (("config", "history", *store), 4, "store unavailable"),
             (("query", "--entry", "x", "s", "1"), 2, "IP address and port"),
