Port blocks of test processes cannot overlap; searchers are used before they leave

Cause: five runs of the suite side by side, 23:01: in two of them the three tests of zone_cut_test failed together, because two processes had been given overlapping blocks between the check and the use. In one, test_leaving_searchers_get_no_new_work found that a searcher had got no work yet. Ruled out: a fault of the daemons (each failing class shared its ports). Change: a process reserves a region by a bound socket and takes its blocks from it; the test waits until both searchers were used.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,6 +3,7 @@
 Every process is started by `Deployment`, which also ends it by its id.
 """
 
+import functools
 import json
 import os
 import pathlib
@@ -30,29 +31,82 @@
 READY_S = 30.0
 
 
+class PortRegion:
+    """Ports that no other process of this project takes meanwhile.
+
+    A socket bound to the first port of the region reserves it for as long as
+    this process lives. The regions lie below the range that the kernel gives to
+    outgoing connections.
+
+    Attributes:
+        first: The port that reserves the region.
+        next: The port that is tried next.
+    """
+
+    FIRST = 10_000
+    SIZE = 1_000
+    COUNT = 22
+
+    def __init__(self):
+        self._guard = socket.socket()
+        regions = list(range(self.COUNT))
+        random.SystemRandom().shuffle(regions)
+        for number in regions:
+            self.first = self.FIRST + number * self.SIZE
+            try:
+                self._guard.bind((HOST, self.first))
+            except OSError:
+                continue
+            self.next = self.first + 1
+            return
+        raise RuntimeError("no free region of ports")
+
+    def take(self, count: int) -> int:
+        """Takes a block of ports that nobody listens on.
+
+        Args:
+            count: The number of ports.
+
+        Returns:
+            The first port.
+
+        Raises:
+            RuntimeError: No block was found.
+        """
+        for _ in range(2 * self.SIZE):
+            if self.next + count > self.first + self.SIZE:
+                self.next = self.first + 1
+            base = self.next
+            if all(_is_free(base + offset) for offset in range(count)):
+                self.next = base + count
+                return base
+            self.next += 1
+        raise RuntimeError("no block of free ports")
+
+
+@functools.cache
+def _own_region() -> PortRegion:
+    return PortRegion()
+
+
 def find_free_base_port(count: int) -> int:
-    """Finds a block of TCP ports on loopback that nobody listens on.
+    """Takes a block of TCP ports on loopback for this process.
 
     Args:
-        count: The number of ports.
+        count: The number of ports, at most 999.
 
     Returns:
-        The first port. Blocks are drawn below the range that the kernel gives
-        to outgoing connections.
+        The first port.
 
     Raises:
         RuntimeError: No block was found.
     """
-    rng = random.SystemRandom()
-    for _ in range(100):
-        base = rng.randrange(10_000, 32_000 - count)
-        if all(_is_free(base + offset) for offset in range(count)):
-            return base
-    raise RuntimeError("no block of free ports")
+    return _own_region().take(count)
 
 
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind((HOST, port))
         except OSError:
--- a/standins/snapshot_and_leaving_test.py
+++ b/standins/snapshot_and_leaving_test.py
@@ -87,6 +87,12 @@
         listed, draining, _ = [
             name for name, s in self.searchers.items() if s["shards"] == [shard]
         ]
+
+        def used():
+            self.ask()
+            return min(self.executed(n) for n in (listed, draining)) > 0
+
+        self.deployment.wait_until(used)
         self.list_upstream(listed, True)
         self.addCleanup(self.list_upstream, listed, False)
         self.deployment.set_fault(draining, draining=True)
