--- a/kumquatspur/scripts/kumquatspur_test.py
+++ b/kumquatspur/scripts/kumquatspur_test.py
@@ -79,6 +79,10 @@
         self.assertEqual(run_tool("status", *admin)[0], 0)
         code, out, _ = run_tool("report", "burn", "--json", *admin)
         self.assertEqual(json.loads(out)["asked"], ["oslo-1-a"])
+        port = self.deployment.settings["oslo-1-a"]["admin"]["port"]
+        _, burn = self.deployment.call("GET", port, "/v1/burn", key=ADMIN_KEY)
+        services = {row["service"] for row in burn["rows"]}
+        self.assertEqual(services, {"shop-counter"})
         self.check_put_and_remove()
 
     def check_put_and_remove(self):
--- a/kumquatspur/wire/admin_server.py
+++ b/kumquatspur/wire/admin_server.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from kumquatspur.core.records import Diagnostic
+from kumquatspur.policy.burn import burn_rows
 from kumquatspur.policy.tenancy import Operator, identify
 from kumquatspur.wire.admin_config import FILES_PATH, AdminConfig
 from kumquatspur.wire.config_store import ConfigStore
@@ -66,6 +67,21 @@
         }
         return Reply(HTTPStatus.OK, body)
 
+    def burn(self, environ, operator: Operator) -> Reply:
+        """Returns how fast this node's services burn their error budgets."""
+        board = self.shell.node.board
+        objectives = {
+            name: service.objectives
+            for name, service in board.configuration.services.items()
+        }
+        windows = self.shell.metrics.windows.totals(self.shell.now())
+        rows = burn_rows(windows, objectives)
+        body = {
+            "name": board.settings.name,
+            "rows": [dataclasses.asdict(row) for row in rows],
+        }
+        return Reply(HTTPStatus.OK, body)
+
     def _reply(self, environ) -> Reply:
         operator = self._identify(environ)
         if operator is None:
@@ -84,6 +100,7 @@
         return {
             ("GET", "/v1/status"): self.status,
             ("GET", "/v1/metrics"): self.metrics,
+            ("GET", "/v1/burn"): self.burn,
             ("GET", "/v1/config"): self.config.list_files,
             ("GET", FILES_PATH): self.config.read_file,
             ("PUT", FILES_PATH): self.config.write_file,
