Remove a message, an event and a function that nothing uses

Cause: ProtocolError, PeerKnown and placement.live_members were left over from the first design; nothing sends, raises or calls them. Checked: ruff is clean, all 178 tests load, and 36 tests of driver, membership, coordinator, ownership, tool and peer streams pass.

--- a/kumquatspur/controllers/placement.py
+++ b/kumquatspur/controllers/placement.py
@@ -19,20 +19,6 @@
 FAILOVER_DELAY_S = 5.0
 
 
-def live_members(board: Blackboard, zone: str, now: float) -> list[str]:
-    """Returns the live entry hosts of a zone, this one included.
-
-    Args:
-        board: The blackboard.
-        zone: The availability zone.
-        now: The current time.
-
-    Returns:
-        Names, in no particular order.
-    """
-    return _refresh(board, now).live.get(zone, [])
-
-
 def ranked_owners(
     board: Blackboard, searcher: Searcher, now: float
 ) -> list[str]:
--- a/kumquatspur/core/events.py
+++ b/kumquatspur/core/events.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from kumquatspur.core.records import (
-    Address,
     Configuration,
     Host,
     Query,
@@ -245,11 +244,3 @@
 
     digest: str
     nonce: str
-
-
-@record
-class PeerKnown:
-    """The address of another entry host became known."""
-
-    peer: str
-    address: Address
--- a/kumquatspur/core/messages.py
+++ b/kumquatspur/core/messages.py
@@ -7,7 +7,6 @@
 import enum
 from collections.abc import Mapping
 
-from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Address, ShardResult, record
 
 
@@ -339,14 +338,6 @@
     received: int
 
 
-@record
-class ProtocolError:
-    """The receiver closes the stream because of a bad message."""
-
-    reason: Reason
-    message: str
-
-
 MESSAGE_TYPES = (
     Hello,
     Heartbeat,
@@ -361,5 +352,4 @@
     ClaimReply,
     CrashReports,
     StreamAck,
-    ProtocolError,
 )
