--- /dev/null
+++ b/kumquatspur/platform/documents.py
@@ -0,0 +1,197 @@
+"""Decodes what the operator and the searchers keep in the platform's store."""
+
+import json
+from typing import Annotated, Literal
+
+import pydantic
+
+from kumquatspur.border.settings import validation_diagnostics
+from kumquatspur.core.records import Address, Diagnostic
+from kumquatspur.core.routing import (
+    ClientLimits,
+    Route,
+    RoutingConfig,
+    SearcherEntry,
+    SearcherState,
+    ServiceSpec,
+    WeightedService,
+)
+
+CONFIG_KEY = "op/config"
+SEARCHER_PREFIX = "servers/"
+
+_Name = Annotated[str, pydantic.StringConstraints(strict=True, min_length=1)]
+_Count = Annotated[int, pydantic.Field(strict=True, ge=0)]
+_Positive = Annotated[float, pydantic.Field(strict=True, gt=0)]
+
+
+def _field_name(name: str) -> str:
+    return name.replace("_", "-")
+
+
+class _Document(pydantic.BaseModel):
+    """Base of the platform's documents; unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        alias_generator=_field_name, extra="ignore", frozen=True
+    )
+
+
+class _Weighted(_Document):
+    service: _Name
+    weight: float = pydantic.Field(ge=0)
+
+
+class _Route(_Document):
+    name: _Name
+    host: _Name
+    prefix: Annotated[_Name, pydantic.StringConstraints(pattern="^/(.*/)?$")]
+    # What may be repeated, whatever the method.
+    route_type: Literal["idempotent", "non_idempotent"]
+    timeout_ms: _Positive
+    target_latency_ms: _Positive
+    # Counts searchers that get the request, not tries after a failure.
+    max_attempts: int = pydantic.Field(1, ge=1)
+    # 0 ranks highest.
+    priority: int = 0
+    service: _Name | None = None
+    traffic_split: tuple[_Weighted, ...] = ()
+    # Each of these services holds one shard.
+    fanout_services: tuple[_Name, ...] = ()
+    result_limit: int = pydantic.Field(0, ge=0)
+    min_shard_ratio: float = pydantic.Field(0.0, ge=0, le=1)
+
+    @pydantic.model_validator(mode="after")
+    def _has_target(self):
+        if not (self.service or self.traffic_split or self.fanout_services):
+            raise ValueError("names no service")
+        return self
+
+    def record(self) -> Route:
+        targets = tuple(
+            WeightedService(item.service, item.weight)
+            for item in self.traffic_split
+        )
+        if self.service:
+            targets = (WeightedService(self.service, 1.0),)
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            repeatable=self.route_type == "idempotent",
+            timeout_s=self.timeout_ms / 1000.0,
+            target_latency_s=self.target_latency_ms / 1000.0,
+            max_attempts=self.max_attempts,
+            priority=self.priority,
+            targets=() if self.fanout_services else targets,
+            shards=self.fanout_services,
+            result_limit=self.result_limit,
+            min_shard_ratio=self.min_shard_ratio,
+        )
+
+
+class _Service(_Document):
+    name: _Name
+    # Over all callers of one searcher.
+    max_connections: int = pydantic.Field(ge=1)
+
+
+class _Limits(_Document):
+    header_bytes: int = pydantic.Field(gt=0)
+    max_body_bytes: int = pydantic.Field(ge=0)
+    header_timeout_ms: _Positive
+    # Also the time a client may keep a connection without a request.
+    idle_timeout_ms: _Positive
+
+
+class _Config(_Document):
+    config_version: _Count
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits | None = None
+
+
+class _Searcher(_Document):
+    service: _Name
+    address: Annotated[_Name, pydantic.StringConstraints(pattern=r"^.+:\d+$")]
+    zone: _Name
+    # The version of the searcher's software, not of the configuration.
+    config_version: _Name
+    slots: Annotated[int, pydantic.Field(strict=True, ge=1)]
+    state: Literal["ready", "draining"]
+    warmup_left_ms: Annotated[float, pydantic.Field(strict=True, ge=0)]
+    sequence: _Count
+    born: _Count = 0
+
+
+def decode_config(
+    value: bytes,
+) -> tuple[RoutingConfig | None, list[Diagnostic]]:
+    """Decodes the operator's configuration.
+
+    Args:
+        value: The stored bytes.
+
+    Returns:
+        The configuration, or None, and the errors found.
+    """
+    try:
+        document = _Config.model_validate(json.loads(value))
+    except pydantic.ValidationError as error:
+        return None, validation_diagnostics(CONFIG_KEY, error)
+    except ValueError as error:
+        return None, [Diagnostic(CONFIG_KEY, f"is not JSON: {error}")]
+    limits = ClientLimits()
+    if document.limits:
+        limits = ClientLimits(
+            header_bytes=document.limits.header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            header_timeout_s=document.limits.header_timeout_ms / 1000.0,
+            idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
+        )
+    return (
+        RoutingConfig(
+            version=document.config_version,
+            routes=tuple(route.record() for route in document.routes),
+            services={
+                service.name: ServiceSpec(service.name, service.max_connections)
+                for service in document.services
+            },
+            limits=limits,
+        ),
+        [],
+    )
+
+
+def decode_searcher(
+    key: str, value: bytes
+) -> tuple[SearcherEntry | None, list[Diagnostic]]:
+    """Decodes the entry of a searcher.
+
+    Args:
+        key: Its key in the store.
+        value: The stored bytes.
+
+    Returns:
+        The entry, or None, and the errors found.
+    """
+    try:
+        document = _Searcher.model_validate(json.loads(value))
+    except pydantic.ValidationError as error:
+        return None, validation_diagnostics(key, error)
+    except ValueError as error:
+        return None, [Diagnostic(key, f"is not JSON: {error}")]
+    host, _, port = document.address.rpartition(":")
+    return (
+        SearcherEntry(
+            searcher_id=key.removeprefix(SEARCHER_PREFIX),
+            service=document.service,
+            address=Address(host, int(port)),
+            zone=document.zone,
+            slots=document.slots,
+            state=SearcherState(document.state),
+            warmup_left_s=document.warmup_left_ms / 1000.0,
+            born_ms=document.born,
+        ),
+        [],
+    )
--- /dev/null
+++ b/kumquatspur/platform/headers.py
@@ -0,0 +1,110 @@
+"""Translates the platform's HTTP headers."""
+
+from kumquatspur.core.routing import ClientReply, LoadReport, SearcherReply
+
+REQUEST_ID = b"kumquatspur-attempt-id"
+TIME_LEFT = b"kumquatspur-deadline-ms"
+EXPECTED_SEARCHER = b"kumquatspur-expected-instance"
+SIGNATURE = b"kumquatspur-server-seal"
+LOAD = b"kumquatspur-server-load"
+NOT_EXECUTED = b"kumquatspur-not-executed"
+SEARCHER_ID = b"kumquatspur-instance-id"
+PART_SIGNATURES = b"kumquatspur-part-seals"
+MISSING_PARTS = b"kumquatspur-missing-parts"
+
+READY_PATH = "/readiness"
+
+# Headers of requests that this system sets itself.
+OWN_REQUEST_HEADERS = frozenset({TIME_LEFT, EXPECTED_SEARCHER})
+# A client's claim about how a searcher answered is never passed on.
+OWN_REPLY_HEADERS = frozenset({PART_SIGNATURES, MISSING_PARTS})
+
+_LOAD_FIELDS = 3
+MISDIRECTED = 421
+
+
+def decode_load(value: bytes) -> LoadReport | None:
+    """Decodes running, waiting and slots, and the percentage of work time.
+
+    Args:
+        value: The header's value.
+
+    Returns:
+        The load, or None if it cannot be read.
+    """
+    try:
+        figures = [int(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(figures) < _LOAD_FIELDS or min(figures) < 0:
+        return None
+    factor = figures[3] / 100.0 if len(figures) > _LOAD_FIELDS else 1.0
+    return LoadReport(figures[0], figures[1], figures[2], factor)
+
+
+def decode_time_left_s(value: bytes) -> float | None:
+    """Decodes the time that a client waits, in seconds; None if unreadable."""
+    try:
+        milliseconds = float(value)
+    except ValueError:
+        return None
+    return milliseconds / 1000.0 if milliseconds >= 0 else None
+
+
+def decode_reply(
+    status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes
+) -> SearcherReply:
+    """Decodes a response of a searcher.
+
+    Args:
+        status: HTTP status.
+        headers: End-to-end headers with names in lower case.
+        body: The body.
+
+    Returns:
+        The response with the platform's headers decoded.
+    """
+    found = dict(headers)
+    load = found.get(LOAD)
+    return SearcherReply(
+        status=status,
+        headers=tuple(h for h in headers if h[0] not in OWN_REPLY_HEADERS),
+        body=body,
+        request_id=found.get(REQUEST_ID, b"").decode("latin-1"),
+        signature=found.get(SIGNATURE, b"").decode("latin-1"),
+        # Sent with a value; its presence alone says that nothing ran. A
+        # searcher that has taken over an address answers 421 without running.
+        not_executed=NOT_EXECUTED in found or status == MISDIRECTED,
+        encoded=found.get(b"content-encoding", b"identity") != b"identity",
+        load=decode_load(load) if load is not None else None,
+    )
+
+
+def encode_searcher_headers(searcher_id: str, time_left_s: float) -> bytes:
+    """Returns the header lines that are added for a searcher."""
+    milliseconds = max(1, int(time_left_s * 1000.0))
+    return (
+        f"Kumquatspur-Deadline-Ms: {milliseconds}\r\n"
+        f"Kumquatspur-Expected-Instance: {searcher_id}\r\n"
+    ).encode()
+
+
+def merged_reply(
+    signatures: list[str], missing: int, body: bytes
+) -> ClientReply:
+    """Returns the answer to a scattered request.
+
+    Args:
+        signatures: Signatures of the parts that are merged.
+        missing: Number of shards that are left out.
+        body: The merged records.
+    """
+    return ClientReply(
+        200,
+        (
+            (b"Kumquatspur-Part-Seals", ", ".join(signatures).encode()),
+            (b"Kumquatspur-Missing-Parts", str(missing).encode()),
+            (b"Content-Type", b"application/octet-stream"),
+        ),
+        body,
+    )
--- /dev/null
+++ b/kumquatspur/policy/request_plan.py
@@ -0,0 +1,228 @@
+"""When the shards of a request are asked, asked again, and answered without.
+
+Load pattern: with many shards a request nearly always meets one that pauses,
+is slow or has lost its replica. A late shard is asked again elsewhere, and a
+shard that stays late is left out while the answer is still in time. A request
+that can no longer be served ends at once.
+"""
+
+import dataclasses
+import enum
+import math
+
+from kumquatspur.core.routing import Route
+from kumquatspur.core.verdict import Verdict
+
+# Time kept for the answer's own way to the client: a fixed part for network
+# and processing, and a share for the client's way here.
+ANSWER_MARGIN_S = 0.005
+ANSWER_MARGIN_SHARE = 0.04
+# Once the target latency is missed, missing shards are waited for until this
+# multiple of it.
+LATE_MULTIPLE = 1.6
+# Latest second attempt, as a share of the target latency, if latencies of the
+# route are not known yet.
+MAX_HEDGE_SHARE = 0.35
+MIN_HEDGE_S = 0.004
+# Time needed for an attempt to be worth its start.
+MIN_ATTEMPT_S = 0.003
+# Time before the deadline at which a request is ended.
+DEADLINE_MARGIN_S = 0.004
+RATIO_TOLERANCE = 1e-9
+
+
+class Outcome(enum.StrEnum):
+    """How a request ends."""
+
+    ANSWER = "answer"
+    FAIL = "fail"
+
+
+class AttemptKind(enum.StrEnum):
+    """Why a searcher is asked."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+@dataclasses.dataclass(slots=True)
+class ShardProgress:
+    """Attempts for one shard.
+
+    Attributes:
+        sent: Attempts that were handed to a searcher.
+        in_flight: Start times of attempts under way.
+        tried: Searchers asked or found unreachable.
+        done: Whether its part is in.
+        closed: Whether no further attempt is possible.
+        verdicts: Verdicts of the attempts that failed.
+        hedge_at: When a further attempt may start.
+    """
+
+    sent: int = 0
+    in_flight: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    done: bool = False
+    closed: bool = False
+    verdicts: list[Verdict] = dataclasses.field(default_factory=list)
+    hedge_at: float = math.inf
+
+    def is_open(self) -> bool:
+        """Returns whether a part may still come."""
+        return not self.done and (self.in_flight > 0 or not self.closed)
+
+
+def hedge_delay_s(target_latency_s: float, typical_late_s: float | None):
+    """Returns how long an attempt may take before another one starts.
+
+    Args:
+        target_latency_s: The latency wanted, in seconds.
+        typical_late_s: A high quantile of the latency, or None.
+    """
+    longest = target_latency_s * MAX_HEDGE_SHARE
+    if typical_late_s is None:
+        return longest
+    return max(MIN_HEDGE_S, min(typical_late_s, longest))
+
+
+class RequestPlan:
+    """The state of one request over its shards.
+
+    Attributes:
+        route: The route.
+        shards: Progress by shard; a forwarded request has a single one.
+        needed: Parts that an answer needs.
+        answered: Parts that are in.
+        answer_at: When an incomplete answer has to leave to be in time.
+        target_at: When the target latency has passed.
+        late_at: Until when a late answer waits for missing parts.
+        deadline: When the request ends.
+        hedge_delay_s: Time between attempts for one shard.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        shards: tuple[str, ...],
+        started: float,
+        deadline: float,
+        hedge_delay_s: float,
+    ):
+        target = route.target_latency_s
+        self.route = route
+        self.shards = {shard: ShardProgress() for shard in shards}
+        wanted = route.min_shard_ratio * len(shards) - RATIO_TOLERANCE
+        self.needed = max(1, math.ceil(wanted)) if route.shards else 1
+        self.answered = 0
+        self.target_at = started + target
+        margin = ANSWER_MARGIN_S + ANSWER_MARGIN_SHARE * target
+        self.answer_at = self.target_at - margin
+        self.late_at = started + target * LATE_MULTIPLE
+        self.deadline = deadline - DEADLINE_MARGIN_S
+        self.hedge_delay_s = hedge_delay_s
+
+    def due(self, now: float) -> list[tuple[str, AttemptKind]]:
+        """Returns the shards that should be asked now, and why."""
+        if self.deadline - now < MIN_ATTEMPT_S:
+            return []
+        found = []
+        for shard, progress in self.shards.items():
+            if progress.done or progress.closed:
+                continue
+            if not progress.in_flight:
+                first = not progress.tried
+                kind = AttemptKind.FIRST if first else AttemptKind.RETRY
+                found.append((shard, kind))
+            elif now >= progress.hedge_at:
+                found.append((shard, AttemptKind.HEDGE))
+        return found
+
+    def note_start(self, shard: str, searcher_id: str, now: float) -> None:
+        """Notes an attempt."""
+        progress = self.shards[shard]
+        progress.sent += 1
+        progress.in_flight += 1
+        progress.tried.add(searcher_id)
+        progress.hedge_at = math.inf
+        if self.route.repeatable:
+            progress.hedge_at = now + self.hedge_delay_s
+        if progress.sent >= self.route.max_attempts:
+            progress.closed = True
+
+    def note_unavailable(self, shard: str, kind: AttemptKind, now: float):
+        """Notes that no searcher, or no budget, is left for an attempt."""
+        progress = self.shards[shard]
+        if kind is AttemptKind.HEDGE:
+            progress.hedge_at = now + self.hedge_delay_s
+        else:
+            progress.closed = True
+
+    def note_part(self, shard: str) -> bool:
+        """Notes an answer.
+
+        Returns:
+            False if the shard was answered before.
+        """
+        progress = self.shards[shard]
+        progress.in_flight -= 1
+        if progress.done:
+            return False
+        progress.done = True
+        self.answered += 1
+        return True
+
+    def note_failure(self, shard: str, verdict: Verdict, sent: bool) -> None:
+        """Notes an attempt that failed.
+
+        Args:
+            shard: The shard.
+            verdict: Whether the searcher may have run it.
+            sent: Whether the request had reached a searcher.
+        """
+        progress = self.shards[shard]
+        progress.in_flight -= 1
+        progress.verdicts.append(verdict)
+        if not sent:
+            # An attempt that was never sent is not held against the limit.
+            progress.sent -= 1
+        ran = any(item is not Verdict.NOT_RUN for item in progress.verdicts)
+        exhausted = progress.sent >= self.route.max_attempts
+        progress.closed = exhausted or (ran and not self.route.repeatable)
+
+    def outcome(self, now: float) -> Outcome | None:
+        """Returns how the request ends, or None while it goes on."""
+        if self.answered == len(self.shards):
+            return Outcome.ANSWER
+        enough = self.answered >= self.needed
+        if now >= self.deadline:
+            return Outcome.ANSWER if enough else Outcome.FAIL
+        still_open = sum(p.is_open() for p in self.shards.values())
+        if enough and not still_open:
+            return Outcome.ANSWER
+        if self.answered + still_open < self.needed:
+            return Outcome.FAIL
+        if enough and self.answer_at <= now < self.target_at:
+            return Outcome.ANSWER
+        if enough and now >= self.late_at:
+            return Outcome.ANSWER
+        return None
+
+    def wake_at(self, now: float) -> float:
+        """Returns when the plan has to be looked at again."""
+        times = [self.deadline]
+        if self.answered >= self.needed:
+            times += [t for t in (self.answer_at, self.late_at) if t > now]
+        for progress in self.shards.values():
+            if progress.in_flight and not (progress.done or progress.closed):
+                times.append(progress.hedge_at)
+        return min(times)
+
+    def verdicts(self) -> list[Verdict]:
+        """Returns the verdicts of all attempts, open ones included."""
+        found = []
+        for progress in self.shards.values():
+            found += progress.verdicts
+            found += [Verdict.MAY_HAVE_RUN] * progress.in_flight
+            found += [Verdict.RAN] * progress.done
+        return found
--- /dev/null
+++ b/kumquatspur/policy/searcher_choice.py
@@ -0,0 +1,185 @@
+"""Chooses the searcher of a service that will probably answer first.
+
+Load pattern: replicas pause for a moment, turn slow for seconds, start cold,
+fill up, or fall silent with their zone. Each is recognised from calls of this
+host and the load in responses, and left within one typical latency.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from kumquatspur.core.routing import LoadReport, SearcherEntry
+
+# Weight of a new latency in the moving mean.
+LATENCY_WEIGHT = 0.3
+# Time in which a measured slowness is half forgotten, so that a searcher
+# that has recovered is found again.
+SLOWNESS_HALF_LIFE_S = 3.0
+MAX_SLOWNESS = 20.0
+# A stated load says little after this time.
+LOAD_MEMORY_S = 0.15
+# Additional cost of another zone, relative to a typical latency.
+REMOTE_COST = 0.35
+COLD_FACTOR = 1.6
+# A call older than this multiple of the typical latency marks a pause.
+STUCK_MULTIPLE = 2.5
+SUSPECT_S = (0.3, 0.6, 1.2, 2.4)
+SUSPECT_COST = 50.0
+ZONE_SUSPECT_S = 1.5
+ZONE_SUSPECT_SEARCHERS = 2
+# Spread of random tie-breaking, relative to a typical latency.
+JITTER = 0.1
+
+
+@dataclasses.dataclass
+class SearcherLoad:
+    """What this host has seen of one searcher.
+
+    Attributes:
+        in_flight: Start times of calls under way, by call number.
+        slowness: Moving mean of latency relative to the typical one.
+        slowness_at: When it was measured.
+        report: The last load stated.
+        report_at: When it was stated.
+        failures: Failures in a row.
+        suspect_until: Until when it is avoided.
+    """
+
+    in_flight: dict[int, float] = dataclasses.field(default_factory=dict)
+    slowness: float = 1.0
+    slowness_at: float = 0.0
+    report: LoadReport | None = None
+    report_at: float = -1.0
+    failures: int = 0
+    suspect_until: float = 0.0
+
+    def current_slowness(self, now: float) -> float:
+        """Returns the slowness, forgotten by half each half-life."""
+        age = max(0.0, now - self.slowness_at)
+        weight = 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * weight
+
+    def note_latency(self, ratio: float, now: float) -> None:
+        """Takes a latency relative to the typical one."""
+        current = self.current_slowness(now)
+        ratio = min(ratio, MAX_SLOWNESS)
+        self.slowness = current + LATENCY_WEIGHT * (ratio - current)
+        self.slowness_at = now
+        self.failures = 0
+        self.suspect_until = 0.0
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Takes a load that the searcher states."""
+        self.report, self.report_at = report, now
+
+    def note_failure(self, now: float) -> None:
+        """Takes a lost connection, a failed connect or silence."""
+        step = min(self.failures, len(SUSPECT_S) - 1)
+        self.failures += 1
+        self.suspect_until = now + SUSPECT_S[step]
+
+
+@dataclasses.dataclass
+class ZoneHealth:
+    """Zones in which several searchers went silent at once.
+
+    Attributes:
+        silent: Time of the last silence by zone and searcher.
+    """
+
+    silent: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def note_silence(self, zone: str, searcher_id: str, now: float) -> None:
+        """Notes a searcher that did not react at all."""
+        self.silent.setdefault(zone, {})[searcher_id] = now
+
+    def note_answer(self, zone: str) -> None:
+        """Notes that a zone is reachable."""
+        self.silent.pop(zone, None)
+
+    def is_suspect(self, zone: str, now: float) -> bool:
+        """Returns whether a zone is probably cut off."""
+        recent = self.silent.get(zone)
+        if not recent:
+            return False
+        count = sum(now - at < ZONE_SUSPECT_S for at in recent.values())
+        return count >= ZONE_SUSPECT_SEARCHERS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChoiceContext:
+    """What a choice depends on besides the searchers.
+
+    Attributes:
+        zone: This host's zone.
+        typical_s: Typical latency of the work.
+        now: Steady time in seconds.
+        random: Returns a number in [0, 1).
+    """
+
+    zone: str
+    typical_s: float
+    now: float
+    random: Callable[[], float]
+
+
+def expected_cost(
+    entry: SearcherEntry,
+    load: SearcherLoad,
+    zone_suspect: bool,
+    context: ChoiceContext,
+) -> float:
+    """Returns the expected latency relative to a typical one.
+
+    Args:
+        entry: The searcher.
+        load: What was seen of it.
+        zone_suspect: Whether its zone is probably cut off.
+        context: The circumstances.
+    """
+    now, slots = context.now, max(1, entry.slots)
+    busy = len(load.in_flight)
+    factor = 1.0
+    report_age = now - load.report_at
+    if load.report is not None and report_age < LOAD_MEMORY_S:
+        stated = load.report.running + load.report.waiting
+        weight = 1.0 - report_age / LOAD_MEMORY_S
+        busy = max(busy, busy + (stated - 1) * weight)
+        factor = 1.0 + (load.report.work_factor - 1.0) * weight
+    cost = load.current_slowness(now) * factor * (1.0 + busy / slots)
+    if entry.warmup_left_s > 0:
+        cost *= COLD_FACTOR
+    if load.in_flight:
+        oldest = now - min(load.in_flight.values())
+        if oldest > STUCK_MULTIPLE * context.typical_s:
+            cost += oldest / context.typical_s
+    if entry.zone != context.zone:
+        cost += REMOTE_COST
+    if now < load.suspect_until or zone_suspect:
+        cost += SUSPECT_COST
+    return cost + JITTER * context.random()
+
+
+def choose_searcher(
+    entries: Iterable[SearcherEntry],
+    loads: Callable[[str], SearcherLoad],
+    zones: ZoneHealth,
+    context: ChoiceContext,
+) -> SearcherEntry | None:
+    """Returns the searcher with the least expected latency, or None.
+
+    Args:
+        entries: The searchers that may be used.
+        loads: Returns what was seen of a searcher.
+        zones: Which zones are probably cut off.
+        context: The circumstances.
+    """
+    best, best_cost = None, float("inf")
+    for entry in entries:
+        suspect = zones.is_suspect(entry.zone, context.now)
+        cost = expected_cost(entry, loads(entry.searcher_id), suspect, context)
+        if cost < best_cost:
+            best, best_cost = entry, cost
+    return best
--- /dev/null
+++ b/kumquatspur/policy/searcher_directory.py
@@ -0,0 +1,158 @@
+"""The searchers that are known, from changes in the platform's store.
+
+A removed or draining searcher gets no new work. An entry that disappeared
+while the store was away is kept for a moment after the store's return, since
+a searcher that lives writes it again.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from kumquatspur.core.routing import SearcherEntry, SearcherState
+
+# Entries that lapsed during an outage are back within two seconds of its end;
+# the rest allows for the time until the change is seen here.
+LAPSE_GRACE_S = 2.3
+# A store that was silent for less cannot have let entries lapse.
+OUTAGE_S = 1.0
+# Work for a draining searcher must reach it within the drain time; this share
+# of it is used only while no other replica is known.
+DRAIN_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class SearcherDirectory:
+    """Searchers by service.
+
+    Attributes:
+        drain_s: How long a draining searcher still serves.
+        by_id: Entries by searcher.
+        left_at: When a searcher was seen draining or removed.
+        removed: Searchers whose entry is gone.
+        by_service: Searchers that take new work, by service.
+        leaving: Draining or removed searchers by service.
+        grace_until: Until when a removal may be a lapse.
+        doubtful: Searchers removed within the grace.
+        revision: The store's revision of this state.
+        read_at: When the state was last known to be current.
+    """
+
+    drain_s: float
+    by_id: dict[str, SearcherEntry] = dataclasses.field(default_factory=dict)
+    left_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, dict[str, SearcherEntry]] = dataclasses.field(
+        default_factory=dict
+    )
+    leaving: dict[str, dict[str, SearcherEntry]] = dataclasses.field(
+        default_factory=dict
+    )
+    grace_until: float = -1.0
+    doubtful: set[str] = dataclasses.field(default_factory=set)
+    revision: int = 0
+    read_at: float = -1.0
+
+    def note_contact(self, revision: int, now: float) -> None:
+        """Notes that the state is current.
+
+        Args:
+            revision: The store's revision.
+            now: Steady time in seconds.
+        """
+        if self.read_at >= 0 and now - self.read_at > OUTAGE_S:
+            self.grace_until = now + LAPSE_GRACE_S
+        self.read_at = now
+        self.revision = max(self.revision, revision)
+
+    def put(self, entry: SearcherEntry, now: float) -> None:
+        """Takes an entry as it was written."""
+        searcher_id = entry.searcher_id
+        previous = self.by_id.get(searcher_id)
+        if previous is not None and previous.service != entry.service:
+            self._unlist(previous)
+        self.by_id[searcher_id] = entry
+        self.doubtful.discard(searcher_id)
+        if entry.state is SearcherState.DRAINING:
+            self._leave(entry, now)
+            return
+        self.left_at.pop(searcher_id, None)
+        self.leaving.get(entry.service, {}).pop(searcher_id, None)
+        self.by_service.setdefault(entry.service, {})[searcher_id] = entry
+
+    def remove(self, searcher_id: str, now: float) -> None:
+        """Takes the removal of an entry."""
+        entry = self.by_id.get(searcher_id)
+        if entry is None:
+            return
+        if now < self.grace_until and searcher_id not in self.left_at:
+            self.doubtful.add(searcher_id)
+            return
+        self.by_id.pop(searcher_id)
+        self._leave(entry, now)
+
+    def replace(
+        self, entries: Iterable[SearcherEntry], known: set[str], now: float
+    ) -> None:
+        """Takes a full reading of the store.
+
+        Args:
+            entries: The entries that could be read.
+            known: All searchers that have an entry, readable or not.
+            now: Steady time in seconds.
+        """
+        for entry in entries:
+            if self.by_id.get(entry.searcher_id) != entry:
+                self.put(entry, now)
+            else:
+                self.doubtful.discard(entry.searcher_id)
+        for searcher_id in [key for key in self.by_id if key not in known]:
+            self.remove(searcher_id, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Drops entries that did not return, and leavers that have ended.
+
+        Args:
+            now: Steady time in seconds.
+
+        Returns:
+            The searchers whose lapsed entry did not return.
+        """
+        gone = []
+        if self.doubtful and now >= self.grace_until:
+            gone, self.doubtful = sorted(self.doubtful), set()
+            for searcher_id in gone:
+                self.remove(searcher_id, now)
+        for searcher_id, at in list(self.left_at.items()):
+            if now - at > self.drain_s and searcher_id not in self.by_id:
+                self.left_at.pop(searcher_id)
+                for leaving in self.leaving.values():
+                    leaving.pop(searcher_id, None)
+        return gone
+
+    def usable(self, service: str, now: float) -> list[SearcherEntry]:
+        """Returns the searchers that may get new work.
+
+        Args:
+            service: The service.
+            now: Steady time in seconds.
+
+        Returns:
+            Searchers that are ready; if there are none, those that began to
+            leave a short time ago.
+        """
+        ready = self.by_service.get(service)
+        if ready:
+            return list(ready.values())
+        return [
+            entry
+            for searcher_id, entry in self.leaving.get(service, {}).items()
+            if now - self.left_at[searcher_id] < self.drain_s * DRAIN_SHARE
+        ]
+
+    def _leave(self, entry: SearcherEntry, now: float) -> None:
+        self.left_at.setdefault(entry.searcher_id, now)
+        self.by_service.get(entry.service, {}).pop(entry.searcher_id, None)
+        self.leaving.setdefault(entry.service, {})[entry.searcher_id] = entry
+
+    def _unlist(self, entry: SearcherEntry) -> None:
+        for listed in (self.by_service, self.leaving):
+            listed.get(entry.service, {}).pop(entry.searcher_id, None)
--- /dev/null
+++ b/kumquatspur/wire/entry_host.py
@@ -0,0 +1,169 @@
+"""An entry host on the platform: its parts, its start and its stop."""
+
+import json
+import pathlib
+
+import eventlet
+
+from kumquatspur.border.entry_settings import (
+    EntrySettings,
+    read_entry_settings,
+)
+from kumquatspur.platform import headers
+from kumquatspur.platform.store import PlatformStore
+from kumquatspur.wire.decision_log import DecisionLog
+from kumquatspur.wire.entry_state import new_state, state_age_s
+from kumquatspur.wire.forwarder import Forwarder
+from kumquatspur.wire.front_server import FrontServer
+from kumquatspur.wire.http_server import HttpServer
+from kumquatspur.wire.searcher_pool import SearcherPool, steady
+from kumquatspur.wire.store_watch import StoreWatch
+
+TICK_S = 0.1
+PRUNE_S = 0.5
+SETTINGS_CHECK_S = 1.0
+# The platform needs two misses of one readiness check a second to stop
+# sending new clients.
+NEW_CLIENTS_S = 2.5
+# Idle connections are closed this long before the end by force, and the
+# process ends shortly after.
+IDLE_CLOSE_MARGIN_S = 1.5
+EXIT_MARGIN_S = 0.4
+
+
+class EntryHost:
+    """One entry host.
+
+    Attributes:
+        settings: The settings.
+        state: The blackboard.
+    """
+
+    def __init__(self, settings: EntrySettings, path: str):
+        self.settings = settings
+        self.state = new_state(settings, DecisionLog(settings.name))
+        self.pool = SearcherPool()
+        self.forwarder = Forwarder(self.state, self.pool)
+        self._path = pathlib.Path(path)
+        self._text = ""
+        self._stop_at = None
+        self._reload = False
+
+    def request_stop(self) -> None:
+        """Asks for a graceful stop; safe in a signal handler."""
+        self._stop_at = self._stop_at or steady()
+
+    def request_reload(self) -> None:
+        """Asks for reading the settings file again."""
+        self._reload = True
+
+    def run(self) -> None:
+        """Serves until a stop was asked for and has ended."""
+        self.state.log.start()
+        self.state.log.write("start", True, zone=self.settings.zone)
+        self._text = self._read_settings_text()
+        HttpServer(self.settings.ready, self._ready_page)
+        HttpServer(
+            type(self.settings.ready)(
+                self.settings.ready.host, self.settings.metrics_port
+            ),
+            self._metrics_page,
+        )
+        front = FrontServer(self.state, self.forwarder)
+        watch = StoreWatch(self.state, PlatformStore(self.settings.store))
+        eventlet.spawn_n(watch.run)
+        pruned = checked = steady()
+        while not self._stop_step(front):
+            eventlet.sleep(TICK_S)
+            now = steady()
+            if now - pruned >= PRUNE_S:
+                pruned = now
+                self.pool.prune(now, self.state.directory.by_id)
+            if self._reload or now - checked >= SETTINGS_CHECK_S:
+                checked, self._reload = now, False
+                self._check_settings()
+        self.state.log.write("stop", True, in_flight=self.state.in_flight)
+        self.state.log.flush()
+
+    def _stop_step(self, front: FrontServer) -> bool:
+        """Takes a graceful stop further; returns whether it has ended."""
+        if self._stop_at is None:
+            return False
+        now = steady()
+        if not self.state.stopping:
+            self.state.stopping = True
+            self.state.log.write(
+                "stopping", True, in_flight=self.state.in_flight
+            )
+        grace = self.settings.bounds.grace_s
+        age = now - self._stop_at
+        if age < NEW_CLIENTS_S:
+            return False
+        if age >= grace - IDLE_CLOSE_MARGIN_S:
+            front.close_idle()
+        if age >= grace - EXIT_MARGIN_S:
+            return True
+        return not front.connections and not self.state.in_flight
+
+    def _read_settings_text(self) -> str:
+        try:
+            return self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            self.state.log.write("settings_unreadable", True, error=str(error))
+            return ""
+
+    def _check_settings(self) -> None:
+        text = self._read_settings_text()
+        if not text or text == self._text:
+            return
+        self._text = text
+        settings, errors = read_entry_settings(str(self._path))
+        if settings is None:
+            self.state.log.write(
+                "settings_rejected",
+                True,
+                errors=[f"{e.source}: {e.message}" for e in errors[:5]],
+            )
+            return
+        self.settings = self.state.settings = settings
+        bounds = settings.bounds
+        budget = self.state.extra_attempts
+        budget.window_s = bounds.retry_budget_window_s
+        budget.ratio = bounds.retry_budget_ratio
+        budget.allowance = bounds.retry_budget_slack
+        self.state.directory.drain_s = bounds.drain_ms / 1000.0
+        self.state.log.write("settings_reloaded", True)
+
+    def _ready_page(self, environ, start_response):
+        ready = environ["PATH_INFO"] == headers.READY_PATH
+        ready = ready and self.state.is_ready()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Type", "text/plain")])
+        return [b"ready\n" if ready else b"not ready\n"]
+
+    def _metrics_page(self, environ, start_response):
+        lines = [
+            f"kumquatspur_{name} {value}"
+            for name, value in sorted(self.state.counters.items())
+        ]
+        table = self.state.table
+        version = table.config.version if table else -1
+        lines += [
+            f"kumquatspur_config_version {version}",
+            f"kumquatspur_searchers {len(self.state.directory.by_id)}",
+            f"kumquatspur_searchers_age_seconds {state_age_s(self.state)}",
+            f"kumquatspur_store_up {int(self.state.store_ok)}",
+            f"kumquatspur_connections_opened {self.pool.opened}",
+            f"kumquatspur_requests_in_flight {self.state.in_flight}",
+            f"kumquatspur_log_lines_dropped {self.state.log.dropped}",
+        ]
+        for route, histogram in sorted(self.state.histograms.items()):
+            label = json.dumps(route)
+            for quantile in (50.0, 90.0, 99.0, 99.9):
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                lines.append(
+                    f"kumquatspur_latency_seconds{{route={label},"
+                    f'quantile="{quantile / 100}"}} {value}'
+                )
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        return ["\n".join(lines).encode() + b"\n"]
--- /dev/null
+++ b/kumquatspur/wire/entry_state.py
@@ -0,0 +1,136 @@
+"""The blackboard of an entry host: what it believes, and since when."""
+
+import collections
+import dataclasses
+import random as random_numbers
+
+from kumquatspur.border.entry_settings import EntrySettings
+from kumquatspur.core.routing import RoutingConfig
+from kumquatspur.policy.extra_attempts import ExtraAttempts
+from kumquatspur.policy.hedging import LatencyWindow
+from kumquatspur.policy.route_table import RouteTable
+from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
+from kumquatspur.policy.searcher_directory import SearcherDirectory
+from kumquatspur.wire.decision_log import DecisionLog
+from kumquatspur.wire.metrics import new_histogram
+from kumquatspur.wire.searcher_pool import steady
+
+# Hosts assumed to share the allowance of extra attempts until peers are known.
+UNKNOWN_HOSTS = 16
+
+
+@dataclasses.dataclass
+class EntryState:
+    """What an entry host believes.
+
+    Attributes:
+        settings: The settings.
+        log: Where decisions are logged.
+        directory: The known searchers.
+        extra_attempts: Budget of extra attempts.
+        table: Routes in force; None before a configuration is known.
+        loads: What was seen of each searcher.
+        zones: Zones that are probably cut off.
+        latencies: Recent latencies of attempts by route.
+        counters: Counts since the start, by name.
+        histograms: Latency histograms in microseconds by route.
+        store_ok: Whether the last call to the store succeeded.
+        stopping: Whether a stop was asked for.
+        in_flight: Client requests under way.
+        random: Source of random numbers.
+    """
+
+    settings: EntrySettings
+    log: DecisionLog
+    directory: SearcherDirectory
+    extra_attempts: ExtraAttempts
+    table: RouteTable | None = None
+    loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
+    zones: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
+    latencies: dict[str, LatencyWindow] = dataclasses.field(
+        default_factory=dict
+    )
+    counters: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    histograms: dict = dataclasses.field(default_factory=dict)
+    store_ok: bool = False
+    stopping: bool = False
+    in_flight: int = 0
+    random: random_numbers.Random = dataclasses.field(
+        default_factory=random_numbers.Random
+    )
+
+    def load(self, searcher_id: str) -> SearcherLoad:
+        """Returns what was seen of a searcher."""
+        load = self.loads.get(searcher_id)
+        if load is None:
+            load = self.loads[searcher_id] = SearcherLoad()
+        return load
+
+    def latency_window(self, route: str) -> LatencyWindow:
+        """Returns the recent latencies of a route's attempts."""
+        window = self.latencies.get(route)
+        if window is None:
+            window = self.latencies[route] = LatencyWindow()
+        return window
+
+    def record_answer(self, route: str, seconds: float) -> None:
+        """Counts an answer in the histogram of its route."""
+        histogram = self.histograms.get(route)
+        if histogram is None:
+            histogram = self.histograms[route] = new_histogram()
+        histogram.record_value(int(seconds * 1_000_000))
+
+    def apply_config(self, config: RoutingConfig, source: str) -> bool:
+        """Puts a configuration in force if it is newer.
+
+        Args:
+            config: The configuration.
+            source: Where it comes from.
+
+        Returns:
+            False if a configuration as new is in force.
+        """
+        current = self.table.config.version if self.table else -1
+        if config.version <= current:
+            return False
+        self.table = RouteTable(config)
+        routes = {route.name for route in config.routes}
+        for name in [key for key in self.latencies if key not in routes]:
+            del self.latencies[name]
+        self.log.write(
+            "config_in_force",
+            True,
+            version=config.version,
+            previous=current,
+            routes=len(config.routes),
+            source=source,
+        )
+        return True
+
+    def is_ready(self) -> bool:
+        """Returns whether this host should get new clients."""
+        known = self.table is not None and bool(self.directory.by_id)
+        return known and not self.stopping
+
+
+def new_state(settings: EntrySettings, log: DecisionLog) -> EntryState:
+    """Returns the state of a host that has just started."""
+    bounds = settings.bounds
+    return EntryState(
+        settings=settings,
+        log=log,
+        directory=SearcherDirectory(drain_s=bounds.drain_ms / 1000.0),
+        extra_attempts=ExtraAttempts(
+            window_s=bounds.retry_budget_window_s,
+            ratio=bounds.retry_budget_ratio,
+            allowance=bounds.retry_budget_slack,
+            hosts=UNKNOWN_HOSTS,
+        ),
+    )
+
+
+def state_age_s(state: EntryState) -> float:
+    """Returns the age of the searchers' state in seconds."""
+    return round(steady() - state.directory.read_at, 3)
--- /dev/null
+++ b/kumquatspur/wire/forwarder.py
@@ -0,0 +1,437 @@
+"""Serves client requests by asking searchers."""
+
+import dataclasses
+import math
+
+import eventlet
+import eventlet.queue
+
+from kumquatspur.core import verdict as verdicts
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.routing import (
+    ClientReply,
+    ClientRequest,
+    Route,
+    SearcherEntry,
+    SearcherReply,
+)
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.platform import headers
+from kumquatspur.policy.records_merge import greatest_records
+from kumquatspur.policy.request_plan import (
+    AttemptKind,
+    Outcome,
+    RequestPlan,
+    hedge_delay_s,
+)
+from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
+from kumquatspur.wire.entry_state import EntryState, state_age_s
+from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
+
+# An attempt that takes longer than this quantile is repeated.
+HEDGE_QUANTILE = 0.9
+TYPICAL_QUANTILE = 0.5
+# Typical latency of a route as a share of its target until it is measured.
+UNKNOWN_TYPICAL_SHARE = 0.2
+# Extra attempts that hedges leave for retries of failed attempts.
+HEDGE_RESERVE = 2.0
+# How long an attempt that lost may go on, so that its connection is kept.
+LINGER_S = 0.3
+DEFAULT_TIME_LEFT_S = 60.0
+RETRY_AFTER_S = (0.05, 0.2)
+_NOT_RUN_STATUSES = frozenset({429, 503, 408, 421})
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt at a searcher.
+
+    Attributes:
+        shard: The shard, or the service of a forwarded request.
+        entry: The searcher.
+        kind: Why it was asked.
+        started: When, on the steady clock.
+        result: The response, or the error; None while under way.
+        ended: When the result came.
+        thread: The green thread that makes the call.
+        paid: Whether it was taken from the budget of extra attempts.
+    """
+
+    shard: str
+    entry: SearcherEntry
+    kind: AttemptKind
+    started: float
+    paid: bool = False
+    result: SearcherReply | CallError | None = None
+    ended: float = 0.0
+    thread: object = None
+
+
+class Forwarder:
+    """Asks searchers on behalf of clients.
+
+    Attributes:
+        state: The blackboard.
+        pool: Connections to searchers.
+    """
+
+    def __init__(self, state: EntryState, pool: SearcherPool):
+        self.state = state
+        self.pool = pool
+
+    def serve(self, request: ClientRequest) -> ClientReply:
+        """Returns the answer to a request.
+
+        The calling green thread may be killed if the client leaves.
+
+        Args:
+            request: The request.
+        """
+        table = self.state.table
+        if table is None:
+            return self._refuse(request, None, 503, Reason.NO_CONFIGURATION)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, None, 404, Reason.UNKNOWN_SERVICE)
+        shards = route.shards
+        if not shards:
+            shards = (table.choose_service(route, self.state.random.random()),)
+        return _RequestRun(self, request, route, shards).run()
+
+    def _refuse(self, request, route, status, reason) -> ClientReply:
+        self.state.counters[f"refused_{reason}"] += 1
+        self.state.log.write(
+            "refused",
+            request_id=request.request_id,
+            route=route.name if route else None,
+            path=request.path,
+            config=self.state.table and self.state.table.config.version,
+            status=status,
+            reason=reason,
+        )
+        return error_reply(status, reason, self.retry_after_s())
+
+    def retry_after_s(self) -> float:
+        """Returns a wait that spreads the return of refused clients."""
+        return self.state.random.uniform(*RETRY_AFTER_S)
+
+
+def error_reply(
+    status: int, reason: str, retry_after_s: float = 0.0
+) -> ClientReply:
+    """Returns an answer of this system itself.
+
+    Args:
+        status: HTTP status.
+        reason: Why.
+        retry_after_s: When to come back, in seconds, if the request has not
+            run.
+    """
+    fields = [(b"Content-Type", b"text/plain")]
+    if status in _NOT_RUN_STATUSES and retry_after_s:
+        fields.append((b"Retry-After", f"{retry_after_s:.3f}".encode()))
+    return ClientReply(status, tuple(fields), f"{reason}\n".encode())
+
+
+class _RequestRun:
+    """One request under way."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: ClientRequest,
+        route: Route,
+        shards: tuple[str, ...],
+    ):
+        self.forwarder = forwarder
+        self.state = forwarder.state
+        self.request = request
+        self.route = route
+        self.version = self.state.table.config.version
+        self.window = self.state.latency_window(route.name)
+        time_left = request.time_left_s or DEFAULT_TIME_LEFT_S
+        self.deadline = request.arrived + min(time_left, route.timeout_s)
+        late = self.window.quantile(HEDGE_QUANTILE)
+        self.plan = RequestPlan(
+            route,
+            shards,
+            request.arrived,
+            self.deadline,
+            hedge_delay_s(route.target_latency_s, late),
+        )
+        typical = self.window.quantile(TYPICAL_QUANTILE)
+        self.typical_s = typical or (
+            route.target_latency_s * UNKNOWN_TYPICAL_SHARE
+        )
+        self.results = eventlet.queue.LightQueue()
+        self.attempts = []
+        self.parts = {}
+        self.failure = None
+
+    def run(self) -> ClientReply:
+        """Returns the answer."""
+        now = steady()
+        servable = sum(
+            bool(self.state.directory.usable(shard, now))
+            for shard in self.plan.shards
+        )
+        if servable < self.plan.needed:
+            return self.forwarder._refuse(
+                self.request, self.route, 503, Reason.NO_REPLICA
+            )
+        for shard in self.plan.shards:
+            self.state.extra_attempts.note_request(shard, now)
+        finished = False
+        try:
+            outcome = self._wait()
+            finished = True
+        finally:
+            self._end_attempts(finished)
+        reply = self._reply(outcome)
+        self._log(outcome, reply)
+        return reply
+
+    def _wait(self) -> Outcome:
+        while True:
+            now = steady()
+            for shard, kind in self.plan.due(now):
+                self._start(shard, kind, now)
+            outcome = self.plan.outcome(now)
+            if outcome is not None:
+                return outcome
+            wait = max(0.0005, self.plan.wake_at(now) - now)
+            try:
+                self._take(self.results.get(timeout=wait))
+                while not self.results.empty():
+                    self._take(self.results.get_nowait())
+            except eventlet.queue.Empty:
+                continue
+
+    def _start(self, shard: str, kind: AttemptKind, now: float) -> None:
+        progress = self.plan.shards[shard]
+        entries = [
+            entry
+            for entry in self.state.directory.usable(shard, now)
+            if entry.searcher_id not in progress.tried
+        ]
+        context = ChoiceContext(
+            self.state.settings.zone,
+            self.typical_s,
+            now,
+            self.state.random.random,
+        )
+        entry = choose_searcher(
+            entries, self.state.load, self.state.zones, context
+        )
+        # A repeat after an attempt that was never sent is not an extra one.
+        extra = kind is not AttemptKind.FIRST and progress.sent > 0
+        if entry is None or (extra and not self._pay(shard, kind, now)):
+            self.plan.note_unavailable(shard, kind, now)
+            return
+        self.plan.note_start(shard, entry.searcher_id, now)
+        attempt = Attempt(shard, entry, kind, now, extra)
+        self.attempts.append(attempt)
+        attempt.thread = eventlet.spawn(self._call, attempt)
+
+    def _pay(self, shard: str, kind: AttemptKind, now: float) -> bool:
+        reserve = HEDGE_RESERVE if kind is AttemptKind.HEDGE else 0.0
+        paid = self.state.extra_attempts.spend(shard, now, reserve)
+        self.state.counters[f"{kind}_{'sent' if paid else 'unpaid'}"] += 1
+        return paid
+
+    def _call(self, attempt: Attempt) -> None:
+        entry = attempt.entry
+        load = self.state.load(entry.searcher_id)
+        number = id(attempt)
+        load.in_flight[number] = attempt.started
+        try:
+            message = self.forwarder.pool.call(
+                entry.searcher_id,
+                entry.address,
+                encode_request(self.request, entry, self.deadline - steady()),
+                self._is_ours,
+                self.deadline,
+                self.request.method == "HEAD",
+            )
+            attempt.result = headers.decode_reply(
+                message.status, message.end_to_end_headers(), message.body()
+            )
+        except CallError as error:
+            attempt.result = error
+        finally:
+            load.in_flight.pop(number, None)
+        attempt.ended = steady()
+        self._observe(attempt, load)
+        self.results.put(attempt)
+
+    def _is_ours(self, message) -> bool:
+        value = message.header(headers.REQUEST_ID) or b""
+        return value.decode("latin-1") == self.request.request_id
+
+    def _observe(self, attempt: Attempt, load) -> None:
+        """Notes what a result says of its searcher."""
+        entry, result, now = attempt.entry, attempt.result, attempt.ended
+        if isinstance(result, CallError):
+            load.note_failure(now)
+            if result.silent:
+                self.state.zones.note_silence(
+                    entry.zone, entry.searcher_id, now
+                )
+            return
+        self.state.zones.note_answer(entry.zone)
+        if result.load is not None:
+            load.note_load(result.load, now)
+        if result.status == headers.MISDIRECTED:
+            load.note_failure(now)
+            return
+        if 200 <= result.status < 300:
+            seconds = now - attempt.started
+            self.window.add(seconds)
+            load.note_latency(seconds / self.typical_s, now)
+
+    def _take(self, attempt: Attempt) -> None:
+        """Takes a result into the plan."""
+        result, shard = attempt.result, attempt.shard
+        if isinstance(result, CallError):
+            if attempt.paid and not result.sent:
+                self.state.extra_attempts.refund(shard, attempt.ended)
+            self.plan.note_failure(shard, result.verdict, result.sent)
+            return
+        if result.not_executed:
+            self.plan.note_failure(shard, Verdict.NOT_RUN, True)
+            return
+        if self._is_answer(result):
+            if self.plan.note_part(shard):
+                self.parts[shard] = result
+            return
+        self.failure = result
+        self.plan.note_failure(shard, Verdict.RAN, True)
+
+    def _is_answer(self, result: SearcherReply) -> bool:
+        if not result.signature or result.encoded:
+            return False
+        if self.route.shards:
+            return result.status == 200 and "," not in result.signature
+        return result.status < 500
+
+    def _end_attempts(self, finished: bool) -> None:
+        for attempt in self.attempts:
+            if attempt.result is not None:
+                continue
+            if finished:
+                eventlet.spawn_after(LINGER_S, attempt.thread.kill)
+            else:
+                attempt.thread.kill()
+
+    def _reply(self, outcome: Outcome) -> ClientReply:
+        if outcome is Outcome.FAIL:
+            return self._failure()
+        if self.route.shards:
+            missing = len(self.plan.shards) - len(self.parts)
+            return headers.merged_reply(
+                [part.signature for part in self.parts.values()],
+                missing,
+                greatest_records(
+                    (part.body for part in self.parts.values()),
+                    self.route.result_limit,
+                ),
+            )
+        (part,) = self.parts.values()
+        return ClientReply(part.status, part.headers, part.body)
+
+    def _failure(self) -> ClientReply:
+        verdict = verdicts.join(self.plan.verdicts())
+        if verdict is Verdict.NOT_RUN:
+            return error_reply(
+                503, Reason.OVERLOADED, self.forwarder.retry_after_s()
+            )
+        # The searcher's own failure is the truth about a forwarded request,
+        # unless its status would promise that nothing ran.
+        if (
+            self.failure is not None
+            and not self.route.shards
+            and self.failure.signature
+            and not self.failure.encoded
+            and self.failure.status not in _NOT_RUN_STATUSES
+        ):
+            return ClientReply(
+                self.failure.status, self.failure.headers, self.failure.body
+            )
+        if steady() >= self.plan.deadline:
+            return error_reply(504, Reason.TIMED_OUT)
+        return error_reply(502, Reason.UPSTREAM_FAILED)
+
+    def _log(self, outcome: Outcome, reply: ClientReply) -> None:
+        now = steady()
+        elapsed = now - self.request.arrived
+        counters = self.state.counters
+        counters[f"answered_{reply.status}"] += 1
+        if outcome is Outcome.ANSWER:
+            self.state.record_answer(self.route.name, elapsed)
+        self.state.log.write(
+            "answered",
+            request_id=self.request.request_id,
+            route=self.route.name,
+            config=self.version,
+            searchers_age_s=state_age_s(self.state),
+            status=reply.status,
+            outcome=outcome,
+            ms=round(elapsed * 1000, 1),
+            target_ms=round(self.route.target_latency_s * 1000),
+            parts=f"{len(self.parts)}/{len(self.plan.shards)}",
+            missing=[s for s in self.plan.shards if s not in self.parts],
+            attempts=[
+                _describe(attempt, self.request.arrived)
+                for attempt in self.attempts
+                if not _is_plain(attempt)
+            ],
+        )
+
+
+def encode_request(
+    request: ClientRequest, entry: SearcherEntry, time_left_s: float
+) -> bytes:
+    """Returns the bytes that are sent to a searcher.
+
+    Args:
+        request: The client's request.
+        entry: The searcher.
+        time_left_s: How long an answer is of use, in seconds.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
+    ]
+    for name, value in request.headers:
+        lines.append(b"%b: %b\r\n" % (name, value))
+    lines.append(
+        headers.encode_searcher_headers(entry.searcher_id, time_left_s)
+    )
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(b"content-length: %d\r\n" % len(request.body))
+    lines += (b"\r\n", request.body)
+    return b"".join(lines)
+
+
+def _is_plain(attempt: Attempt) -> bool:
+    if attempt.kind is not AttemptKind.FIRST:
+        return False
+    result = attempt.result
+    return isinstance(result, SearcherReply) and result.status == 200
+
+
+def _describe(attempt: Attempt, arrived: float) -> list:
+    result = attempt.result
+    outcome = "open"
+    if isinstance(result, CallError):
+        outcome = str(result)
+    elif result is not None:
+        outcome = result.status
+    took = attempt.ended - attempt.started if attempt.ended else math.nan
+    return [
+        attempt.kind,
+        attempt.entry.searcher_id,
+        attempt.entry.zone,
+        round((attempt.started - arrived) * 1000, 1),
+        None if math.isnan(took) else round(took * 1000, 1),
+        outcome,
+    ]
--- /dev/null
+++ b/kumquatspur/wire/front_server.py
@@ -0,0 +1,271 @@
+"""Serves clients over HTTP/1.1 with kept connections."""
+
+import collections
+import contextlib
+import logging
+
+import eventlet
+from eventlet.green import socket
+
+from kumquatspur.core.routing import ClientLimits, ClientReply, ClientRequest
+from kumquatspur.platform import headers
+from kumquatspur.wire.entry_state import EntryState
+from kumquatspur.wire.forwarder import Forwarder, error_reply
+from kumquatspur.wire.http_messages import (
+    MessageError,
+    RawMessage,
+    RequestReader,
+)
+from kumquatspur.wire.searcher_pool import steady
+
+_log = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 1024
+READ_BYTES = 65536
+# How often a waiting connection looks at its time limits.
+TICK_S = 1.0
+# Requests of one connection that are read ahead of their answers.
+MAX_PENDING = 16
+# Time for a client to read an answer while its own bytes are dropped.
+LINGER_S = 0.5
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class FrontServer:
+    """Accepts clients.
+
+    Attributes:
+        state: The blackboard.
+        forwarder: Serves the requests.
+        connections: The open connections.
+    """
+
+    def __init__(self, state: EntryState, forwarder: Forwarder):
+        self.state = state
+        self.forwarder = forwarder
+        self.connections = set()
+        address = state.settings.front
+        self._listener = eventlet.listen(
+            (address.host, address.port),
+            backlog=LISTEN_BACKLOG,
+            reuse_port=False,
+        )
+        eventlet.spawn_n(self._accept)
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError as error:
+                _log.warning("accept failed", extra={"error": str(error)})
+                eventlet.sleep(0.05)
+                continue
+            eventlet.spawn_n(_ClientConnection(self, sock).run)
+
+
+class _ClientConnection:
+    """One connection of a client.
+
+    Attributes:
+        pending: Requests that were read and wait for their turn.
+        worker: Green thread that answers a request; None if idle.
+        active_at: When the last request was answered or began to arrive.
+    """
+
+    def __init__(self, server: FrontServer, sock):
+        self.server = server
+        self.state = server.state
+        self.socket = sock
+        self.pending = collections.deque()
+        self.worker = None
+        self.active_at = steady()
+        self.closed = False
+        table = self.state.table
+        self.limits = table.config.limits if table else ClientLimits()
+        self.reader = RequestReader(
+            self.limits.header_bytes, self.limits.body_bytes
+        )
+
+    def run(self) -> None:
+        """Reads requests until the connection ends."""
+        self.server.connections.add(self)
+        try:
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.socket.settimeout(TICK_S)
+            self._read()
+        except OSError:
+            pass
+        finally:
+            # The client is gone: work for it ends.
+            if self.worker is not None:
+                self.state.counters["client_left"] += 1
+                self.worker.kill()
+            self._close()
+            self.server.connections.discard(self)
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is under way or arriving."""
+        if self._is_idle():
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
+
+    def _is_idle(self) -> bool:
+        between = self.reader.is_between_requests()
+        return self.worker is None and not self.pending and between
+
+    def _read(self) -> None:
+        while not self.closed:
+            try:
+                data = self.socket.recv(READ_BYTES)
+            except TimeoutError:
+                if self._is_overdue():
+                    return
+                continue
+            if not data:
+                return
+            if self.reader.is_between_requests():
+                self.active_at = steady()
+            try:
+                messages = self.reader.feed(data)
+            except MessageError as error:
+                self._reject(error)
+                return
+            for message in messages:
+                self.pending.append(message)
+            self._start_next()
+            while len(self.pending) > MAX_PENDING and not self.closed:
+                eventlet.sleep(TICK_S / 10)
+
+    def _is_overdue(self) -> bool:
+        if self.worker is not None or self.pending:
+            return False
+        age = steady() - self.active_at
+        if self.reader.is_between_requests():
+            return age > self.limits.idle_timeout_s
+        if age <= self.limits.header_timeout_s:
+            return False
+        self._reject(MessageError("request not received in time", 408))
+        return True
+
+    def _reject(self, error: MessageError) -> None:
+        """Answers bytes that are no acceptable request."""
+        while self.worker is not None:
+            eventlet.sleep(TICK_S / 10)
+        self.state.counters[f"rejected_{error.status}"] += 1
+        self.state.log.write(
+            "request_rejected", status=error.status, reason=str(error)
+        )
+        self._send(error_reply(error.status, str(error)), False)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            end = steady() + LINGER_S
+            while steady() < end and self.socket.recv(READ_BYTES):
+                pass
+
+    def _start_next(self) -> None:
+        if self.worker is None and self.pending and not self.closed:
+            message = self.pending.popleft()
+            self.worker = eventlet.spawn(self._answer, message)
+
+    def _answer(self, message: RawMessage) -> None:
+        self.state.in_flight += 1
+        try:
+            reply = self._serve(message)
+            keep = message.keep_alive and not self.state.stopping
+            self._send(reply, keep)
+        except OSError:
+            keep = False
+        finally:
+            self.state.in_flight -= 1
+            self.active_at = steady()
+        self.worker = None
+        if keep:
+            self._start_next()
+            return
+        self.closed = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, message: RawMessage) -> ClientReply:
+        request = decode_request(message)
+        if request is None:
+            return error_reply(400, "request identifier or host is missing")
+        try:
+            return self.server.forwarder.serve(request)
+        except Exception as error:
+            _log.exception("request failed")
+            self.state.counters["internal_errors"] += 1
+            self.state.log.write(
+                "internal_error",
+                True,
+                request_id=request.request_id,
+                error=repr(error),
+            )
+            return error_reply(502, "internal error")
+
+    def _send(self, reply: ClientReply, keep: bool) -> None:
+        reason = _REASONS.get(reply.status, "Status")
+        lines = [f"HTTP/1.1 {reply.status} {reason}\r\n".encode()]
+        for name, value in reply.headers:
+            lines.append(b"%b: %b\r\n" % (name, value))
+        lines.append(b"Content-Length: %d\r\n" % len(reply.body))
+        if not keep:
+            lines.append(b"Connection: close\r\n")
+        lines += (b"\r\n", reply.body)
+        self.socket.sendall(b"".join(lines))
+
+    def _close(self) -> None:
+        self.closed = True
+        with contextlib.suppress(OSError):
+            self.socket.close()
+
+
+def decode_request(message: RawMessage) -> ClientRequest | None:
+    """Returns a request as the forwarding path sees it, or None if malformed.
+
+    Args:
+        message: The message read.
+    """
+    found = dict(reversed(message.headers))
+    request_id = found.get(headers.REQUEST_ID)
+    host = found.get(b"host")
+    if not request_id or not host:
+        return None
+    target = message.target.decode("latin-1")
+    path = target.partition("?")[0]
+    if not path.startswith("/"):
+        # The absolute form names the host a second time.
+        path = "/" + path.partition("://")[2].partition("/")[2]
+    time_left = found.get(headers.TIME_LEFT)
+    return ClientRequest(
+        method=message.method.decode("latin-1"),
+        target=target,
+        host=host.decode("latin-1").partition(":")[0].strip().lower(),
+        path=path,
+        headers=tuple(
+            item
+            for item in message.end_to_end_headers()
+            if item[0] not in headers.OWN_REQUEST_HEADERS
+        ),
+        body=message.body(),
+        request_id=request_id.decode("latin-1"),
+        time_left_s=(
+            headers.decode_time_left_s(time_left) if time_left else None
+        ),
+        arrived=steady(),
+    )
--- /dev/null
+++ b/kumquatspur/wire/http_messages.py
@@ -0,0 +1,272 @@
+"""Reads HTTP/1.1 messages with a parser library."""
+
+import dataclasses
+
+import httptools
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+@dataclasses.dataclass(slots=True)
+class RawMessage:
+    """One message as it is read.
+
+    Attributes:
+        target: Request target; empty for a response.
+        method: Request method; empty for a response.
+        status: Response status; 0 for a request.
+        headers: Pairs of lower-case name and value.
+        chunks: Pieces of the body.
+        body_bytes: Length of the pieces.
+        keep_alive: Whether the connection may be used again.
+        headers_done: Whether all headers are in.
+        complete: Whether the message is whole.
+    """
+
+    target: bytes = b""
+    method: bytes = b""
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    body_bytes: int = 0
+    keep_alive: bool = True
+    headers_done: bool = False
+    complete: bool = False
+
+    def body(self) -> bytes:
+        """Returns the body."""
+        return b"".join(self.chunks)
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def end_to_end_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Returns the headers that do not concern one connection only."""
+        listed = self.header(b"connection") or b""
+        named = {item.strip().lower() for item in listed.split(b",")}
+        dropped = HOP_BY_HOP | named
+        return tuple(item for item in self.headers if item[0] not in dropped)
+
+
+class MessageError(Exception):
+    """Bytes that are not a message.
+
+    Attributes:
+        status: HTTP status that fits as an answer.
+    """
+
+    def __init__(self, message: str, status: int = 400):
+        super().__init__(message)
+        self.status = status
+
+
+class _Callbacks:
+    """Collects what the parser reports.
+
+    Attributes:
+        message: The message being read.
+        finished: Whole messages that were not taken yet.
+        header_bytes: Bytes of the headers so far.
+    """
+
+    def __init__(self):
+        self.message = None
+        self.finished = []
+        self.header_bytes = 0
+        self.parser = None
+
+    def on_message_begin(self):
+        self.message = RawMessage()
+        self.header_bytes = 0
+
+    def on_header(self, name, value):
+        self.header_bytes += len(name) + len(value) + 4
+        self.message.headers.append((name.lower(), value))
+
+    def on_body(self, chunk):
+        self.message.chunks.append(chunk)
+        self.message.body_bytes += len(chunk)
+
+
+class RequestReader(_Callbacks):
+    """Reads requests from the bytes of one connection."""
+
+    def __init__(self, header_limit: int, body_limit: int):
+        super().__init__()
+        self.header_limit = header_limit
+        self.body_limit = body_limit
+        self.parser = httptools.HttpRequestParser(self)
+        self.pending_header_bytes = 0
+
+    def on_url(self, url):
+        """Takes a piece of the target."""
+        self.message.target += url
+        self.header_bytes += len(url)
+        self._check_headers()
+
+    def on_header(self, name, value):
+        """Takes a header."""
+        super().on_header(name, value)
+        self._check_headers()
+
+    def on_headers_complete(self):
+        """Takes the end of the headers."""
+        message = self.message
+        message.method = self.parser.get_method()
+        message.keep_alive = self.parser.should_keep_alive()
+        message.headers_done = True
+        names = [name for name, _ in message.headers]
+        framing = names.count(b"content-length")
+        if framing and b"transfer-encoding" in names:
+            raise MessageError("length and transfer encoding")
+        if framing > 1 or names.count(b"host") > 1:
+            raise MessageError("repeated header")
+        length = message.header(b"content-length")
+        if length is not None and int(length) > self.body_limit:
+            raise MessageError("body too long", 413)
+
+    def on_body(self, chunk):
+        """Takes a piece of the body."""
+        super().on_body(chunk)
+        if self.message.body_bytes > self.body_limit:
+            raise MessageError("body too long", 413)
+
+    def on_message_complete(self):
+        """Takes the end of a request."""
+        self.message.complete = True
+        self.finished.append(self.message)
+        self.message = None
+
+    def feed(self, data: bytes) -> list[RawMessage]:
+        """Takes bytes.
+
+        Args:
+            data: The bytes.
+
+        Returns:
+            The requests that are whole.
+
+        Raises:
+            MessageError: The bytes are no request, or exceed a limit.
+        """
+        # A single line may not be reported before its end.
+        if self.message is None or not self.message.headers_done:
+            self.pending_header_bytes += len(data)
+            if self.pending_header_bytes > self.header_limit + len(data):
+                raise MessageError("headers too long", 431)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            if self.finished:
+                self.finished[-1].keep_alive = False
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, MessageError):
+                raise cause from None
+            raise MessageError(str(error)) from error
+        except httptools.HttpParserError as error:
+            raise MessageError(str(error)) from error
+        found, self.finished = self.finished, []
+        if found or (self.message and self.message.headers_done):
+            self.pending_header_bytes = 0
+        return found
+
+    def _check_headers(self):
+        if self.header_bytes > self.header_limit:
+            raise MessageError("headers too long", 431)
+
+    def is_between_requests(self) -> bool:
+        """Returns whether no request has begun to arrive."""
+        return self.message is None and not self.pending_header_bytes
+
+
+class ResponseReader(_Callbacks):
+    """Reads responses from the bytes of one connection.
+
+    Attributes:
+        extra: Whether bytes followed that no request waits for.
+        until_close: Whether the body ends with the connection.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.extra = False
+        self.until_close = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self):
+        """Takes the end of the headers."""
+        message = self.message
+        message.status = self.parser.get_status_code()
+        message.keep_alive = self.parser.should_keep_alive()
+        message.headers_done = True
+        names = [name for name, _ in message.headers]
+        framed = b"content-length" in names or b"transfer-encoding" in names
+        bodyless = message.status in _BODYLESS_STATUSES or message.status < 200
+        self.until_close = not framed and not bodyless
+
+    def on_message_complete(self):
+        """Takes the end of a response."""
+        message, self.message = self.message, None
+        if message.status >= 200:
+            message.complete = True
+            self.finished.append(message)
+
+    def feed(self, data: bytes) -> list[RawMessage]:
+        """Takes bytes.
+
+        Args:
+            data: The bytes.
+
+        Returns:
+            The responses that are whole.
+
+        Raises:
+            MessageError: The bytes are no response.
+        """
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            if not self.finished:
+                raise MessageError(str(error)) from error
+            self.extra = True
+        found, self.finished = self.finished, []
+        if found and self.message is not None:
+            self.extra = True
+        return found
+
+    def end(self) -> RawMessage | None:
+        """Takes the orderly end of the connection.
+
+        Returns:
+            The response that ends with it, or None.
+        """
+        if self.message is None or not self.until_close:
+            return None
+        message, self.message = self.message, None
+        message.complete = message.headers_done
+        message.keep_alive = False
+        return message if message.complete else None
