A searcher's response without a length is complete only at an orderly end

The green socket's recv returns no bytes for ECONNRESET, like for an orderly end. Ruled out: the response parser (its end is reached only by the connection's end), extra responses (the identifier matches). Change: receive with the socket itself and wait with the hub.

--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -5,6 +5,7 @@
 import errno
 import time
 
+from eventlet import hubs
 from eventlet.green import socket
 
 from kumquatspur.core.records import Address
@@ -222,8 +223,7 @@
             left = deadline - steady()
             if left <= 0:
                 raise TimeoutError
-            sock.settimeout(left)
-            data = sock.recv(READ_BYTES)
+            data = receive(sock, left)
             if not data:
                 message = reader.end()
                 if message is not None and accepts(message):
@@ -250,6 +250,29 @@
         raise CallError(f"connection: {reason}", lost=not received) from error
 
 
+def receive(sock, timeout_s: float) -> bytes:
+    """Returns bytes from a green socket, or b"" at its orderly end.
+
+    The library's own method also returns b"" for a connection that was reset,
+    which would make a response without a length look complete.
+
+    Args:
+        sock: The green socket.
+        timeout_s: How long to wait, in seconds.
+
+    Raises:
+        TimeoutError: Nothing came in time.
+        OSError: The connection was lost.
+    """
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            hubs.trampoline(
+                sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
+            )
+
+
 def _keep(connection: Connection, message: RawMessage, trailing: bool) -> bool:
     if trailing or not message.keep_alive:
         return False
--- /dev/null
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -0,0 +1,136 @@
+import socket as plain_socket
+import struct
+import unittest
+
+import eventlet
+from eventlet.green import socket
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
+
+REQUEST = b"GET /a/ HTTP/1.1\r\nhost: a\r\nid: 1\r\n\r\n"
+
+
+def is_ours(message):
+    return message.header(b"id") == b"1"
+
+
+def with_length(body, request_id=b"1", extra=b""):
+    return (
+        b"HTTP/1.1 200 OK\r\nid: %b\r\nkeep-alive: timeout=9\r\n"
+        b"content-length: %d\r\n\r\n%b%b" % (request_id, len(body), body, extra)
+    )
+
+
+class FakeSearcher:
+    """Answers each request on a connection with the next scripted bytes."""
+
+    def __init__(self, *replies, reset=False):
+        self.replies = list(replies)
+        self.reset = reset
+        self.accepted = 0
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self.listener.getsockname())
+        eventlet.spawn_n(self.run)
+
+    def run(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            eventlet.spawn_n(self.serve, sock)
+
+    def serve(self, sock):
+        while self.replies and sock.recv(65536):
+            reply = self.replies.pop(0)
+            sock.sendall(reply)
+            if self.reset:
+                eventlet.sleep(0.05)
+                sock.setsockopt(
+                    plain_socket.SOL_SOCKET,
+                    plain_socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                break
+            if b"content-length" not in reply:
+                break
+        sock.close()
+
+
+class SearcherPoolTest(unittest.TestCase):
+    def setUp(self):
+        self.pool = SearcherPool()
+
+    def call(self, searcher):
+        self.addCleanup(searcher.listener.close)
+        return self.pool.call(
+            "i-1", searcher.address, REQUEST, is_ours, steady() + 2.0
+        )
+
+    def test_connection_is_kept(self):
+        searcher = FakeSearcher(with_length(b"one"), with_length(b"two"))
+        self.assertEqual(self.call(searcher).body(), b"one")
+        self.assertEqual(self.call(searcher).body(), b"two")
+        self.assertEqual(searcher.accepted, 1)
+
+    def test_body_without_length_ends_with_the_connection(self):
+        searcher = FakeSearcher(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole")
+        self.assertEqual(self.call(searcher).body(), b"whole")
+
+    def test_body_without_length_that_is_reset_is_not_complete(self):
+        searcher = FakeSearcher(
+            b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\npart", reset=True
+        )
+        with self.assertRaises(CallError) as caught:
+            self.call(searcher)
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_truncated_body_is_not_complete(self):
+        reply = with_length(b"whole")[:-2]
+        searcher = FakeSearcher(reply, reset=True)
+        with self.assertRaises(CallError):
+            self.call(searcher)
+
+    def test_bytes_after_a_response_end_the_connection(self):
+        searcher = FakeSearcher(
+            with_length(b"one", extra=with_length(b"one")),
+            with_length(b"two"),
+        )
+        self.assertEqual(self.call(searcher).body(), b"one")
+        self.assertEqual(self.call(searcher).body(), b"two")
+        self.assertEqual(searcher.accepted, 2)
+
+    def test_late_response_of_another_request_is_skipped(self):
+        searcher = FakeSearcher(with_length(b"old", b"0") + with_length(b"one"))
+        self.assertEqual(self.call(searcher).body(), b"one")
+
+    def test_bytes_that_are_no_response(self):
+        searcher = FakeSearcher(b"\x00\x01garbage\r\n\r\n")
+        with self.assertRaises(CallError) as caught:
+            self.call(searcher)
+        self.assertTrue(caught.exception.sent)
+
+    def test_refused_connection_proves_that_nothing_ran(self):
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        address = Address(*listener.getsockname())
+        listener.close()
+        with self.assertRaises(CallError) as caught:
+            self.pool.call("i-1", address, REQUEST, is_ours, steady() + 1.0)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
+    def test_silence_may_have_run(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = Address(*listener.getsockname())
+        with self.assertRaises(CallError) as caught:
+            self.pool.call("i-1", address, REQUEST, is_ours, steady() + 0.05)
+        self.assertTrue(caught.exception.silent)
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+
+if __name__ == "__main__":
+    unittest.main()
