An empty watch is no outage of the store; changes are fetched together

Ruled out: late watches (the removal was logged within 50 ms). Change: an outage is two heartbeats without contact; lapsed entries are dropped by the host's own tick. Test: searcher_directory_test.

--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -13,8 +13,8 @@
 # Entries that lapsed during an outage are back within two seconds of its end;
 # the rest allows for the time until the change is seen here.
 LAPSE_GRACE_S = 2.3
-# A store that was silent for less cannot have let entries lapse.
-OUTAGE_S = 1.0
+# Heartbeats that a searcher can miss before its entry may lapse.
+OUTAGE_HEARTBEATS = 2.0
 # Work for a draining searcher must reach it within the drain time; this share
 # of it is used only while no other replica is known.
 DRAIN_SHARE = 0.5
@@ -26,6 +26,7 @@
 
     Attributes:
         drain_s: How long a draining searcher still serves.
+        heartbeat_s: Interval at which searchers renew their entries.
         by_id: Entries by searcher.
         left_at: When a searcher was seen draining or removed.
         removed: Searchers whose entry is gone.
@@ -38,6 +39,7 @@
     """
 
     drain_s: float
+    heartbeat_s: float
     by_id: dict[str, SearcherEntry] = dataclasses.field(default_factory=dict)
     left_at: dict[str, float] = dataclasses.field(default_factory=dict)
     by_service: dict[str, dict[str, SearcherEntry]] = dataclasses.field(
@@ -58,7 +60,8 @@
             revision: The store's revision.
             now: Steady time in seconds.
         """
-        if self.read_at >= 0 and now - self.read_at > OUTAGE_S:
+        outage_s = OUTAGE_HEARTBEATS * self.heartbeat_s
+        if self.read_at >= 0 and now - self.read_at > outage_s:
             self.grace_until = now + LAPSE_GRACE_S
         self.read_at = now
         self.revision = max(self.revision, revision)
--- /dev/null
+++ b/kumquatspur/policy/searcher_directory_test.py
@@ -0,0 +1,92 @@
+import dataclasses
+import unittest
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.routing import SearcherEntry, SearcherState
+from kumquatspur.policy.searcher_directory import (
+    LAPSE_GRACE_S,
+    SearcherDirectory,
+)
+
+DRAIN_S = 3.0
+HEARTBEAT_S = 1.2
+
+
+def entry(searcher_id, state=SearcherState.READY, service="s"):
+    return SearcherEntry(
+        searcher_id, service, Address("10.0.0.1", 80), "z", 2, state, 0.0
+    )
+
+
+class SearcherDirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = SearcherDirectory(DRAIN_S, HEARTBEAT_S)
+        self.directory.note_contact(1, 0.0)
+        for searcher_id in ("a", "b"):
+            self.directory.put(entry(searcher_id), 0.0)
+
+    def usable(self, now, service="s"):
+        found = self.directory.usable(service, now)
+        return sorted(item.searcher_id for item in found)
+
+    def test_draining_searcher_gets_no_work_while_another_is_ready(self):
+        self.directory.put(entry("a", SearcherState.DRAINING), 1.0)
+        self.assertEqual(self.usable(1.0), ["b"])
+
+    def test_last_searcher_is_used_for_a_part_of_its_drain_time(self):
+        self.directory.remove("b", 1.0)
+        self.directory.put(entry("a", SearcherState.DRAINING), 9.0)
+        self.assertEqual(self.usable(9.1), ["a"])
+        self.assertEqual(self.usable(9.0 + DRAIN_S), [])
+
+    def test_removed_searcher_gets_no_work(self):
+        self.directory.note_contact(5, 1.0)
+        self.directory.remove("a", 1.0)
+        self.assertEqual(self.usable(1.0), ["b"])
+
+    def test_watch_that_waited_in_vain_is_no_outage(self):
+        # A watch that returns nothing is silent for over a heartbeat.
+        self.directory.note_contact(5, 1.3)
+        self.directory.remove("a", 1.3)
+        self.assertEqual(self.usable(1.3), ["b"])
+
+    def test_entry_that_lapsed_in_an_outage_is_kept_for_a_moment(self):
+        self.directory.note_contact(5, 10.0)
+        self.directory.remove("a", 10.0)
+        self.assertEqual(self.usable(10.1), ["a", "b"])
+        self.directory.put(entry("a"), 11.0)
+        self.assertEqual(self.directory.expire(10.0 + LAPSE_GRACE_S), [])
+        self.assertEqual(self.usable(13.0), ["a", "b"])
+
+    def test_entry_that_does_not_return_after_an_outage_is_gone(self):
+        self.directory.note_contact(5, 10.0)
+        self.directory.replace([entry("b")], {"b"}, 10.0)
+        gone = self.directory.expire(10.0 + LAPSE_GRACE_S)
+        self.assertEqual(gone, ["a"])
+        self.assertEqual(self.usable(10.0 + LAPSE_GRACE_S), ["b"])
+
+    def test_draining_searcher_that_lapses_does_not_come_back(self):
+        self.directory.put(entry("a", SearcherState.DRAINING), 9.0)
+        self.directory.note_contact(5, 10.0)
+        self.directory.remove("a", 10.0)
+        self.assertEqual(self.usable(10.0), ["b"])
+
+    def test_restart_under_the_same_identifier_is_used_again(self):
+        self.directory.put(entry("a", SearcherState.DRAINING), 1.0)
+        again = dataclasses.replace(entry("a"), born_ms=5)
+        self.directory.put(again, 2.0)
+        self.assertEqual(self.usable(2.0), ["a", "b"])
+
+    def test_searcher_that_changes_its_service_leaves_the_old_one(self):
+        self.directory.put(entry("a", service="t"), 1.0)
+        self.assertEqual(self.usable(1.0), ["b"])
+        self.assertEqual(self.usable(1.0, "t"), ["a"])
+
+    def test_ended_leaver_is_forgotten(self):
+        self.directory.remove("a", 1.0)
+        self.directory.expire(1.1 + DRAIN_S)
+        self.assertNotIn("a", self.directory.left_at)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -76,6 +76,8 @@
         while not self._stop_step(front):
             eventlet.sleep(TICK_S)
             now = steady()
+            for searcher_id in self.state.directory.expire(now):
+                self.state.log.write("searcher_lapsed", searcher=searcher_id)
             if now - pruned >= PRUNE_S:
                 pruned = now
                 self.pool.prune(now, self.state.directory.by_id)
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -121,7 +121,10 @@
     return EntryState(
         settings=settings,
         log=log,
-        directory=SearcherDirectory(drain_s=bounds.drain_ms / 1000.0),
+        directory=SearcherDirectory(
+            drain_s=bounds.drain_ms / 1000.0,
+            heartbeat_s=settings.heartbeat_ms / 1000.0,
+        ),
         extra_attempts=ExtraAttempts(
             window_s=bounds.retry_budget_window_s,
             ratio=bounds.retry_budget_ratio,
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -15,6 +15,8 @@
 # Longest silence of a watch; a silent connection is noticed soon after.
 WAIT_S = 1.2
 RETRY_S = (0.2, 0.5)
+# Changes that come in quick succession are fetched together.
+BATCH_S = 0.3
 ALL_KEYS = ""
 
 
@@ -56,10 +58,11 @@
             self.state.directory.note_contact(view.revision, steady())
             for change in view.changes:
                 self._apply(change)
+            if view.changes:
+                eventlet.sleep(BATCH_S)
         self.revision = view.revision
 
     def _note_contact(self) -> None:
-        now = steady()
         if not self.state.store_ok:
             self.state.store_ok = True
             self.state.log.write(
@@ -68,8 +71,6 @@
                 revision=self.revision,
                 searchers=len(self.state.directory.by_id),
             )
-        for searcher_id in self.state.directory.expire(now):
-            self.state.log.write("searcher_lapsed", searcher=searcher_id)
 
     def _note_loss(self, error: PlatformStoreError) -> None:
         self.state.counters["store_errors"] += 1
