--- a/kumquatspur/border/caller_api.py
+++ b/kumquatspur/border/caller_api.py
@@ -5,7 +5,7 @@
 
 import pydantic
 
-from kumquatspur.border.settings import validation_diagnostics
+from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core.records import Answer, Diagnostic, Query, Refusal
 
 
--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -15,7 +15,7 @@
 
 import pydantic
 
-from kumquatspur.border.settings import validation_diagnostics
+from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core import records
 from kumquatspur.core.records import Diagnostic
 
--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from kumquatspur.border.settings import validation_diagnostics
+from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core.records import Address, Diagnostic
 
 
--- a/kumquatspur/border/settings.py
+++ b/kumquatspur/border/settings.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core.records import Address, Diagnostic
 
 
@@ -114,22 +115,3 @@
         return Settings.model_validate(raw), []
     except pydantic.ValidationError as error:
         return None, validation_diagnostics(path, error)
-
-
-def validation_diagnostics(
-    source: str, error: pydantic.ValidationError
-) -> list[Diagnostic]:
-    """Converts a validation error.
-
-    Args:
-        source: Name of the input, such as a file name.
-        error: The error raised by a model.
-
-    Returns:
-        One diagnostic a wrong field, with its path.
-    """
-    diagnostics = []
-    for item in error.errors(include_url=False):
-        path = ".".join(str(part) for part in item["loc"])
-        diagnostics.append(Diagnostic(f"{source}: {path}", item["msg"]))
-    return diagnostics
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -5,7 +5,7 @@
 
 import pydantic
 
-from kumquatspur.border.settings import validation_diagnostics
+from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core.records import Address, Diagnostic
 from kumquatspur.core.routing import (
     ClientLimits,
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -12,12 +12,18 @@
 
 # Weight of a new latency in the moving mean.
 LATENCY_WEIGHT = 0.3
-# Time in which a measured slowness is half forgotten, so that a searcher
-# that has recovered is found again.
+# Time in which slowness and errors are half forgotten, so that a searcher that
+# has recovered is found again.
 SLOWNESS_HALF_LIFE_S = 3.0
 MAX_SLOWNESS = 20.0
-# A stated load says little after this time.
-LOAD_MEMORY_S = 0.15
+# A stated load says little after this multiple of the typical latency, or
+# after this time if that is longer.
+LOAD_MEMORY_MULTIPLE = 2.0
+MIN_LOAD_MEMORY_S = 0.1
+# Weight of a failed attempt in the moving mean of failures.
+ERROR_WEIGHT = 0.2
+# Cost of a searcher whose attempts all fail, relative to one that is sound.
+ERROR_COST = 5.0
 # Additional cost of another zone, relative to a typical latency.
 REMOTE_COST = 0.35
 COLD_FACTOR = 1.6
@@ -41,7 +47,9 @@
         slowness_at: When it was measured.
         report: The last load stated.
         report_at: When it was stated.
-        failures: Failures in a row.
+        error_share: Moving mean of lost or spoiled responses.
+        error_at: When it was measured.
+        failures: Times in a row that it could not be reached.
         suspect_until: Until when it is avoided.
     """
 
@@ -50,14 +58,18 @@
     slowness_at: float = 0.0
     report: LoadReport | None = None
     report_at: float = -1.0
+    error_share: float = 0.0
+    error_at: float = 0.0
     failures: int = 0
     suspect_until: float = 0.0
 
     def current_slowness(self, now: float) -> float:
         """Returns the slowness, forgotten by half each half-life."""
-        age = max(0.0, now - self.slowness_at)
-        weight = 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
-        return 1.0 + (self.slowness - 1.0) * weight
+        return 1.0 + (self.slowness - 1.0) * _memory(now - self.slowness_at)
+
+    def current_error_share(self, now: float) -> float:
+        """Returns the share of errors, forgotten by half each half-life."""
+        return self.error_share * _memory(now - self.error_at)
 
     def note_latency(self, ratio: float, now: float) -> None:
         """Takes a latency relative to the typical one."""
@@ -67,17 +79,31 @@
         self.slowness_at = now
         self.failures = 0
         self.suspect_until = 0.0
+        self._note_error_share(0.0, now)
 
     def note_load(self, report: LoadReport, now: float) -> None:
         """Takes a load that the searcher states."""
         self.report, self.report_at = report, now
 
-    def note_failure(self, now: float) -> None:
-        """Takes a lost connection, a failed connect or silence."""
+    def note_error(self, now: float) -> None:
+        """Takes a lost or spoiled response of a searcher that is reached."""
+        self._note_error_share(1.0, now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Takes a failed connect, silence, or an address in other hands."""
         step = min(self.failures, len(SUSPECT_S) - 1)
         self.failures += 1
         self.suspect_until = now + SUSPECT_S[step]
 
+    def _note_error_share(self, value: float, now: float) -> None:
+        share = self.current_error_share(now)
+        self.error_share = share + ERROR_WEIGHT * (value - share)
+        self.error_at = now
+
+
+def _memory(age: float) -> float:
+    return 0.5 ** (max(0.0, age) / SLOWNESS_HALF_LIFE_S)
+
 
 @dataclasses.dataclass
 class ZoneHealth:
@@ -125,6 +151,13 @@
     random: Callable[[], float]
 
 
+def _queueing(busy: float, slots: int) -> float:
+    """Returns the time until a new request has run, relative to its work."""
+    waiting = max(0.0, busy - slots + 1)
+    # Work also slows down a little before all slots are taken.
+    return 1.0 + busy / slots + 2.0 * waiting
+
+
 def expected_cost(
     entry: SearcherEntry,
     load: SearcherLoad,
@@ -143,12 +176,14 @@
     busy = len(load.in_flight)
     factor = 1.0
     report_age = now - load.report_at
-    if load.report is not None and report_age < LOAD_MEMORY_S:
+    memory = max(MIN_LOAD_MEMORY_S, LOAD_MEMORY_MULTIPLE * context.typical_s)
+    if load.report is not None and report_age < memory:
         stated = load.report.running + load.report.waiting
-        weight = 1.0 - report_age / LOAD_MEMORY_S
+        weight = 1.0 - report_age / memory
         busy = max(busy, busy + (stated - 1) * weight)
         factor = 1.0 + (load.report.work_factor - 1.0) * weight
-    cost = load.current_slowness(now) * factor * (1.0 + busy / slots)
+    cost = load.current_slowness(now) * factor * _queueing(busy, slots)
+    cost *= 1.0 + (ERROR_COST - 1.0) * load.current_error_share(now)
     if entry.warmup_left_s > 0:
         cost *= COLD_FACTOR
     if load.in_flight:
--- /dev/null
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -0,0 +1,114 @@
+import collections
+import random
+import unittest
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.routing import LoadReport, SearcherEntry, SearcherState
+from kumquatspur.policy.searcher_choice import (
+    ChoiceContext,
+    SearcherLoad,
+    ZoneHealth,
+    choose_searcher,
+)
+
+TYPICAL_S = 0.09
+
+
+def entry(searcher_id, zone="a", warmup_left_s=0.0):
+    return SearcherEntry(
+        searcher_id,
+        "s",
+        Address("10.0.0.1", 80),
+        zone,
+        4,
+        SearcherState.READY,
+        warmup_left_s,
+    )
+
+
+class SearcherChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.loads = collections.defaultdict(SearcherLoad)
+        self.zones = ZoneHealth()
+        self.random = random.Random(5)
+        self.entries = [entry("near"), entry("far", "b"), entry("far-2", "c")]
+
+    def choose(self, now, entries=None):
+        context = ChoiceContext("a", TYPICAL_S, now, self.random.random)
+        found = choose_searcher(
+            entries or self.entries,
+            self.loads.__getitem__,
+            self.zones,
+            context,
+        )
+        return found.searcher_id
+
+    def test_own_zone_is_preferred(self):
+        self.assertEqual({self.choose(1.0) for _ in range(50)}, {"near"})
+
+    def test_slow_searcher_is_left_and_found_again(self):
+        for at in (1.0, 1.1, 1.2):
+            self.loads["near"].note_latency(8.0, at)
+        self.assertNotEqual(self.choose(1.3), "near")
+        self.assertEqual(self.choose(30.0), "near")
+
+    def test_paused_searcher_is_left_while_a_call_hangs(self):
+        self.loads["near"].in_flight[1] = 1.0
+        self.assertNotEqual(self.choose(1.0 + 4 * TYPICAL_S), "near")
+
+    def test_full_searcher_is_left(self):
+        self.loads["near"].note_load(LoadReport(4, 6, 4), 1.0)
+        self.assertNotEqual(self.choose(1.01), "near")
+
+    def test_unreachable_searcher_is_avoided_for_a_while(self):
+        self.loads["near"].note_unreachable(1.0)
+        self.assertNotEqual(self.choose(1.1), "near")
+        self.assertEqual(self.choose(2.0), "near")
+
+    def test_zone_of_several_silent_searchers_is_avoided(self):
+        entries = [entry("x", "b"), entry("y", "c")]
+        self.zones.note_silence("b", "other-1", 1.0)
+        self.assertFalse(self.zones.is_suspect("b", 1.0))
+        self.zones.note_silence("b", "other-2", 1.1)
+        chosen = {self.choose(1.2, entries) for _ in range(50)}
+        self.assertEqual(chosen, {"y"})
+        self.zones.note_answer("b")
+        self.assertFalse(self.zones.is_suspect("b", 1.2))
+
+    def test_cold_searcher_is_used_less(self):
+        entries = [entry("cold", warmup_left_s=2.0), entry("warm")]
+        chosen = {self.choose(1.0, entries) for _ in range(50)}
+        self.assertEqual(chosen, {"warm"})
+
+    def test_lost_responses_do_not_crowd_the_sound_searcher(self):
+        """Three of four searchers lose a share of their responses.
+
+        The fourth must not get all work: its queue costs more than errors.
+        """
+        entries = [entry(str(number)) for number in range(4)]
+        most = 0
+        running = []
+        for step in range(400):
+            now = step * 0.02
+            for finished in [item for item in running if item[0] <= now]:
+                running.remove(finished)
+                _, searcher_id, number = finished
+                load = self.loads[searcher_id]
+                load.in_flight.pop(number)
+                busy = len(load.in_flight)
+                load.note_load(LoadReport(min(4, busy), 0, 4), now)
+                lost = searcher_id != "3" and self.random.random() < 0.1
+                if lost:
+                    load.note_error(now)
+                else:
+                    load.note_latency(1.0, now)
+            searcher_id = self.choose(now, entries)
+            load = self.loads[searcher_id]
+            load.in_flight[step] = now
+            most = max(most, len(load.in_flight))
+            running.append((now + TYPICAL_S * 1.5, searcher_id, step))
+        self.assertLessEqual(most, 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatspur/scripts/platform_daemon.py
+++ b/kumquatspur/scripts/platform_daemon.py
@@ -9,36 +9,13 @@
 
 eventlet.monkey_patch()
 
-from dataclasses import dataclass  # noqa: E402
-from typing import Annotated  # noqa: E402
-
-import cappa  # noqa: E402
-
 from kumquatspur.border.entry_settings import read_entry_settings  # noqa: E402
 from kumquatspur.platform.environment import settings_path  # noqa: E402
 from kumquatspur.scripts.logs import configure_logging  # noqa: E402
 from kumquatspur.wire.entry_host import EntryHost  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
-
-
-@dataclass
-class PlatformDaemon:
-    """Serves clients of the platform until it is told to stop by SIGTERM.
-
-    Example: kumquatspur-entry --settings entry.json
-    """
-
-    settings: Annotated[
-        str,
-        cappa.Arg(
-            long=True,
-            help="Path of the JSON settings file; the platform's by default.",
-        ),
-    ] = ""
-    log_level: Annotated[
-        str, cappa.Arg(long=True, help="Lowest level that is logged.")
-    ] = "WARNING"
+DEFAULT_LOG_LEVEL = "WARNING"
 
 
 def main() -> int:
@@ -47,14 +24,21 @@
     Returns:
         The exit code.
     """
-    arguments = cappa.parse(PlatformDaemon)
-    path = arguments.settings or settings_path()
+    path, log_level = settings_path(), DEFAULT_LOG_LEVEL
+    if len(sys.argv) > 1:
+        # The command-line library takes longer to load than all the rest, and
+        # the platform starts this program without arguments.
+        from kumquatspur.scripts import platform_arguments
+
+        arguments = platform_arguments.parse()
+        path = arguments.settings or path
+        log_level = arguments.log_level
     settings, errors = read_entry_settings(path)
     for error in errors:
         print(f"{error.source}: {error.message}", file=sys.stderr)
     if settings is None:
         return EXIT_BAD_SETTINGS
-    configure_logging(arguments.log_level)
+    configure_logging(log_level)
     host = EntryHost(settings, path)
     # Handlers only set flags: they may interrupt any green thread.
     signal.signal(signal.SIGTERM, lambda *_: host.request_stop())
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -272,7 +272,9 @@
         """Notes what a result says of its searcher."""
         entry, result, now = attempt.entry, attempt.result, attempt.ended
         if isinstance(result, CallError):
-            load.note_failure(now)
+            reached = result.sent and not result.silent
+            note = load.note_error if reached else load.note_unreachable
+            note(now)
             if result.silent:
                 self.state.zones.note_silence(
                     entry.zone, entry.searcher_id, now
@@ -282,8 +284,10 @@
         if result.load is not None:
             load.note_load(result.load, now)
         if result.status == headers.MISDIRECTED:
-            load.note_failure(now)
+            load.note_unreachable(now)
             return
+        if result.status >= 500 and not result.not_executed:
+            load.note_error(now)
         if 200 <= result.status < 300:
             seconds = now - attempt.started
             self.window.add(seconds)
