--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -10,7 +10,7 @@
 from kumquatspur.core.records import Address
 
 # A search for a lost connection must end well before an entry is acted upon.
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 
 
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -13,7 +13,7 @@
 from kumquatspur.wire.searcher_pool import steady
 
 # Longest silence of a watch; a silent connection is noticed soon after.
-WAIT_S = 1.2
+WAIT_S = 2.5
 RETRY_S = (0.2, 0.5)
 # Changes that come in quick succession are fetched together.
 BATCH_S = 0.3
