--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -27,6 +27,9 @@
 # Additional cost of another zone, relative to a typical latency.
 REMOTE_COST = 0.35
 COLD_FACTOR = 1.6
+# Cost of a request when all other slots are taken, and of each waiting one.
+NEARLY_FULL_COST = 0.3
+WAITING_COST = 2.0
 # A call older than this multiple of the typical latency marks a pause.
 STUCK_MULTIPLE = 2.5
 SUSPECT_S = (0.3, 0.6, 1.2, 2.4)
@@ -155,7 +158,7 @@
     """Returns the time until a new request has run, relative to its work."""
     waiting = max(0.0, busy - slots + 1)
     # Work also slows down a little before all slots are taken.
-    return 1.0 + busy / slots + 2.0 * waiting
+    return 1.0 + NEARLY_FULL_COST * busy / slots + WAITING_COST * waiting
 
 
 def expected_cost(
