Peers, crash guard; an outage of the store is measured between calls

Peers: hosts exchange members, crashing contents and, for a host that is cut off from the store, the store's state (policy/peer_table, wire/peer_exchange). Crash guard: policy/crash_suspects with confirmation by a connect.

Ruled out: late watches (removal seen within 35 ms). Change: an outage is the time between the last contact and the start of the next call that succeeds; drain time counts from the removal.

--- /dev/null
+++ b/kumquatspur/border/exchange_codec.py
@@ -0,0 +1,106 @@
+"""Messages between entry hosts on the platform: msgpack, validated."""
+
+import msgpack
+import pydantic
+
+MAX_BYTES = 8 * 1024 * 1024
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
+
+
+class HeardHost(_Model):
+    """A host that the sender has heard of.
+
+    Attributes:
+        name: Its name.
+        ip: Where it listens for peers.
+        port: The port.
+        age_s: How long ago it was heard of.
+    """
+
+    name: str
+    ip: str
+    port: int
+    age_s: float = pydantic.Field(ge=0)
+
+
+class ToldIncident(_Model):
+    """The loss of a searcher under a content.
+
+    Attributes:
+        incident_id: Unique over all entry hosts.
+        fingerprint: The content.
+        searcher: The searcher lost.
+        shard: The shard that the content was to search there.
+        alone: Whether no other content was in flight there.
+        age_s: How long ago it was noted.
+    """
+
+    incident_id: str
+    fingerprint: str
+    searcher: str
+    shard: str
+    alone: bool
+    age_s: float = pydantic.Field(ge=0)
+
+
+class ToldItem(_Model):
+    """An item of the store.
+
+    Attributes:
+        key: Its key.
+        revision: Its last change.
+        value: Its value.
+    """
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class Exchange(_Model):
+    """What one host tells another.
+
+    Attributes:
+        name: The sender.
+        ip: Where it listens for peers.
+        port: The port.
+        revision: Revision of its view of the store; 0 if it has none.
+        age_s: How long ago that view was current.
+        hosts: Hosts that it has heard of.
+        incidents: Losses of searchers that count against a content.
+        items: Its view of the store; None if it is not told.
+    """
+
+    name: str = pydantic.Field(min_length=1)
+    ip: str
+    port: int
+    revision: int = pydantic.Field(ge=0)
+    age_s: float = pydantic.Field(ge=0)
+    hosts: tuple[HeardHost, ...] = ()
+    incidents: tuple[ToldIncident, ...] = ()
+    items: tuple[ToldItem, ...] | None = None
+
+
+def encode(exchange: Exchange) -> bytes:
+    """Encodes a message."""
+    return msgpack.packb(exchange.model_dump())
+
+
+def decode(data: bytes) -> Exchange:
+    """Decodes a message.
+
+    Args:
+        data: The bytes received.
+
+    Raises:
+        ValueError: The bytes are no valid message.
+    """
+    if len(data) > MAX_BYTES:
+        raise ValueError("message too long")
+    try:
+        return Exchange.model_validate(msgpack.unpackb(data))
+    except (msgpack.UnpackException, pydantic.ValidationError) as error:
+        raise ValueError(str(error)[:200]) from error
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -33,7 +33,7 @@
         by_service: Searchers that take new work, by service.
         leaving: Draining or removed searchers by service.
         grace_until: Until when a removal may be a lapse.
-        doubtful: Searchers removed within the grace.
+        doubtful: When a searcher was removed within the grace.
         revision: The store's revision of this state.
         read_at: When the state was last known to be current.
     """
@@ -49,19 +49,21 @@
         default_factory=dict
     )
     grace_until: float = -1.0
-    doubtful: set[str] = dataclasses.field(default_factory=set)
+    doubtful: dict[str, float] = dataclasses.field(default_factory=dict)
     revision: int = 0
     read_at: float = -1.0
 
-    def note_contact(self, revision: int, now: float) -> None:
+    def note_contact(self, revision: int, asked: float, now: float) -> None:
         """Notes that the state is current.
 
         Args:
             revision: The store's revision.
+            asked: When the call that succeeded began; a watch may take long
+                without an outage.
             now: Steady time in seconds.
         """
         outage_s = OUTAGE_HEARTBEATS * self.heartbeat_s
-        if self.read_at >= 0 and now - self.read_at > outage_s:
+        if self.read_at >= 0 and asked - self.read_at > outage_s:
             self.grace_until = now + LAPSE_GRACE_S
         self.read_at = now
         self.revision = max(self.revision, revision)
@@ -73,7 +75,7 @@
         if previous is not None and previous.service != entry.service:
             self._unlist(previous)
         self.by_id[searcher_id] = entry
-        self.doubtful.discard(searcher_id)
+        self.doubtful.pop(searcher_id, None)
         if entry.state is SearcherState.DRAINING:
             self._leave(entry, now)
             return
@@ -87,10 +89,10 @@
         if entry is None:
             return
         if now < self.grace_until and searcher_id not in self.left_at:
-            self.doubtful.add(searcher_id)
+            self.doubtful.setdefault(searcher_id, now)
             return
         self.by_id.pop(searcher_id)
-        self._leave(entry, now)
+        self._leave(entry, self.doubtful.pop(searcher_id, now))
 
     def replace(
         self, entries: Iterable[SearcherEntry], known: set[str], now: float
@@ -106,7 +108,7 @@
             if self.by_id.get(entry.searcher_id) != entry:
                 self.put(entry, now)
             else:
-                self.doubtful.discard(entry.searcher_id)
+                self.doubtful.pop(entry.searcher_id, None)
         for searcher_id in [key for key in self.by_id if key not in known]:
             self.remove(searcher_id, now)
 
@@ -121,7 +123,7 @@
         """
         gone = []
         if self.doubtful and now >= self.grace_until:
-            gone, self.doubtful = sorted(self.doubtful), set()
+            gone = sorted(self.doubtful)
             for searcher_id in gone:
                 self.remove(searcher_id, now)
         for searcher_id, at in list(self.left_at.items()):
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -11,12 +11,15 @@
 )
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
+from kumquatspur.wire.crash_watch import CrashWatch
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.entry_state import new_state, state_age_s
 from kumquatspur.wire.forwarder import Forwarder
 from kumquatspur.wire.front_server import FrontServer
 from kumquatspur.wire.http_server import HttpServer
+from kumquatspur.wire.peer_exchange import PeerExchange
 from kumquatspur.wire.searcher_pool import SearcherPool, steady
+from kumquatspur.wire.store_mirror import StoreMirror
 from kumquatspur.wire.store_watch import StoreWatch
 
 TICK_S = 0.1
@@ -43,7 +46,10 @@
         self.settings = settings
         self.state = new_state(settings, DecisionLog(settings.name))
         self.pool = SearcherPool()
-        self.forwarder = Forwarder(self.state, self.pool)
+        self.mirror = StoreMirror(self.state)
+        self.exchange = PeerExchange(self.state, self.mirror)
+        crashes = CrashWatch(self.state, self.exchange.hurry)
+        self.forwarder = Forwarder(self.state, self.pool, crashes)
         self._path = pathlib.Path(path)
         self._text = ""
         self._stop_at = None
@@ -70,8 +76,9 @@
             self._metrics_page,
         )
         front = FrontServer(self.state, self.forwarder)
-        watch = StoreWatch(self.state, PlatformStore(self.settings.store))
-        eventlet.spawn_n(watch.run)
+        store = PlatformStore(self.settings.store)
+        eventlet.spawn_n(StoreWatch(self.state, store, self.mirror).run)
+        self.exchange.start()
         pruned = checked = steady()
         while not self._stop_step(front):
             eventlet.sleep(TICK_S)
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -6,8 +6,10 @@
 
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.routing import RoutingConfig
+from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.extra_attempts import ExtraAttempts
 from kumquatspur.policy.hedging import LatencyWindow
+from kumquatspur.policy.peer_table import PeerTable
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
 from kumquatspur.policy.searcher_directory import SearcherDirectory
@@ -28,6 +30,8 @@
         log: Where decisions are logged.
         directory: The known searchers.
         extra_attempts: Budget of extra attempts.
+        peers: The other entry hosts.
+        suspects: Contents that may crash searchers.
         table: Routes in force; None before a configuration is known.
         loads: What was seen of each searcher.
         zones: Zones that are probably cut off.
@@ -44,6 +48,8 @@
     log: DecisionLog
     directory: SearcherDirectory
     extra_attempts: ExtraAttempts
+    peers: PeerTable
+    suspects: CrashSuspects = dataclasses.field(default_factory=CrashSuspects)
     table: RouteTable | None = None
     loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
     zones: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
@@ -131,6 +137,7 @@
             allowance=bounds.retry_budget_slack,
             hosts=UNKNOWN_HOSTS,
         ),
+        peers=PeerTable(settings.name),
     )
 
 
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -25,6 +25,7 @@
     hedge_delay_s,
 )
 from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
+from kumquatspur.wire.crash_watch import CrashWatch
 from kumquatspur.wire.entry_state import EntryState, state_age_s
 from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
 
@@ -73,11 +74,15 @@
     Attributes:
         state: The blackboard.
         pool: Connections to searchers.
+        crashes: Notices requests that crash searchers.
     """
 
-    def __init__(self, state: EntryState, pool: SearcherPool):
+    def __init__(
+        self, state: EntryState, pool: SearcherPool, crashes: CrashWatch
+    ):
         self.state = state
         self.pool = pool
+        self.crashes = crashes
 
     def serve(self, request: ClientRequest) -> ClientReply:
         """Returns the answer to a request.
@@ -89,16 +94,32 @@
         """
         table = self.state.table
         if table is None:
-            return self._refuse(request, None, 503, Reason.NO_CONFIGURATION)
+            return self.refuse(request, None, 503, Reason.NO_CONFIGURATION)
         route = table.find(request.host, request.path)
         if route is None:
-            return self._refuse(request, None, 404, Reason.UNKNOWN_SERVICE)
+            return self.refuse(request, None, 404, Reason.UNKNOWN_SERVICE)
+        if self.crashes.is_refused(request, route.name):
+            return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
         shards = route.shards
         if not shards:
             shards = (table.choose_service(route, self.state.random.random()),)
         return _RequestRun(self, request, route, shards).run()
 
-    def _refuse(self, request, route, status, reason) -> ClientReply:
+    def refuse(
+        self,
+        request: ClientRequest,
+        route: Route | None,
+        status: int,
+        reason: Reason,
+    ) -> ClientReply:
+        """Returns the answer to a request that was sent to no searcher.
+
+        Args:
+            request: The request.
+            route: Its route, if there is one.
+            status: HTTP status.
+            reason: Why.
+        """
         self.state.counters[f"refused_{reason}"] += 1
         self.state.log.write(
             "refused",
@@ -176,7 +197,7 @@
             for shard in self.plan.shards
         )
         if servable < self.plan.needed:
-            return self.forwarder._refuse(
+            return self.forwarder.refuse(
                 self.request, self.route, 503, Reason.NO_REPLICA
             )
         for shard in self.plan.shards:
@@ -275,6 +296,10 @@
             reached = result.sent and not result.silent
             note = load.note_error if reached else load.note_unreachable
             note(now)
+            if result.lost:
+                self.forwarder.crashes.note_broken(
+                    self.request, self.route.name, entry
+                )
             if result.silent:
                 self.state.zones.note_silence(
                     entry.zone, entry.searcher_id, now
@@ -292,6 +317,7 @@
             seconds = now - attempt.started
             self.window.add(seconds)
             load.note_latency(seconds / self.typical_s, now)
+            self.forwarder.crashes.note_success(self.request, self.route.name)
 
     def _take(self, attempt: Attempt) -> None:
         """Takes a result into the plan."""
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -250,6 +250,16 @@
         raise CallError(f"connection: {reason}", lost=not received) from error
 
 
+def is_listening(address: Address) -> bool:
+    """Returns whether a connection to an address can be opened."""
+    try:
+        _connect(address, CONNECT_TIMEOUT_S).close()
+    except CallError as error:
+        # Silence tells nothing about the process.
+        return error.silent
+    return True
+
+
 def receive(sock, timeout_s: float) -> bytes:
     """Returns bytes from a green socket, or b"" at its orderly end.
 
--- /dev/null
+++ b/kumquatspur/wire/store_mirror.py
@@ -0,0 +1,142 @@
+"""Applies the platform store's state to the blackboard, whoever tells it."""
+
+from kumquatspur.core.routing import SearcherEntry
+from kumquatspur.platform import documents
+from kumquatspur.platform.store import StoreChange, StoreView
+from kumquatspur.wire.entry_state import EntryState
+
+
+class StoreMirror:
+    """The state of the store as far as it is known here.
+
+    Attributes:
+        state: The blackboard.
+        revision: Revision of the state; None before the first reading.
+        items: The items that matter here, by key.
+    """
+
+    def __init__(self, state: EntryState):
+        self.state = state
+        self.revision = None
+        self.items = {}
+
+    def replace(
+        self, view: StoreView, asked: float, now: float, source: str
+    ) -> None:
+        """Takes a full reading.
+
+        Args:
+            view: The reading.
+            asked: When the call began that read it.
+            now: When it was current, on the steady clock.
+            source: Who told it.
+        """
+        self._note_contact(view, asked, now)
+        wanted = [item for item in view.changes if _concerns_us(item.key)]
+        self.items = {item.key: item for item in wanted}
+        entries = []
+        for item in wanted:
+            if item.key == documents.CONFIG_KEY:
+                self._apply_config(item, source)
+            else:
+                entries.append(self._decode_searcher(item))
+        found = [entry for entry in entries if entry is not None]
+        known = {entry.searcher_id for entry in found}
+        self.state.directory.replace(found, known, now)
+        self.state.log.write(
+            "store_read",
+            True,
+            source=source,
+            revision=view.revision,
+            searchers=len(known),
+        )
+
+    def apply(
+        self, view: StoreView, asked: float, now: float, source: str
+    ) -> None:
+        """Takes changes since the known revision.
+
+        Args:
+            view: The changes.
+            asked: When the call began that read them.
+            now: When they were current, on the steady clock.
+            source: Who told them.
+        """
+        self._note_contact(view, asked, now)
+        for change in view.changes:
+            if not _concerns_us(change.key):
+                continue
+            if change.value is None:
+                self.items.pop(change.key, None)
+            else:
+                self.items[change.key] = change
+            if change.key == documents.CONFIG_KEY:
+                self._apply_config(change, source)
+            else:
+                self._apply_searcher(change, now)
+
+    def view(self) -> StoreView:
+        """Returns the state, to be told to others."""
+        return StoreView(self.revision or 0, tuple(self.items.values()))
+
+    def _note_contact(self, view: StoreView, asked: float, now: float) -> None:
+        self.state.directory.note_contact(view.revision, asked, now)
+        self.revision = max(self.revision or 0, view.revision)
+
+    def _apply_config(self, change: StoreChange, source: str) -> None:
+        if change.value is None:
+            self.state.log.write("config_removed_ignored", True)
+            return
+        config, errors = documents.decode_config(change.value)
+        if config is None:
+            self.state.log.write(
+                "config_unreadable",
+                True,
+                revision=change.revision,
+                errors=[f"{e.source}: {e.message}" for e in errors[:5]],
+            )
+            return
+        self.state.apply_config(config, source)
+
+    def _apply_searcher(self, change: StoreChange, now: float) -> None:
+        searcher_id = change.key.removeprefix(documents.SEARCHER_PREFIX)
+        directory = self.state.directory
+        entry = None
+        if change.value is not None:
+            entry = self._decode_searcher(change)
+        if entry is None:
+            directory.remove(searcher_id, now)
+            self.state.log.write(
+                "searcher_gone",
+                searcher=searcher_id,
+                revision=change.revision,
+                kept=searcher_id in directory.doubtful,
+            )
+            return
+        previous = directory.by_id.get(searcher_id)
+        directory.put(entry, now)
+        if previous is None or previous.state is not entry.state:
+            self.state.log.write(
+                "searcher_state",
+                searcher=searcher_id,
+                service=entry.service,
+                state=entry.state,
+                revision=change.revision,
+            )
+
+    def _decode_searcher(self, item: StoreChange) -> SearcherEntry | None:
+        entry, errors = documents.decode_searcher(item.key, item.value)
+        if entry is None:
+            self.state.counters["searcher_entries_unreadable"] += 1
+            self.state.log.write(
+                "searcher_unreadable",
+                key=item.key,
+                revision=item.revision,
+                errors=[f"{e.source}: {e.message}" for e in errors[:5]],
+            )
+        return entry
+
+
+def _concerns_us(key: str) -> bool:
+    is_config = key == documents.CONFIG_KEY
+    return is_config or key.startswith(documents.SEARCHER_PREFIX)
