Requests of a split route are divided evenly from the first one on

Cause: hosts that see few requests of a route (3 each of 100 hosts) never chose a target of weight 1 in 10: the round robin's first credits favoured the heavier target. Change: steps of the golden ratio from a random start.

--- /dev/null
+++ b/kumquatspur/platform/documents_test.py
@@ -0,0 +1,150 @@
+import json
+import unittest
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.routing import SearcherState
+from kumquatspur.platform.documents import decode_config, decode_searcher
+
+SEARCHER = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "config-version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "Host.example",
+    "prefix": "/a/",
+    "route-type": "non_idempotent",
+    "timeout-ms": 600,
+    "target-latency-ms": 118,
+    "priority": 1,
+    "max-attempts": 2,
+    "service": "s",
+}
+CONFIG = {
+    "config-version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s", "max-connections": 26, "protocol": "h1"}],
+    "limits": {
+        "header-bytes": 100,
+        "max-body-bytes": 200,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 4000,
+    },
+}
+
+
+def decode(document, **changes):
+    changed = {**document, **changes}
+    changed = {k: v for k, v in changed.items() if v is not ...}
+    return json.dumps(changed).encode()
+
+
+class SearcherTest(unittest.TestCase):
+    def test_fields(self):
+        entry, errors = decode_searcher("servers/i-1", decode(SEARCHER))
+        self.assertEqual(errors, [])
+        self.assertEqual(entry.searcher_id, "i-1")
+        self.assertEqual(entry.address, Address("10.0.0.9", 8080))
+        self.assertIs(entry.state, SearcherState.READY)
+        self.assertEqual(entry.warmup_left_s, 1.5)
+        self.assertEqual(entry.born_ms, 1700000000000)
+
+    def test_unknown_fields_are_ignored(self):
+        entry, _ = decode_searcher("servers/i", decode(SEARCHER, rack="q"))
+        self.assertIsNotNone(entry)
+
+    def test_entry_that_names_no_searcher(self):
+        wrong = {
+            "state": ["ended", None, 1, ...],
+            "slots": ["2", 0, True, ...],
+            "address": ["10.0.0.9", 5, "10.0.0.9:x", ...],
+            "service": ["", None, ...],
+            "zone": [7, ...],
+            "sequence": ["4", -1, ...],
+            "warmup-left-ms": ["0", -1, ...],
+            "config-version": [1, ...],
+            "born": [1.5, "x"],
+        }
+        for field, values in wrong.items():
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    data = decode(SEARCHER, **{field: value})
+                    entry, errors = decode_searcher("servers/i", data)
+                    self.assertIsNone(entry)
+                    self.assertTrue(errors[0].message)
+                    self.assertIn("servers/i", errors[0].source)
+
+    def test_bytes_that_cannot_be_read(self):
+        for data in (b"", b"\xff\xfe", b"[]", b"{", b"null", b"7"):
+            with self.subTest(data=data):
+                entry, errors = decode_searcher("servers/i", data)
+                self.assertIsNone(entry)
+                self.assertTrue(errors)
+
+
+class ConfigTest(unittest.TestCase):
+    def test_forwarded_route(self):
+        config, errors = decode_config(decode(CONFIG))
+        self.assertEqual(errors, [])
+        (route,) = config.routes
+        self.assertEqual(config.version, 7)
+        self.assertEqual(route.host, "host.example")
+        self.assertFalse(route.repeatable)
+        self.assertEqual(route.timeout_s, 0.6)
+        self.assertEqual(route.services(), ("s",))
+        self.assertEqual(config.services["s"].max_connections, 26)
+        self.assertEqual(config.limits.idle_timeout_s, 4.0)
+
+    def test_split_route(self):
+        split = [{"service": "s", "weight": 3}, {"service": "t", "weight": 1}]
+        changed = {**ROUTE, "service": None, "traffic-split": split}
+        config, _ = decode_config(decode(CONFIG, routes=[changed]))
+        weights = [target.weight for target in config.routes[0].targets]
+        self.assertEqual(weights, [3.0, 1.0])
+
+    def test_scattered_route(self):
+        changed = {
+            **ROUTE,
+            "service": None,
+            "fanout-services": ["s", "t"],
+            "result-limit": 5,
+            "min-shard-ratio": 0.5,
+        }
+        config, _ = decode_config(decode(CONFIG, routes=[changed]))
+        route = config.routes[0]
+        self.assertEqual(route.shards, ("s", "t"))
+        self.assertEqual(route.result_limit, 5)
+        self.assertEqual(route.min_shard_ratio, 0.5)
+
+    def test_wrong_configurations_name_the_field(self):
+        wrong = {
+            "config-version": decode(CONFIG, **{"config-version": "7"}),
+            "routes.0.prefix": decode(
+                CONFIG, routes=[{**ROUTE, "prefix": "a"}]
+            ),
+            "routes.0.timeout-ms": decode(
+                CONFIG, routes=[{**ROUTE, "timeout-ms": 0}]
+            ),
+            "routes.0": decode(CONFIG, routes=[{**ROUTE, "service": None}]),
+        }
+        for field, data in wrong.items():
+            with self.subTest(field=field):
+                config, errors = decode_config(data)
+                self.assertIsNone(config)
+                self.assertIn(field, errors[0].source)
+
+    def test_bytes_that_cannot_be_read(self):
+        config, errors = decode_config(b"\xff")
+        self.assertIsNone(config)
+        self.assertTrue(errors)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatspur/policy/extra_attempts_test.py
@@ -0,0 +1,79 @@
+import random
+import unittest
+
+from kumquatspur.policy.extra_attempts import ExtraAttempts
+
+WINDOW_S = 10.0
+RATIO = 0.2
+ALLOWANCE = 58.0
+HOSTS = 9
+
+
+def new_budget():
+    return ExtraAttempts(WINDOW_S, RATIO, ALLOWANCE, HOSTS)
+
+
+class ExtraAttemptsTest(unittest.TestCase):
+    def test_idle_host_has_its_part_of_the_allowance(self):
+        budget = new_budget()
+        spent = sum(budget.spend("s", 1.0) for _ in range(100))
+        self.assertLessEqual(spent, ALLOWANCE / HOSTS)
+        self.assertGreater(spent, 0)
+
+    def test_budget_returns_when_the_window_has_passed(self):
+        budget = new_budget()
+        while budget.spend("s", 1.0):
+            pass
+        self.assertFalse(budget.spend("s", 1.0 + WINDOW_S / 2))
+        self.assertTrue(budget.spend("s", 2.0 + WINDOW_S))
+
+    def test_services_do_not_share(self):
+        budget = new_budget()
+        while budget.spend("s", 1.0):
+            pass
+        self.assertTrue(budget.spend("t", 1.0))
+
+    def test_reserve_is_left_for_retries(self):
+        budget = new_budget()
+        while budget.spend("s", 1.0, reserve=2.0):
+            pass
+        self.assertTrue(budget.spend("s", 1.0))
+
+    def test_refund(self):
+        budget = new_budget()
+        while budget.spend("s", 1.0):
+            pass
+        budget.refund("s", 1.0)
+        self.assertTrue(budget.spend("s", 1.0))
+
+    def test_all_hosts_together_keep_the_limit_in_every_window(self):
+        """All hosts want to repeat everything for half a minute.
+
+        In every sliding window the extra attempts of all hosts stay within the
+        ratio of its requests and the allowance.
+        """
+        rng = random.Random(11)
+        budgets = [new_budget() for _ in range(HOSTS)]
+        requests, extras = [], []
+        for step in range(30_000):
+            now = step * 0.001
+            rate = 0.4 if 8 < now < 15 else 0.1
+            if rng.random() < rate:
+                budget = rng.choice(budgets)
+                budget.note_request("s", now)
+                requests.append(now)
+            if rng.random() < 0.5 and rng.choice(budgets).spend("s", now):
+                extras.append(now)
+        for start in range(0, 20_000, 250):
+            begin = start / 1000
+            end = begin + WINDOW_S
+            used = sum(begin <= at < end for at in extras)
+            asked = max(
+                sum(begin - back <= at < end - back for at in requests)
+                for back in (0.0, WINDOW_S / 2, WINDOW_S)
+            )
+            self.assertLessEqual(used, RATIO * asked + ALLOWANCE, begin)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatspur/policy/request_plan_test.py
@@ -0,0 +1,148 @@
+import unittest
+
+from kumquatspur.core.routing import Route
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.request_plan import (
+    AttemptKind,
+    Outcome,
+    RequestPlan,
+    hedge_delay_s,
+)
+
+SHARDS = tuple(f"s{number}" for number in range(10))
+TARGET_S = 0.1
+TIMEOUT_S = 0.6
+HEDGE_S = 0.03
+
+
+def route(shards=SHARDS, repeatable=True, ratio=0.89, attempts=2):
+    return Route(
+        "r", "h", "/", repeatable, TIMEOUT_S, TARGET_S, attempts, 1,
+        shards=shards, result_limit=5, min_shard_ratio=ratio,
+    )  # fmt: skip
+
+
+class RequestPlanTest(unittest.TestCase):
+    def new_plan(self, shards=SHARDS, **options):
+        chosen = route(shards if len(shards) > 1 else (), **options)
+        return RequestPlan(chosen, shards, 0.0, TIMEOUT_S, HEDGE_S)
+
+    def start_all(self, plan, now=0.0):
+        for shard, kind in plan.due(now):
+            plan.note_start(shard, f"{shard}-{kind}", now)
+
+    def test_all_shards_are_asked_at_once(self):
+        plan = self.new_plan()
+        self.assertEqual(
+            plan.due(0.0), [(shard, AttemptKind.FIRST) for shard in SHARDS]
+        )
+
+    def test_complete_answer_leaves_at_once(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        for shard in SHARDS:
+            self.assertIsNone(plan.outcome(0.01))
+            plan.note_part(shard)
+        self.assertIs(plan.outcome(0.01), Outcome.ANSWER)
+
+    def test_paused_shard_is_asked_again_after_the_delay(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        for shard in SHARDS[1:]:
+            plan.note_part(shard)
+        self.assertEqual(plan.due(HEDGE_S / 2), [])
+        self.assertEqual(plan.wake_at(0.01), HEDGE_S)
+        self.assertEqual(plan.due(HEDGE_S), [("s0", AttemptKind.HEDGE)])
+
+    def test_shard_that_stays_late_is_left_out_in_time(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        for shard in SHARDS[1:]:
+            plan.note_part(shard)
+        self.assertIsNone(plan.outcome(plan.answer_at - 0.001))
+        self.assertIs(plan.outcome(plan.answer_at), Outcome.ANSWER)
+        self.assertLess(plan.answer_at, TARGET_S)
+
+    def test_too_few_shards_are_waited_for(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        for shard in SHARDS[2:]:
+            plan.note_part(shard)
+        self.assertIsNone(plan.outcome(plan.answer_at))
+        plan.note_part("s1")
+        self.assertIs(plan.outcome(plan.answer_at), Outcome.ANSWER)
+
+    def test_late_answer_waits_a_little_for_all_shards(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        for shard in SHARDS[1:]:
+            plan.note_part(shard)
+        self.assertIsNone(plan.outcome(TARGET_S + 0.01))
+        self.assertIs(plan.outcome(plan.late_at), Outcome.ANSWER)
+
+    def test_request_that_cannot_be_served_ends_at_once(self):
+        plan = self.new_plan(attempts=1)
+        self.start_all(plan)
+        for shard in SHARDS[:2]:
+            plan.note_failure(shard, Verdict.MAY_HAVE_RUN, True)
+        self.assertIs(plan.outcome(0.01), Outcome.FAIL)
+
+    def test_failed_attempt_is_repeated_within_the_limit(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        plan.note_failure("s0", Verdict.MAY_HAVE_RUN, True)
+        self.assertEqual(plan.due(0.01), [("s0", AttemptKind.RETRY)])
+        plan.note_start("s0", "other", 0.01)
+        plan.note_failure("s0", Verdict.MAY_HAVE_RUN, True)
+        self.assertEqual(plan.due(0.02), [])
+
+    def test_attempt_that_was_never_sent_is_not_counted(self):
+        plan = self.new_plan(attempts=1)
+        self.start_all(plan)
+        plan.note_failure("s0", Verdict.NOT_RUN, False)
+        self.assertEqual(plan.due(0.01), [("s0", AttemptKind.RETRY)])
+
+    def test_request_that_may_have_run_is_not_repeated(self):
+        plan = self.new_plan(("only",), repeatable=False)
+        self.start_all(plan)
+        self.assertEqual(plan.due(HEDGE_S * 2), [])
+        plan.note_failure("only", Verdict.MAY_HAVE_RUN, True)
+        self.assertEqual(plan.due(0.01), [])
+        self.assertIs(plan.outcome(0.01), Outcome.FAIL)
+
+    def test_request_that_has_not_run_is_repeated(self):
+        plan = self.new_plan(("only",), repeatable=False)
+        self.start_all(plan)
+        plan.note_failure("only", Verdict.NOT_RUN, True)
+        self.assertEqual(plan.due(0.01), [("only", AttemptKind.RETRY)])
+
+    def test_second_answer_of_a_shard_is_dropped(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        plan.note_start("s0", "other", HEDGE_S)
+        self.assertTrue(plan.note_part("s0"))
+        self.assertFalse(plan.note_part("s0"))
+        self.assertEqual(plan.answered, 1)
+
+    def test_deadline_ends_the_request(self):
+        plan = self.new_plan()
+        self.start_all(plan)
+        self.assertIs(plan.outcome(TIMEOUT_S), Outcome.FAIL)
+        for shard in SHARDS[1:]:
+            plan.note_part(shard)
+        self.assertIs(plan.outcome(TIMEOUT_S), Outcome.ANSWER)
+
+    def test_verdicts_cover_attempts_under_way(self):
+        plan = self.new_plan(("only",), repeatable=False)
+        self.start_all(plan)
+        self.assertEqual(plan.verdicts(), [Verdict.MAY_HAVE_RUN])
+
+    def test_hedge_delay_has_bounds(self):
+        self.assertEqual(hedge_delay_s(0.1, 0.02), 0.02)
+        self.assertAlmostEqual(hedge_delay_s(0.1, 0.09), 0.035)
+        self.assertAlmostEqual(hedge_delay_s(0.1, None), 0.035)
+        self.assertEqual(hedge_delay_s(0.1, 0.0001), 0.004)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatspur/policy/route_table.py
+++ b/kumquatspur/policy/route_table.py
@@ -1,9 +1,13 @@
 """Finds the route of a request, and the service that it goes to."""
 
 import dataclasses
+import math
 
 from kumquatspur.core.routing import Route, RoutingConfig
 
+# Fractional part of the golden ratio.
+STEP = (math.sqrt(5.0) - 1.0) / 2.0
+
 
 @dataclasses.dataclass
 class RouteTable:
@@ -12,14 +16,12 @@
     Attributes:
         config: The configuration.
         by_host: Routes by prefix, by host.
-        credits: Smooth weighted round robin, by route and service.
+        positions: Where in [0, 1) the last choice of a service was, by route.
     """
 
     config: RoutingConfig
     by_host: dict[str, dict[str, Route]] = dataclasses.field(init=False)
-    credits: dict[str, dict[str, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    positions: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self):
         self.by_host = {}
@@ -50,16 +52,12 @@
         """
         if len(route.targets) == 1:
             return route.targets[0].service
-        total = sum(target.weight for target in route.targets) or 1.0
-        credit = self.credits.get(route.name)
-        if credit is None:
-            # Hosts that start together must not all choose the same target.
-            credit = self.credits[route.name] = {}
-            for index, target in enumerate(route.targets):
-                shift = (start + index / len(route.targets)) % 1.0
-                credit[target.service] = shift * target.weight
+        # Steps of the golden ratio spread evenly over [0, 1), however few.
+        position = (self.positions.get(route.name, start) + STEP) % 1.0
+        self.positions[route.name] = position
+        mark = position * sum(target.weight for target in route.targets)
         for target in route.targets:
-            credit[target.service] += target.weight
-        service = max(credit, key=credit.__getitem__)
-        credit[service] -= total
-        return service
+            mark -= target.weight
+            if mark < 0:
+                return target.service
+        return route.targets[-1].service
