Stand-ins of the platform's store and searchers; the whole path under test

A searcher that has taken over an address may answer 421 without the request's identifier; such an answer is taken as not run, since all requests on one connection expect the same searcher. Before: the request waited for its deadline (platform_path_test, failed first).

--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -286,7 +286,11 @@
         self.results.put(attempt)
 
     def _is_ours(self, message) -> bool:
-        value = message.header(headers.REQUEST_ID) or b""
+        value = message.header(headers.REQUEST_ID)
+        if value is None:
+            # All requests on a connection expect the same searcher, so this
+            # one has not run there either.
+            return message.status == headers.MISDIRECTED
         return value.decode("latin-1") == self.request.request_id
 
     def _observe(self, attempt: Attempt, load) -> None:
--- /dev/null
+++ b/standins/platform_path_test.py
@@ -0,0 +1,466 @@
+import collections
+import json
+import pathlib
+import tempfile
+import time
+import unittest
+
+import eventlet
+from eventlet.green import socket
+
+from kumquatspur.border.entry_settings import read_entry_settings
+from kumquatspur.wire.entry_host import EntryHost
+from kumquatspur.wire.searcher_pool import steady
+from standins.platform_searcher import (
+    PlatformSearcher,
+    config,
+    forwarded_route,
+    parse_reply,
+    scattered_route,
+)
+from standins.platform_store import PlatformStore
+
+ZONE = "z"
+WAIT_S = 5.0
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def wait_until(condition):
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition did not come true in time")
+        eventlet.sleep(0.005)
+
+
+def record(number):
+    return number.to_bytes(16, "big")
+
+
+class PlatformPathTest(unittest.TestCase):
+    """The whole path: client, entry host, searchers and store."""
+
+    def setUp(self):
+        self.store = PlatformStore()
+        self.addCleanup(self.store.close)
+        self.searchers = collections.OrderedDict()
+        for shard in ("s0", "s1", "s2", "s3"):
+            for copy in "ab":
+                number = int(shard[1])
+                name = f"i-{shard}-{copy}"
+                records = [record(number * 10 + item) for item in range(5)]
+                self.add_searcher(name, shard, records)
+        self.add_searcher("i-single-a", "single", [])
+        self.add_searcher("i-single-b", "single", [])
+        self.routes = [
+            scattered_route("all", "/all/", ("s0", "s1", "s2", "s3")),
+            forwarded_route("one", "/one/", "single"),
+            forwarded_route(
+                "once", "/once/", "single", **{"route-type": "non_idempotent"}
+            ),
+        ]
+        self.put_config(1, self.routes)
+        self.host = self.start_host("own")
+
+    def add_searcher(self, name, service, records, zone=ZONE):
+        searcher = PlatformSearcher(name, service, zone, records)
+        self.addCleanup(searcher.close)
+        searcher.register(self.store)
+        self.searchers[name] = searcher
+        return searcher
+
+    def put_config(self, version, routes):
+        self.store.put_json("op/config", config(version, routes))
+
+    def start_host(self, name, store=None, seeds=()):
+        front, ready, peer, metrics = free_ports(4)
+        store = store or self.store
+        text = json.dumps(
+            {
+                "name": name,
+                "zone": ZONE,
+                "front": f"127.0.0.1:{front}",
+                "ready": f"127.0.0.1:{ready}",
+                "peer": f"127.0.0.1:{peer}",
+                "seeds": [f"127.0.0.1:{port}" for port in seeds],
+                "metrics_port": metrics,
+                "store": f"127.0.0.1:{store.address.port}",
+                "heartbeat_ms": 200,
+                "machine": {
+                    "cpu_share": 1,
+                    "cores": 1,
+                    "memory_mb": 300,
+                    "max_fds": 1000,
+                    "link_mbps": 100,
+                },
+                "bounds": {
+                    "drain_ms": 500,
+                    "grace_s": 6,
+                    "config_apply_ms": 3000,
+                    "retry_budget_ratio": 0.2,
+                    "retry_budget_window_s": 10,
+                    "retry_budget_slack": 400,
+                },
+            }
+        )
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.json"
+        path.write_text(text, encoding="utf-8")
+        settings, errors = read_entry_settings(str(path))
+        self.assertEqual(errors, [])
+        host = EntryHost(settings, str(path))
+        host.state.log.start = lambda: None
+        host.state.log.flush = lambda: None
+        thread = eventlet.spawn(host.run)
+        self.addCleanup(thread.kill)
+        return host
+
+    def wait_ready(self, host=None):
+        host = host or self.host
+        wait_until(host.state.is_ready)
+        count = len(self.searchers)
+        wait_until(lambda: len(host.state.directory.by_id) >= count)
+
+    def connect(self, host=None):
+        address = (host or self.host).settings.front
+        sock = socket.create_connection((address.host, address.port))
+        sock.settimeout(WAIT_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def exchange(self, sock, data):
+        sock.sendall(data)
+        found = b""
+        while b"\r\n\r\n" not in found:
+            data = sock.recv(65536)
+            if not data:
+                return None
+            found += data
+        status, fields, body = parse_reply(found)
+        while len(body) < int(fields["content-length"]):
+            body += sock.recv(65536)
+        return status, fields, body
+
+    def request(self, path, request_id="r1", method="GET", body=b"", **extra):
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: shop.example",
+            f"Kumquatspur-Attempt-Id: {request_id}",
+            "Kumquatspur-Deadline-Ms: 500",
+            *(f"{name}: {value}" for name, value in extra.items()),
+        ]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def ask(self, path, **options):
+        self.wait_ready()
+        return self.exchange(self.connect(), self.request(path, **options))
+
+    def leavers_have_ended(self):
+        return not self.host.state.directory.usable("s3", steady())
+
+    def single_runs(self, request_id):
+        return sum(
+            searcher.runs[request_id]
+            for name, searcher in self.searchers.items()
+            if searcher.service == "single"
+        )
+
+    def script(self, prefix, *behaviours):
+        for name, searcher in self.searchers.items():
+            if name.startswith(prefix):
+                searcher.script.extend(behaviours)
+
+    def test_scattered_request(self):
+        status, fields, body = self.ask("/all/x")
+        self.assertEqual(status, 200)
+        signatures = fields["kumquatspur-part-seals"].split(", ")
+        self.assertEqual(len(set(signatures)), 4)
+        self.assertEqual(fields["kumquatspur-missing-parts"], "0")
+        expected = [record(number) for number in (34, 33, 32, 31, 30)]
+        self.assertEqual(body, b"".join(expected))
+
+    def test_shard_without_searchers_is_reported_missing(self):
+        self.wait_ready()
+        for copy in "ab":
+            self.store.remove(f"servers/i-s3-{copy}")
+        wait_until(lambda: not self.host.state.directory.by_service["s3"])
+        wait_until(self.leavers_have_ended)
+        status, fields, body = self.exchange(
+            self.connect(), self.request("/all/x")
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(fields["kumquatspur-missing-parts"], "1")
+        self.assertEqual(body[:16], record(24))
+
+    def test_request_that_cannot_be_served_is_rejected_at_once(self):
+        self.wait_ready()
+        for shard in ("s1", "s2", "s3"):
+            for copy in "ab":
+                self.store.remove(f"servers/i-{shard}-{copy}")
+        wait_until(lambda: not self.host.state.directory.by_service["s3"])
+        wait_until(self.leavers_have_ended)
+        status, fields, _ = self.exchange(
+            self.connect(), self.request("/all/x")
+        )
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["retry-after"]), 0)
+        self.assertEqual(self.searchers["i-s0-a"].arrivals, 0)
+        self.assertEqual(self.searchers["i-s0-b"].arrivals, 0)
+
+    def test_spoiled_parts_are_asked_for_elsewhere(self):
+        spoiled = ("lost", "truncated", "reset_body", "other_id", "error",
+                   "encoded", "unsigned", "shed", "crash")  # fmt: skip
+        for number, behaviour in enumerate(spoiled):
+            with self.subTest(behaviour=behaviour):
+                self.wait_ready()
+                self.script("i-s1-a", behaviour)
+                self.script("i-s1-b", behaviour if number % 2 else "ok")
+                status, fields, body = self.ask(
+                    "/all/x", request_id=f"r{number}"
+                )
+                self.assertEqual(status, 200)
+                count = len(fields["kumquatspur-part-seals"].split(", "))
+                missing = int(fields["kumquatspur-missing-parts"])
+                self.assertEqual(count + missing, 4)
+                for name in ("i-s1-a", "i-s1-b"):
+                    self.searchers[name].script.clear()
+
+    def test_extra_responses_belong_to_no_request(self):
+        self.script("i-single", "extra", "extra", "ok", "ok")
+        self.wait_ready()
+        sock = self.connect()
+        for number in range(4):
+            reply = self.exchange(sock, self.request("/one/x", f"r{number}"))
+            self.assertEqual(reply[0], 200)
+            self.assertEqual(reply[1]["kumquatspur-attempt-id"], f"r{number}")
+
+    def test_request_is_forwarded_unchanged(self):
+        status, fields, body = self.ask(
+            "/once/a%20b?q=1", method="POST", body=b"job 7"
+        )
+        self.assertEqual((status, body), (200, b"POST /once/a%20b?q=1 job 7"))
+        self.assertIn("kumquatspur-server-seal", fields)
+
+    def test_request_that_may_have_run_is_not_repeated(self):
+        for behaviour in ("lost", "truncated", "reset_body", "crash"):
+            with self.subTest(behaviour=behaviour):
+                self.wait_ready()
+                self.script("i-single", behaviour)
+                status, _, _ = self.ask(
+                    "/once/x", request_id=behaviour, method="POST", body=b"1"
+                )
+                self.assertIn(status, (502, 504))
+                self.assertEqual(self.single_runs(behaviour), 1)
+                self.script_clear()
+
+    def script_clear(self):
+        for searcher in self.searchers.values():
+            searcher.script.clear()
+
+    def test_request_that_was_shed_is_repeated_once_elsewhere(self):
+        self.wait_ready()
+        self.searchers["i-single-a"].script.append("shed")
+        self.searchers["i-single-b"].script.append("shed")
+        status, _, _ = self.ask("/once/x", method="POST", body=b"1")
+        self.assertEqual(status, 503)
+        self.assertEqual(self.single_runs("r1"), 0)
+        status, _, _ = self.ask(
+            "/once/x", request_id="r2", method="POST", body=b"1"
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(self.single_runs("r2"), 1)
+
+    def test_address_of_another_searcher_runs_nothing(self):
+        self.wait_ready()
+        single = self.searchers["i-single-a"]
+        single.searcher_id = "i-other"
+        status, _, _ = self.ask("/once/x", method="POST", body=b"1")
+        self.assertEqual(status, 200)
+        self.assertEqual(single.runs["r1"], 0)
+
+    def test_deadline_that_is_passed_on_is_what_is_left(self):
+        self.ask("/one/x")
+        deadlines = [
+            deadline
+            for searcher in self.searchers.values()
+            for deadline in searcher.deadlines
+        ]
+        self.assertEqual(len(deadlines), 1)
+        self.assertLessEqual(deadlines[0], 500)
+        self.assertGreater(deadlines[0], 300)
+
+    def test_client_that_leaves_ends_the_work(self):
+        self.wait_ready()
+        self.script("i-single", "hang")
+        sock = self.connect()
+        sock.sendall(self.request("/once/x", method="POST", body=b"1"))
+        wait_until(lambda: self.single_runs("r1") == 1)
+        sock.close()
+        state = self.host.state
+        wait_until(lambda: state.in_flight == 0)
+        self.assertEqual(state.counters["client_left"], 1)
+        self.assertFalse(any(load.in_flight for load in state.loads.values()))
+
+    def test_wrong_requests_run_nothing(self):
+        cases = {
+            400: [
+                b"nonsense\r\n\r\n",
+                b"GET /one/x HTTP/1.1\r\n\r\n",
+                self.request("/one/x").replace(b"Attempt-Id", b"Other"),
+                self.request("/one/x", body=b"12", method="POST").replace(
+                    b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n", 1
+                ),
+                self.request("/one/x", method="POST", body=b"1").replace(
+                    b"\r\n\r\n", b"\r\nContent-Length: 7\r\n\r\n", 1
+                ),
+            ],
+            404: [self.request("/none/x")],
+            413: [self.request("/one/x", method="POST", body=b"x" * 70_000)],
+            431: [self.request("/one/x", Filler="x" * 9000)],
+        }
+        self.wait_ready()
+        for status, requests in cases.items():
+            for data in requests:
+                with self.subTest(status=status, data=data[:60]):
+                    reply = self.exchange(self.connect(), data)
+                    self.assertEqual(reply[0], status)
+        self.assertEqual(self.single_runs("r1"), 0)
+
+    def test_smuggled_request_is_not_run(self):
+        self.wait_ready()
+        inner = self.request("/once/inner", "inner", "POST", b"1")
+        outer = self.request("/once/x", "outer", "POST", inner)
+        reply = self.exchange(self.connect(), outer)
+        self.assertEqual(reply[0], 200)
+        self.assertEqual(self.single_runs("inner"), 0)
+        self.assertEqual(self.single_runs("outer"), 1)
+
+    def test_requests_on_one_connection_are_answered_in_order(self):
+        self.wait_ready()
+        sock = self.connect()
+        data = b"".join(
+            self.request("/one/x", f"p{number}") for number in range(3)
+        )
+        first = self.exchange(sock, data)
+        self.assertEqual(first[1]["kumquatspur-attempt-id"], "p0")
+
+    def test_new_configuration_takes_effect_and_never_reverts(self):
+        self.wait_ready()
+        route = forwarded_route("new", "/new/", "single")
+        self.put_config(5, [*self.routes, route])
+        table = lambda: self.host.state.table.config.version  # noqa: E731
+        wait_until(lambda: table() == 5)
+        self.assertEqual(self.ask("/new/x")[0], 200)
+        self.put_config(4, self.routes)
+        revision = self.store.revision
+        wait_until(lambda: self.host.state.directory.revision >= revision)
+        self.assertEqual(table(), 5)
+
+    def test_unreadable_configuration_changes_nothing(self):
+        self.wait_ready()
+        self.store.put("op/config", b"{")
+        revision = self.store.revision
+        wait_until(lambda: self.host.state.directory.revision >= revision)
+        self.assertEqual(self.ask("/one/x")[0], 200)
+
+    def test_unknown_configuration_is_no_404(self):
+        store = PlatformStore()
+        self.addCleanup(store.close)
+        host = self.start_host("lonely", store=store)
+        wait_until(lambda: host.state.store_ok)
+        reply = self.exchange(self.connect(host), self.request("/one/x"))
+        self.assertEqual(reply[0], 503)
+        self.assertFalse(host.state.is_ready())
+
+    def test_lost_history_is_read_again(self):
+        self.wait_ready()
+        self.store.silent = True
+        self.store.drop_history()
+        self.store.silent = False
+        self.store.put("servers/broken", b"{")
+        self.add_searcher("i-late", "single", [])
+        self.store.drop_history()
+        by_id = self.host.state.directory.by_id
+        wait_until(lambda: "i-late" in by_id)
+        self.assertNotIn("broken", by_id)
+
+    def test_host_that_the_store_refuses_learns_from_its_peers(self):
+        self.wait_ready()
+        refusing = PlatformStore()
+        refusing.refuse_with = 503
+        self.addCleanup(refusing.close)
+        host = self.start_host(
+            "refused", refusing, seeds=[self.host.settings.peer.port]
+        )
+        self.wait_ready(host)
+        self.put_config(
+            9, [*self.routes, forwarded_route("new", "/new/", "single")]
+        )
+        wait_until(lambda: host.state.table.config.version == 9)
+        reply = self.exchange(self.connect(host), self.request("/new/x"))
+        self.assertEqual(reply[0], 200)
+
+    def test_store_outage_does_not_stop_service(self):
+        self.wait_ready()
+        self.store.refuse_with = 503
+        wait_until(lambda: not self.host.state.store_ok)
+        self.assertEqual(self.ask("/one/x")[0], 200)
+        self.store.refuse_with = 0
+        wait_until(lambda: self.host.state.store_ok)
+
+    def test_content_that_crashes_searchers_is_refused(self):
+        for copy in "cde":
+            self.add_searcher(f"i-single-{copy}", "single", [])
+        self.wait_ready()
+        self.script("i-single", "crash")
+        statuses = []
+        for number in range(4):
+            reply = self.ask(
+                "/once/bad", request_id=f"bad{number}", method="POST",
+                body=b"poison",
+            )  # fmt: skip
+            statuses.append(reply[0])
+            seen = min(number + 1, 2)
+            wait_until(lambda: self.crashes_seen() >= seen)  # noqa: B023
+        runs = sum(self.single_runs(f"bad{number}") for number in range(4))
+        self.assertEqual(runs, 2)
+        self.assertEqual(statuses, [502, 502, 503, 503])
+        self.script_clear()
+        reply = self.ask("/once/x", method="POST", body=b"sound")
+        self.assertEqual(reply[0], 200)
+
+    def crashes_seen(self):
+        return self.host.state.counters["searcher_crashes_seen"]
+
+    def test_graceful_stop_serves_open_connections(self):
+        self.wait_ready()
+        sock = self.connect()
+        self.assertEqual(
+            self.exchange(sock, self.request("/one/x", "r1"))[0], 200
+        )
+        self.host.request_stop()
+        wait_until(lambda: self.host.state.stopping)
+        self.assertFalse(self.host.state.is_ready())
+        status, fields, _ = self.exchange(sock, self.request("/one/x", "r2"))
+        self.assertEqual(status, 200)
+        self.assertEqual(fields["connection"], "close")
+        status, _, _ = self.exchange(
+            self.connect(), self.request("/one/x", "r3")
+        )
+        self.assertEqual(status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/standins/platform_searcher.py
@@ -0,0 +1,248 @@
+"""Stand-in of a searcher on the platform."""
+
+import collections
+import json
+import socket as plain_socket
+import struct
+import urllib.parse
+
+import eventlet
+import httptools
+
+from kumquatspur.core.records import Address
+from kumquatspur.wire.http_messages import RequestReader
+
+READ_BYTES = 65536
+LIMIT = 1_000_000
+
+
+class PlatformSearcher:
+    """Answers with records, as its script says.
+
+    Attributes:
+        searcher_id: Its identifier.
+        service: Its service.
+        zone: Its availability zone.
+        address: Where it listens.
+        records: The records that it holds.
+        work_s: How long a request takes.
+        runs: Requests that it began to run, by request identifier.
+        arrivals: Requests that reached it.
+        script: Behaviours of the next requests: "ok", "shed", "lost",
+            "truncated", "reset_body", "extra", "other_id", "error", "hang",
+            "encoded", "unsigned", "crash" or "no_length".
+    """
+
+    def __init__(self, searcher_id, service, zone="z", records=(), work_s=0.0):
+        self.searcher_id = searcher_id
+        self.service = service
+        self.zone = zone
+        self.records = list(records)
+        self.work_s = work_s
+        self.runs = collections.Counter()
+        self.arrivals = 0
+        self.deadlines = []
+        self.script = collections.deque()
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self.listener.getsockname())
+        self.connections = set()
+        self.threads = [eventlet.spawn(self._accept)]
+
+    def entry(self, **changes) -> dict:
+        """Returns its entry in the store."""
+        return {
+            "service": self.service,
+            "address": f"{self.address.host}:{self.address.port}",
+            "zone": self.zone,
+            "config-version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "warmup-left-ms": 0,
+            "sequence": 1,
+            **changes,
+        }
+
+    def register(self, store, **changes) -> None:
+        """Writes its entry to a store."""
+        store.put_json(f"servers/{self.searcher_id}", self.entry(**changes))
+
+    def close(self) -> None:
+        """Ends it like a crash."""
+        self.listener.close()
+        for sock in list(self.connections):
+            _reset(sock)
+        for thread in self.threads:
+            if thread is not eventlet.getcurrent():
+                thread.kill()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.add(sock)
+            self.threads.append(eventlet.spawn(self._connection, sock))
+
+    def _connection(self, sock) -> None:
+        reader = RequestReader(LIMIT, LIMIT)
+        try:
+            while data := sock.recv(READ_BYTES):
+                for message in reader.feed(data):
+                    if not self._answer(sock, message):
+                        return
+        except (OSError, httptools.HttpParserError):
+            pass
+        finally:
+            self.connections.discard(sock)
+            sock.close()
+
+    def _answer(self, sock, message) -> bool:
+        """Answers a request; returns whether the connection goes on."""
+        self.arrivals += 1
+        expected = message.header(b"kumquatspur-expected-instance")
+        if expected and expected.decode() != self.searcher_id:
+            sock.sendall(
+                b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"
+            )
+            return True
+        behaviour = self.script.popleft() if self.script else "ok"
+        request_id = message.header(b"kumquatspur-attempt-id").decode()
+        if behaviour == "shed":
+            sock.sendall(
+                b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n"
+                b"Kumquatspur-Not-Executed: 1\r\n"
+                + f"Kumquatspur-Attempt-Id: {request_id}\r\n\r\n".encode()
+            )
+            return True
+        self.runs[request_id] += 1
+        deadline = message.header(b"kumquatspur-deadline-ms")
+        self.deadlines.append(int(deadline))
+        if behaviour == "crash":
+            self.close()
+            return False
+        if behaviour == "hang":
+            eventlet.sleep(60)
+        eventlet.sleep(self.work_s)
+        return self._send(sock, behaviour, request_id, message)
+
+    def _send(self, sock, behaviour, request_id, message) -> bool:
+        body = b"".join(self.records)
+        if message.method != b"GET":
+            body = b"%b %b %b" % (
+                message.method,
+                message.target,
+                message.body(),
+            )
+        lines = [
+            "HTTP/1.1 500 Broken"
+            if behaviour == "error"
+            else "HTTP/1.1 200 OK",
+            f"Kumquatspur-Attempt-Id: {request_id}"
+            + ("0" if behaviour == "other_id" else ""),
+            "Kumquatspur-Server-Load: 1,0,2",
+            "Keep-Alive: timeout=5",
+        ]
+        if behaviour != "unsigned":
+            signature = f"{self.searcher_id}.{request_id}"
+            lines.append(f"Kumquatspur-Server-Seal: {signature}")
+        if behaviour == "encoded":
+            lines.append("Content-Encoding: gzip")
+        if behaviour not in ("no_length", "reset_body"):
+            lines.append(f"Content-Length: {len(body)}")
+        reply = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        if behaviour == "lost":
+            _reset(sock)
+            return False
+        if behaviour in ("truncated", "reset_body"):
+            sock.sendall(reply[: -len(body) // 2])
+            eventlet.sleep(0.02)
+            _reset(sock)
+            return False
+        sock.sendall(reply * (2 if behaviour == "extra" else 1))
+        return behaviour != "no_length"
+
+
+def _reset(sock) -> None:
+    try:
+        sock.setsockopt(
+            plain_socket.SOL_SOCKET,
+            plain_socket.SO_LINGER,
+            struct.pack("ii", 1, 0),
+        )
+        sock.close()
+    except OSError:
+        # It was closed before.
+        pass
+
+
+def scattered_route(name, prefix, services, **changes) -> dict:
+    """Returns a route over shards as the operator writes it."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "prefix": prefix,
+        "route-type": "idempotent",
+        "timeout-ms": 600,
+        "target-latency-ms": 200,
+        "priority": 1,
+        "max-attempts": 2,
+        "fanout-services": list(services),
+        "result-limit": 5,
+        "min-shard-ratio": 0.5,
+        **changes,
+    }
+
+
+def forwarded_route(name, prefix, service, **changes) -> dict:
+    """Returns a route to one service as the operator writes it."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "prefix": prefix,
+        "route-type": "idempotent",
+        "timeout-ms": 600,
+        "target-latency-ms": 200,
+        "priority": 1,
+        "max-attempts": 2,
+        "service": service,
+        **changes,
+    }
+
+
+def config(version, routes, **limits) -> dict:
+    """Returns a configuration as the operator writes it."""
+    services = set()
+    for route in routes:
+        services.update(route.get("fanout-services", ()))
+        services.update([route["service"]] if "service" in route else [])
+    return {
+        "config-version": version,
+        "routes": routes,
+        "services": [
+            {"name": name, "max-connections": 26} for name in sorted(services)
+        ],
+        "limits": {
+            "header-bytes": 8192,
+            "max-body-bytes": 65536,
+            "header-timeout-ms": 2000,
+            "idle-timeout-ms": 5000,
+            **limits,
+        },
+    }
+
+
+def parse_reply(data: bytes) -> tuple[int, dict[str, str], bytes]:
+    """Returns status, headers in lower case and body of one response."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = urllib.parse.unquote(value.strip())
+    return int(lines[0].split()[1]), fields, body
+
+
+def to_json(value) -> bytes:
+    """Returns a value as the store holds it."""
+    return json.dumps(value).encode()
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,134 @@
+"""Stand-in of the platform's metadata store: readings and watches."""
+
+import base64
+import collections
+import json
+import urllib.parse
+
+import eventlet
+import eventlet.wsgi
+
+from kumquatspur.core.records import Address
+
+PAGE_ITEMS = 50
+HISTORY = 500
+POLL_S = 0.005
+
+
+class PlatformStore:
+    """Keeps items in memory and answers over HTTP.
+
+    Attributes:
+        address: Where it listens.
+        revision: Grows with each change.
+        items: Value and revision by key.
+        calls: Number of calls by path.
+        refuse_with: Status that all calls get; 0 to serve them.
+        silent: Whether calls get no answer.
+    """
+
+    def __init__(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*listener.getsockname())
+        self.revision = 1
+        self.items = {}
+        self.calls = collections.Counter()
+        self.refuse_with = 0
+        self.silent = False
+        self._events = collections.deque(maxlen=HISTORY)
+        self._lost_until = 0
+        self._thread = eventlet.spawn(
+            eventlet.wsgi.server,
+            listener,
+            self._serve,
+            log_output=False,
+            debug=False,
+        )
+
+    def close(self) -> None:
+        """Stops answering."""
+        self._thread.kill()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes an item."""
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self._events.append((self.revision, key, value))
+
+    def put_json(self, key: str, value) -> None:
+        """Writes a JSON value."""
+        self.put(key, json.dumps(value).encode())
+
+    def remove(self, key: str) -> None:
+        """Removes an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._events.append((self.revision, key, None))
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far."""
+        self._lost_until = self.revision
+        self._events.clear()
+
+    def _serve(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
+        self.calls[path] += 1
+        while self.silent:
+            eventlet.sleep(POLL_S)
+        status, body = 404, {"error": "unknown call"}
+        if self.refuse_with:
+            status, body = self.refuse_with, {"error": "refused"}
+        elif path == "/kv-range":
+            status, body = 200, self._range(query)
+        elif path == "/kv-watch":
+            status, body = self._watch(query)
+        start_response(
+            f"{status} Status", [("Content-Type", "application/json")]
+        )
+        return [json.dumps(body).encode()]
+
+    def _range(self, query) -> dict:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        page = keys[:PAGE_ITEMS]
+        return {
+            "items": [self._item(key, *self.items[key]) for key in page],
+            "has-more": len(keys) > len(page),
+            "current-rev": self.revision,
+        }
+
+    def _watch(self, query) -> tuple[int, dict]:
+        after, prefix = int(query["after"]), query["prefix"]
+        left_s = int(query["wait-ms"]) / 1000.0
+        while True:
+            if after < self._lost_until:
+                return 410, {"error": "history is gone"}
+            found = [
+                event
+                for event in self._events
+                if event[0] > after and event[1].startswith(prefix)
+            ]
+            if found or left_s <= 0:
+                break
+            eventlet.sleep(POLL_S)
+            left_s -= POLL_S
+        events = [
+            self._item(key, value, revision)
+            if value is not None
+            else {"key": key, "revision": revision, "removed": True}
+            for revision, key, value in found
+        ]
+        return 200, {"events": events, "current-rev": self.revision}
+
+    def _item(self, key, value, revision) -> dict:
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "create-rev": revision,
+            "lease": 0,
+        }
