--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -208,6 +208,8 @@
             finished = True
         finally:
             self._end_attempts(finished)
+            if not finished:
+                self._log_departure()
         reply = self._reply(outcome)
         self._log(outcome, reply)
         return reply
@@ -395,6 +397,16 @@
             return error_reply(504, Reason.TIMED_OUT)
         return error_reply(502, Reason.UPSTREAM_FAILED)
 
+    def _log_departure(self) -> None:
+        self.state.log.write(
+            "client_left",
+            request_id=self.request.request_id,
+            route=self.route.name,
+            config=self.version,
+            ms=round((steady() - self.request.arrived) * 1000, 1),
+            in_flight=sum(a.result is None for a in self.attempts),
+        )
+
     def _log(self, outcome: Outcome, reply: ClientReply) -> None:
         now = steady()
         elapsed = now - self.request.arrived
