Hosts of a zone follow two that watch the store; seeds stay in the gossip

A restarted host also spent its part a second time. Ruled out: uncounted repeats in the pool. Change: seeds stay among the addresses; a host uses its part of the allowance only after a window.

--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -15,12 +15,14 @@
 
     Attributes:
         name: Its name.
+        zone: Its availability zone.
         ip: Where it listens for peers.
         port: The port.
         age_s: How long ago it was heard of.
     """
 
     name: str
+    zone: str
     ip: str
     port: int
     age_s: float = pydantic.Field(ge=0)
@@ -52,12 +54,12 @@
     Attributes:
         key: Its key.
         revision: Its last change.
-        value: Its value.
+        value: Its value; None if it was removed.
     """
 
     key: str
     revision: int
-    value: bytes
+    value: bytes | None
 
 
 class Exchange(_Model):
@@ -65,6 +67,7 @@
 
     Attributes:
         name: The sender.
+        zone: Its availability zone.
         ip: Where it listens for peers.
         port: The port.
         revision: Revision of its view of the store; 0 if it has none.
@@ -72,9 +75,12 @@
         hosts: Hosts that it has heard of.
         incidents: Losses of searchers that count against a content.
         items: Its view of the store; None if it is not told.
+        changes: Changes since the revision that the receiver had; None if
+            they are not told.
     """
 
     name: str = pydantic.Field(min_length=1)
+    zone: str
     ip: str
     port: int
     revision: int = pydantic.Field(ge=0)
@@ -82,6 +88,7 @@
     hosts: tuple[HeardHost, ...] = ()
     incidents: tuple[ToldIncident, ...] = ()
     items: tuple[ToldItem, ...] | None = None
+    changes: tuple[ToldItem, ...] | None = None
 
 
 def encode(exchange: Exchange) -> bytes:
--- a/kumquatspur/policy/extra_attempts.py
+++ b/kumquatspur/policy/extra_attempts.py
@@ -30,6 +30,8 @@
         window_s: Length of the window in seconds.
         ratio: Extra attempts allowed a request.
         allowance: Extra attempts allowed to all hosts in a window besides.
+        allowance_from: When this host may use its part of the allowance. What
+            it spent before a restart still counts in the windows until then.
         hosts: Hosts that share the allowance.
         steps: Counts by service, as pairs of step number and counts.
     """
@@ -37,6 +39,7 @@
     window_s: float
     ratio: float
     allowance: float
+    allowance_from: float = 0.0
     hosts: int = 1
     steps: dict[str, collections.deque] = dataclasses.field(
         default_factory=dict
@@ -55,7 +58,9 @@
                 extras += counts.extras
             if step > oldest:
                 requests += counts.requests
-        limit = self.ratio * requests + self.allowance / max(1, self.hosts)
+        limit = self.ratio * requests
+        if now >= self.allowance_from:
+            limit += self.allowance / max(1, self.hosts)
         return limit * SAFETY - extras
 
     def spend(self, service: str, now: float, reserve: float = 0.0) -> bool:
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -7,9 +7,14 @@
 import dataclasses
 from collections.abc import Iterable
 
+import xxhash
+
 from kumquatspur.core.records import Address
 
 FORGET_S = 8.0
+# Hosts of a zone that call the platform's store; the others follow them. A
+# second one serves while the first is lost.
+WATCHERS_PER_ZONE = 2
 # Hosts named in one message, so that its size does not grow with the fleet.
 MAX_NAMED = 24
 # The greatest number of hosts seen within this time shares the budget, since
@@ -23,11 +28,13 @@
 
     Attributes:
         name: Its name.
+        zone: Its availability zone.
         address: Where it listens for peers.
         heard: When anybody last heard of it.
     """
 
     name: str
+    zone: str
     address: Address
     heard: float
 
@@ -38,19 +45,41 @@
 
     Attributes:
         own_name: The name of this host.
+        own_zone: Its availability zone.
         peers: Peers by name.
         counts: Numbers of live hosts seen, as pairs of time and number.
     """
 
     own_name: str
+    own_zone: str
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     counts: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
-    def note(self, name: str, address: Address, heard: float) -> None:
+    def note(self, peer: Peer) -> None:
         """Notes that a host was heard of."""
-        known = self.peers.get(name)
-        if name != self.own_name and (known is None or known.heard < heard):
-            self.peers[name] = Peer(name, address, heard)
+        known = self.peers.get(peer.name)
+        if peer.name == self.own_name:
+            return
+        if known is None or known.heard < peer.heard:
+            self.peers[peer.name] = peer
+
+    def watchers(self) -> list[Peer | None]:
+        """Returns the hosts of this zone that watch the store for the others.
+
+        Each host works out the same few from the names alone. While hosts do
+        not know each other yet, more of them watch.
+
+        Returns:
+            The watchers; None stands for this host.
+        """
+        members = {self.own_name: None}
+        members.update(
+            (peer.name, peer)
+            for peer in self.peers.values()
+            if peer.zone == self.own_zone
+        )
+        chosen = sorted(members, key=_rank)
+        return [members[name] for name in chosen[:WATCHERS_PER_ZONE]]
 
     def forget_silent(self, now: float) -> list[str]:
         """Forgets hosts that nobody has heard of.
@@ -71,9 +100,16 @@
         return silent
 
     def addresses(self, seeds: Iterable[Address]) -> list[Address]:
-        """Returns where a message may go: known peers, or else seeds."""
-        known = sorted({peer.address for peer in self.peers.values()}, key=str)
-        return known or list(seeds)
+        """Returns where a message may go.
+
+        Seeds stay among them, since hosts that have heard of each other first
+        would otherwise never hear of the rest.
+
+        Args:
+            seeds: Addresses of some hosts; they may be gone.
+        """
+        known = {peer.address for peer in self.peers.values()}
+        return sorted(known.union(seeds), key=str)
 
     def named(self, sample) -> list[Peer]:
         """Returns the peers that a message names.
@@ -102,3 +138,7 @@
         if not self.counts or self.counts[-1][1] != count:
             self.counts.append((now, count))
         return max(number for _, number in self.counts)
+
+
+def _rank(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -77,7 +77,8 @@
         )
         front = FrontServer(self.state, self.forwarder)
         store = PlatformStore(self.settings.store)
-        eventlet.spawn_n(StoreWatch(self.state, store, self.mirror).run)
+        watch = StoreWatch(self.state, store, self.mirror, self.exchange.follow)
+        eventlet.spawn_n(watch.run)
         self.exchange.start()
         pruned = checked = steady()
         while not self._stop_step(front):
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -135,9 +135,10 @@
             window_s=bounds.retry_budget_window_s,
             ratio=bounds.retry_budget_ratio,
             allowance=bounds.retry_budget_slack,
+            allowance_from=steady() + bounds.retry_budget_window_s,
             hosts=UNKNOWN_HOSTS,
         ),
-        peers=PeerTable(settings.name),
+        peers=PeerTable(settings.name, settings.zone),
     )
 
 
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -1,10 +1,11 @@
 """Exchange of state between entry hosts on the platform.
 
-Hosts tell each other who is there, which contents crash searchers, and, if one
-of them is cut off from the store, the store's state.
+Hosts tell each other who is there and which contents crash searchers. Most
+hosts of a zone take the store's changes from a few that watch it, and a host
+that is cut off from the store takes the view of any other.
 """
 
-import dataclasses
+from collections.abc import Iterable
 
 import eventlet
 import urllib3
@@ -19,6 +20,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.policy.crash_suspects import MEMORY_S, Incident
+from kumquatspur.policy.peer_table import Peer
 from kumquatspur.wire.entry_state import UNKNOWN_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.searcher_pool import steady
@@ -26,13 +28,20 @@
 from kumquatspur.wire.store_watch import WAIT_S
 
 INTERVAL_S = 1.0
-# A host without the store, or with news that others need, asks more often.
+# A host without the store, or without peers, asks more often.
 URGENT_INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 0.5
 # A view is out of date if a watch should have ended since.
 STALE_S = WAIT_S + 0.5
 UNKNOWN_AGE_S = 1e6
-PATH = "/exchange"
+EXCHANGE_PATH = "/exchange"
+FOLLOW_PATH = "/follow"
+# How long a host that follows another one waits for changes; together with the
+# time-out it stays well below the time in which a change must be in force.
+FOLLOW_WAIT_S = 1.2
+# A watcher that failed is not followed for this time.
+UNFIT_S = 3.0
+_CALL_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
 
 
 class PeerExchange:
@@ -41,15 +50,17 @@
     Attributes:
         state: The blackboard.
         mirror: The state of the store.
+        followed: The host whose changes are taken; None if this host asks the
+            store itself.
     """
 
     def __init__(self, state: EntryState, mirror: StoreMirror):
         self.state = state
         self.mirror = mirror
-        self._pool = urllib3.PoolManager(
-            num_pools=16, maxsize=1, retries=False, timeout=CALL_TIMEOUT_S
-        )
+        self._pool = urllib3.PoolManager(num_pools=16, maxsize=1, retries=False)
         self._wake = eventlet.semaphore.Semaphore(0)
+        self._unfit = {}
+        self.followed = None
 
     def start(self) -> None:
         """Starts serving and asking."""
@@ -62,9 +73,53 @@
         """Starts the next exchange at once."""
         self._wake.release()
 
+    def follow(self) -> bool:
+        """Takes the store's changes from a host of this zone that watches it.
+
+        Returns:
+            False if this host is one of the watchers, or none of them could be
+            followed: then it has to ask the store itself.
+        """
+        watchers = self.state.peers.watchers()
+        if None in watchers or self.mirror.revision is None:
+            self._note_followed(None)
+            return False
+        for peer in watchers:
+            if steady() >= self._unfit.get(peer.name, 0.0):
+                if self._follow(peer):
+                    return True
+        self._note_followed(None)
+        return False
+
+    def _follow(self, peer: Peer) -> bool:
+        timeout_s = FOLLOW_WAIT_S + CALL_TIMEOUT_S
+        try:
+            told = self._post(peer.address, FOLLOW_PATH, self._own(), timeout_s)
+        except _CALL_ERRORS as error:
+            self._note_unfit(peer, str(error))
+            return False
+        if told.age_s > STALE_S:
+            self._note_unfit(peer, f"its view is {told.age_s:.1f} s old")
+            return False
+        self._note_followed(peer.name)
+        self._take_view(told)
+        return True
+
+    def _note_followed(self, name: str | None) -> None:
+        if name != self.followed:
+            self.followed = name
+            self.state.log.write("store_followed_by", True, watcher=name)
+
+    def _note_unfit(self, peer: Peer, error: str) -> None:
+        self._unfit[peer.name] = steady() + UNFIT_S
+        self.state.counters["follow_failed"] += 1
+        self.state.log.write(
+            "watcher_unfit", True, watcher=peer.name, error=error[:120]
+        )
+
     def _run(self) -> None:
         while True:
-            urgent = self._is_stale() or not self.state.peers.peers
+            urgent = self._age_s() > STALE_S or not self.state.peers.peers
             interval = URGENT_INTERVAL_S if urgent else INTERVAL_S
             jitter = self.state.random.uniform(0.8, 1.2)
             self._wake.acquire(timeout=interval * jitter)
@@ -72,30 +127,38 @@
             self._count_hosts()
 
     def _ask(self) -> None:
-        addresses = self.state.peers.addresses(
-            seed
-            for seed in self.state.settings.seeds
-            if seed != self.state.settings.peer
-        )
+        own = self.state.settings.peer
+        seeds = [item for item in self.state.settings.seeds if item != own]
+        addresses = self.state.peers.addresses(seeds)
         if not addresses:
             return
         address = self.state.random.choice(addresses)
         try:
-            response = self._pool.request(
-                "POST",
-                f"http://{address.host}:{address.port}{PATH}",
-                body=exchange_codec.encode(self._tell()),
+            told = self._post(
+                address, EXCHANGE_PATH, self._tell(), CALL_TIMEOUT_S
             )
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            self._take(exchange_codec.decode(response.data))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except _CALL_ERRORS as error:
             self.state.counters["peer_exchange_failed"] += 1
             self.state.log.write(
                 "peer_unreachable",
                 address=f"{address.host}:{address.port}",
                 error=str(error)[:120],
             )
+            return
+        self._take(told)
+
+    def _post(
+        self, address: Address, path: str, exchange: Exchange, timeout_s: float
+    ) -> Exchange:
+        response = self._pool.request(
+            "POST",
+            f"http://{address.host}:{address.port}{path}",
+            body=exchange_codec.encode(exchange),
+            timeout=timeout_s,
+        )
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        return exchange_codec.decode(response.data)
 
     def _serve(self, environ, start_response):
         try:
@@ -106,63 +169,84 @@
             self.state.counters["peer_messages_rejected"] += 1
             start_response("400 Bad Request", [])
             return [str(error).encode()[:200]]
+        follows = environ["PATH_INFO"] == FOLLOW_PATH
+        answer = self._answer_follower if follows else self._answer_exchange
+        reply = exchange_codec.encode(answer(exchange))
+        start_response("200 OK", [("Content-Type", "application/msgpack")])
+        return [reply]
+
+    def _answer_exchange(self, exchange: Exchange) -> Exchange:
         self._take(exchange)
+        stale = exchange.age_s > STALE_S and exchange.age_s > self._age_s()
         behind = exchange.revision < (self.mirror.revision or 0)
-        asks = exchange.age_s > STALE_S and exchange.age_s > self._age_s()
-        reply = self._tell(with_items=asks or (behind and exchange.age_s > 1))
-        start_response("200 OK", [("Content-Type", "application/msgpack")])
-        return [exchange_codec.encode(reply)]
+        # A host that is only a moment behind is about to learn by itself.
+        return self._tell(with_items=stale or (behind and exchange.age_s > 1.0))
 
-    def _tell(self, with_items: bool = False) -> Exchange:
-        now = steady()
+    def _answer_follower(self, exchange: Exchange) -> Exchange:
+        """Waits until there are changes that a follower does not know."""
+        if (self.mirror.revision or 0) <= exchange.revision:
+            self.mirror.changed.wait(timeout=FOLLOW_WAIT_S)
+        changes = self.mirror.changes_after(exchange.revision)
+        if changes is None:
+            items = _told_items(self.mirror.view().changes)
+            return self._own().model_copy(update={"items": items})
+        return self._own().model_copy(update={"changes": _told_items(changes)})
+
+    def _own(self) -> Exchange:
         own = self.state.settings.peer
-        view = self.mirror.view()
         return Exchange(
             name=self.state.settings.name,
+            zone=self.state.settings.zone,
             ip=own.host,
             port=own.port,
-            revision=view.revision,
+            revision=self.mirror.revision or 0,
             age_s=self._age_s(),
-            hosts=[
-                HeardHost(
-                    name=peer.name,
-                    ip=peer.address.host,
-                    port=peer.address.port,
-                    age_s=max(0.0, now - peer.heard),
-                )
-                for peer in self.state.peers.named(self.state.random.sample)
-            ],
-            incidents=[
-                ToldIncident(
-                    **{
-                        field: getattr(incident, field)
-                        for field in (
-                            "incident_id",
-                            "fingerprint",
-                            "searcher",
-                            "shard",
-                            "alone",
-                        )
-                    },
-                    age_s=max(0.0, now - incident.noted),
-                )
-                for known in self.state.suspects.incidents.values()
-                for incident in known.values()
-            ],
-            items=[
-                ToldItem(**dataclasses.asdict(item)) for item in view.changes
-            ]
-            if with_items
-            else None,
+        )
+
+    def _tell(self, with_items: bool = False) -> Exchange:
+        now = steady()
+        update = {
+            "hosts": self._told_hosts(now),
+            "incidents": self._told_incidents(now),
+        }
+        if with_items:
+            update["items"] = _told_items(self.mirror.view().changes)
+        return self._own().model_copy(update=update)
+
+    def _told_hosts(self, now: float) -> tuple[HeardHost, ...]:
+        return tuple(
+            HeardHost(
+                name=peer.name,
+                zone=peer.zone,
+                ip=peer.address.host,
+                port=peer.address.port,
+                age_s=max(0.0, now - peer.heard),
+            )
+            for peer in self.state.peers.named(self.state.random.sample)
+        )
+
+    def _told_incidents(self, now: float) -> tuple[ToldIncident, ...]:
+        return tuple(
+            ToldIncident(
+                incident_id=incident.incident_id,
+                fingerprint=incident.fingerprint,
+                searcher=incident.searcher,
+                shard=incident.shard,
+                alone=incident.alone,
+                age_s=max(0.0, now - incident.noted),
+            )
+            for known in self.state.suspects.incidents.values()
+            for incident in known.values()
         )
 
     def _take(self, told: Exchange) -> None:
         now = steady()
         peers = self.state.peers
-        peers.note(told.name, Address(told.ip, told.port), now)
+        address = Address(told.ip, told.port)
+        peers.note(Peer(told.name, told.zone, address, now))
         for host in told.hosts:
             address = Address(host.ip, host.port)
-            peers.note(host.name, address, now - host.age_s)
+            peers.note(Peer(host.name, host.zone, address, now - host.age_s))
         self.state.suspects.add(
             Incident(
                 incident.incident_id,
@@ -176,33 +260,53 @@
             for incident in told.incidents
         )
         if told.items is not None and told.age_s < self._age_s():
-            self._take_view(told, now)
+            self._take_view(told)
 
-    def _take_view(self, told: Exchange, now: float) -> None:
-        if told.revision < (self.mirror.revision or 0):
+    def _take_view(self, told: Exchange) -> None:
+        """Takes the store's state, or changes of it, from another host."""
+        known = self.mirror.revision or 0
+        if told.revision < known:
             return
-        at = now - told.age_s
-        if told.revision == self.mirror.revision:
+        at = steady() - told.age_s
+        source = f"peer {told.name}"
+        if told.changes is not None:
+            view = StoreView(told.revision, _changes(told.changes))
+            self.mirror.apply(view, at, at, source)
+        elif told.revision == known:
             self.state.directory.note_contact(told.revision, at, at)
-            return
-        items = tuple(
-            StoreChange(item.key, item.revision, item.value)
-            for item in told.items
-        )
-        view = StoreView(told.revision, items)
-        self.mirror.replace(view, at, at, f"peer {told.name}")
+        elif told.items is not None:
+            view = StoreView(told.revision, _changes(told.items))
+            self.mirror.replace(view, at, at, source)
 
     def _count_hosts(self) -> None:
         now = steady()
         for name in self.state.peers.forget_silent(now):
             self.state.log.write("peer_lost", True, peer=name)
-        self.state.extra_attempts.hosts = self.state.peers.host_count(
-            now, UNKNOWN_HOSTS
-        )
+        budget = self.state.extra_attempts
+        count = self.state.peers.host_count(now, UNKNOWN_HOSTS)
+        if count != budget.hosts:
+            self.state.log.write(
+                "hosts_counted",
+                True,
+                count=count,
+                previous=budget.hosts,
+                heard=len(self.state.peers.peers),
+            )
+            budget.hosts = count
 
     def _age_s(self) -> float:
         read_at = self.state.directory.read_at
         return steady() - read_at if read_at >= 0 else UNKNOWN_AGE_S
 
-    def _is_stale(self) -> bool:
-        return self._age_s() > STALE_S
+
+def _told_items(changes: Iterable[StoreChange]) -> tuple[ToldItem, ...]:
+    return tuple(
+        ToldItem(key=item.key, revision=item.revision, value=item.value)
+        for item in changes
+    )
+
+
+def _changes(items: Iterable[ToldItem]) -> tuple[StoreChange, ...]:
+    return tuple(
+        StoreChange(item.key, item.revision, item.value) for item in items
+    )
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -1,10 +1,16 @@
 """Applies the platform store's state to the blackboard, whoever tells it."""
 
+import collections
+
+import eventlet.event
+
 from kumquatspur.core.routing import SearcherEntry
 from kumquatspur.platform import documents
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.wire.entry_state import EntryState
 
+RECENT_CHANGES = 400
+
 
 class StoreMirror:
     """The state of the store as far as it is known here.
@@ -13,12 +19,18 @@
         state: The blackboard.
         revision: Revision of the state; None before the first reading.
         items: The items that matter here, by key.
+        recent: The last changes, for those who follow this host.
+        recent_from: Revision after which `recent` has all changes.
+        changed: Event that is sent at the next change.
     """
 
     def __init__(self, state: EntryState):
         self.state = state
         self.revision = None
         self.items = {}
+        self.recent = collections.deque(maxlen=RECENT_CHANGES)
+        self.recent_from = 0
+        self.changed = eventlet.event.Event()
 
     def replace(
         self, view: StoreView, asked: float, now: float, source: str
@@ -32,6 +44,8 @@
             source: Who told it.
         """
         self._note_contact(view, asked, now)
+        self.recent.clear()
+        self.recent_from = self.revision
         wanted = [item for item in view.changes if _concerns_us(item.key)]
         self.items = {item.key: item for item in wanted}
         entries = []
@@ -50,6 +64,7 @@
             revision=view.revision,
             searchers=len(known),
         )
+        self._tell_followers()
 
     def apply(
         self, view: StoreView, asked: float, now: float, source: str
@@ -74,11 +89,26 @@
                 self._apply_config(change, source)
             else:
                 self._apply_searcher(change, now)
+            if len(self.recent) == RECENT_CHANGES:
+                self.recent_from = self.recent[0].revision
+            self.recent.append(change)
+        if view.changes:
+            self._tell_followers()
+
+    def changes_after(self, revision: int) -> list[StoreChange] | None:
+        """Returns the changes after a revision, or None if some are gone."""
+        if revision < self.recent_from:
+            return None
+        return [item for item in self.recent if item.revision > revision]
 
     def view(self) -> StoreView:
         """Returns the state, to be told to others."""
         return StoreView(self.revision or 0, tuple(self.items.values()))
 
+    def _tell_followers(self) -> None:
+        changed, self.changed = self.changed, eventlet.event.Event()
+        changed.send()
+
     def _note_contact(self, view: StoreView, asked: float, now: float) -> None:
         self.state.directory.note_contact(view.revision, asked, now)
         self.revision = max(self.revision or 0, view.revision)
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -1,5 +1,7 @@
 """Follows the platform's store."""
 
+from collections.abc import Callable
+
 import eventlet
 
 from kumquatspur.platform.store import (
@@ -26,19 +28,28 @@
         state: The blackboard.
         store: The store's client.
         mirror: The mirror.
+        follow: Follows another host of the zone for a moment; returns whether
+            this host need not ask the store itself.
     """
 
     def __init__(
-        self, state: EntryState, store: PlatformStore, mirror: StoreMirror
+        self,
+        state: EntryState,
+        store: PlatformStore,
+        mirror: StoreMirror,
+        follow: Callable[[], bool],
     ):
         self.state = state
         self.store = store
         self.mirror = mirror
+        self.follow = follow
         self._history_lost = False
 
     def run(self) -> None:
         """Follows the store for good."""
         while True:
+            if self.follow():
+                continue
             try:
                 self._step()
             except HistoryLostError:
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -91,7 +91,7 @@
                 for message in reader.feed(data):
                     if not self._answer(sock, message):
                         return
-        except (OSError, httptools.HttpParserError):
+        except (OSError, EOFError, httptools.HttpParserError):
             pass
         finally:
             self.connections.discard(sock)
