--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -48,6 +48,20 @@
     age_s: float = pydantic.Field(ge=0)
 
 
+class SlowSearcher(_Model):
+    """A searcher that is slower than usual.
+
+    Attributes:
+        searcher: Its identifier.
+        slowness: Latency relative to the typical one.
+        age_s: How long ago it was measured.
+    """
+
+    searcher: str
+    slowness: float = pydantic.Field(ge=0)
+    age_s: float = pydantic.Field(ge=0)
+
+
 class ToldItem(_Model):
     """An item of the store.
 
@@ -72,6 +86,7 @@
         port: The port.
         revision: Revision of its view of the store; 0 if it has none.
         age_s: How long ago that view was current.
+        slow: Searchers that it knows to be slow.
         hosts: Hosts that it has heard of.
         incidents: Losses of searchers that count against a content.
         items: Its view of the store; None if it is not told.
@@ -85,6 +100,7 @@
     port: int
     revision: int = pydantic.Field(ge=0)
     age_s: float = pydantic.Field(ge=0)
+    slow: tuple[SlowSearcher, ...] = ()
     hosts: tuple[HeardHost, ...] = ()
     incidents: tuple[ToldIncident, ...] = ()
     items: tuple[ToldItem, ...] | None = None
--- a/kumquatspur/policy/extra_attempts.py
+++ b/kumquatspur/policy/extra_attempts.py
@@ -49,8 +49,16 @@
         """Counts a request for a service."""
         self._current(service, now).requests += 1
 
-    def available(self, service: str, now: float) -> float:
-        """Returns how many extra attempts the window still allows."""
+    def available(
+        self, service: str, now: float, reserve_share: float = 0.0
+    ) -> float:
+        """Returns how many extra attempts the window still allows.
+
+        Args:
+            service: The service.
+            now: Steady time in seconds.
+            reserve_share: Share of the window's limit that is left untouched.
+        """
         oldest = int(now / STEP_S) - int(self.window_s / STEP_S)
         requests = extras = 0
         for step, counts in self.steps.get(service, ()):
@@ -61,20 +69,23 @@
         limit = self.ratio * requests
         if now >= self.allowance_from:
             limit += self.allowance / max(1, self.hosts)
-        return limit * SAFETY - extras
+        return limit * SAFETY * (1.0 - reserve_share) - extras
 
-    def spend(self, service: str, now: float, reserve: float = 0.0) -> bool:
+    def spend(
+        self, service: str, now: float, reserve_share: float = 0.0
+    ) -> bool:
         """Takes an extra attempt.
 
         Args:
             service: The service that is asked again.
             now: Steady time in seconds.
-            reserve: Attempts that must be left for more urgent use.
+            reserve_share: Share of the window's limit that must be left for
+                more urgent use.
 
         Returns:
             False if the window allows no more.
         """
-        if self.available(service, now) < 1.0 + reserve:
+        if self.available(service, now, reserve_share) < 1.0:
             return False
         self._current(service, now).extras += 1
         return True
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -16,6 +16,10 @@
 # has recovered is found again.
 SLOWNESS_HALF_LIFE_S = 3.0
 MAX_SLOWNESS = 20.0
+# Slowness that is told to other hosts, and how long it is news.
+TELL_SLOWNESS = 2.5
+TELL_AGE_S = 3.0
+MAX_TOLD = 64
 # A stated load says little after this multiple of the typical latency, or
 # after this time if that is longer.
 LOAD_MEMORY_MULTIPLE = 2.0
@@ -84,6 +88,17 @@
         self.suspect_until = 0.0
         self._note_error_share(0.0, now)
 
+    def note_told(self, slowness: float, at: float) -> None:
+        """Takes the slowness that another host has measured.
+
+        Args:
+            slowness: The slowness.
+            at: When it was measured, on this host's steady clock.
+        """
+        if at > self.slowness_at:
+            self.slowness = min(slowness, MAX_SLOWNESS)
+            self.slowness_at = at
+
     def note_load(self, report: LoadReport, now: float) -> None:
         """Takes a load that the searcher states."""
         self.report, self.report_at = report, now
@@ -108,6 +123,31 @@
     return 0.5 ** (max(0.0, age) / SLOWNESS_HALF_LIFE_S)
 
 
+def slow_searchers(
+    loads: dict[str, SearcherLoad], now: float
+) -> list[tuple[str, float, float]]:
+    """Returns the searchers that other hosts should know to be slow.
+
+    Load pattern: in a large fleet each host calls each searcher so rarely that
+    it would meet most of the slow ones before it knew them.
+
+    Args:
+        loads: What this host has seen or was told.
+        now: Steady time in seconds.
+
+    Returns:
+        Searcher, slowness and its age in seconds, the slowest first.
+    """
+    found = [
+        (searcher_id, load.slowness, now - load.slowness_at)
+        for searcher_id, load in loads.items()
+        if load.slowness >= TELL_SLOWNESS
+        and now - load.slowness_at < TELL_AGE_S
+    ]
+    found.sort(key=lambda item: -item[1])
+    return found[:MAX_TOLD]
+
+
 @dataclasses.dataclass
 class ZoneHealth:
     """Zones in which several searchers went silent at once.
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -34,8 +34,8 @@
 TYPICAL_QUANTILE = 0.5
 # Typical latency of a route as a share of its target until it is measured.
 UNKNOWN_TYPICAL_SHARE = 0.2
-# Extra attempts that hedges leave for retries of failed attempts.
-HEDGE_RESERVE = 2.0
+# Share of the extra attempts that hedges leave for retries of failed attempts.
+HEDGE_RESERVE_SHARE = 0.15
 # How long an attempt that lost may go on, so that its connection is kept.
 LINGER_S = 0.3
 DEFAULT_TIME_LEFT_S = 60.0
@@ -257,7 +257,7 @@
         attempt.thread = eventlet.spawn(self._call, attempt)
 
     def _pay(self, shard: str, kind: AttemptKind, now: float) -> bool:
-        reserve = HEDGE_RESERVE if kind is AttemptKind.HEDGE else 0.0
+        reserve = HEDGE_RESERVE_SHARE if kind is AttemptKind.HEDGE else 0.0
         paid = self.state.extra_attempts.spend(shard, now, reserve)
         self.state.counters[f"{kind}_{'sent' if paid else 'unpaid'}"] += 1
         return paid
@@ -283,6 +283,8 @@
             attempt.result = error
         finally:
             load.in_flight.pop(number, None)
+            if attempt.result is None:
+                self._observe_abandoned(attempt, load)
         attempt.ended = steady()
         self._observe(attempt, load)
         self.results.put(attempt)
@@ -325,6 +327,13 @@
             load.note_latency(seconds / self.typical_s, now)
             self.forwarder.crashes.note_success(self.request, self.route.name)
 
+    def _observe_abandoned(self, attempt: Attempt, load) -> None:
+        """Notes how long an attempt had taken when it was given up."""
+        now = steady()
+        ratio = (now - attempt.started) / self.typical_s
+        if ratio > load.current_slowness(now):
+            load.note_latency(ratio, now)
+
     def _take(self, attempt: Attempt) -> None:
         """Takes a result into the plan."""
         result, shard = attempt.result, attempt.shard
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -14,6 +14,7 @@
 from kumquatspur.border.exchange_codec import (
     Exchange,
     HeardHost,
+    SlowSearcher,
     ToldIncident,
     ToldItem,
 )
@@ -21,6 +22,7 @@
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.policy.crash_suspects import MEMORY_S, Incident
 from kumquatspur.policy.peer_table import Peer
+from kumquatspur.policy.searcher_choice import slow_searchers
 from kumquatspur.wire.entry_state import UNKNOWN_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.searcher_pool import steady
@@ -102,6 +104,7 @@
             self._note_unfit(peer, f"its view is {told.age_s:.1f} s old")
             return False
         self._note_followed(peer.name)
+        self._take_slow(told)
         self._take_view(told)
         return True
 
@@ -184,6 +187,7 @@
 
     def _answer_follower(self, exchange: Exchange) -> Exchange:
         """Waits until there are changes that a follower does not know."""
+        self._take_slow(exchange)
         if (self.mirror.revision or 0) <= exchange.revision:
             self.mirror.changed.wait(timeout=FOLLOW_WAIT_S)
         changes = self.mirror.changes_after(exchange.revision)
@@ -194,6 +198,7 @@
 
     def _own(self) -> Exchange:
         own = self.state.settings.peer
+        slow = slow_searchers(self.state.loads, steady())
         return Exchange(
             name=self.state.settings.name,
             zone=self.state.settings.zone,
@@ -201,6 +206,10 @@
             port=own.port,
             revision=self.mirror.revision or 0,
             age_s=self._age_s(),
+            slow=tuple(
+                SlowSearcher(searcher=name, slowness=slowness, age_s=age_s)
+                for name, slowness, age_s in slow
+            ),
         )
 
     def _tell(self, with_items: bool = False) -> Exchange:
@@ -247,6 +256,7 @@
         for host in told.hosts:
             address = Address(host.ip, host.port)
             peers.note(Peer(host.name, host.zone, address, now - host.age_s))
+        self._take_slow(told)
         self.state.suspects.add(
             Incident(
                 incident.incident_id,
@@ -262,6 +272,14 @@
         if told.items is not None and told.age_s < self._age_s():
             self._take_view(told)
 
+    def _take_slow(self, told: Exchange) -> None:
+        now = steady()
+        for item in told.slow:
+            if item.searcher in self.state.directory.by_id:
+                self.state.load(item.searcher).note_told(
+                    item.slowness, now - item.age_s
+                )
+
     def _take_view(self, told: Exchange) -> None:
         """Takes the store's state, or changes of it, from another host."""
         known = self.mirror.revision or 0
