Requests that must not repeat avoid idle connections; sturdier start

A searcher may drop an idle connection unnoticed; a request that must not repeat would be lost on it, so it goes out on one used within 0.3 s or a new one. The header time-out no longer runs while a body arrives. A metrics port in use, or settings without seeds, do not stop the process.

--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -26,6 +26,15 @@
 Endpoint = Annotated[Address, pydantic.BeforeValidator(_parse_address)]
 
 
+def _none_is_empty(value):
+    return () if value is None else value
+
+
+Seeds = Annotated[
+    tuple[Endpoint, ...], pydantic.BeforeValidator(_none_is_empty)
+]
+
+
 class Bounds(_Model):
     """What the operator promises and demands, in the unit of each name.
 
@@ -91,7 +100,7 @@
     front: Endpoint
     ready: Endpoint
     peer: Endpoint | None = None
-    seeds: tuple[Endpoint, ...] = ()
+    seeds: Seeds = ()
     metrics_port: int = pydantic.Field(ge=1, le=65535)
     store: Endpoint
     heartbeat_ms: float = pydantic.Field(gt=0)
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -9,6 +9,7 @@
     EntrySettings,
     read_entry_settings,
 )
+from kumquatspur.core.records import Address
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
 from kumquatspur.wire.crash_watch import CrashWatch
@@ -69,12 +70,7 @@
         self.state.log.write("start", True, zone=self.settings.zone)
         self._text = self._read_settings_text()
         HttpServer(self.settings.ready, self._ready_page)
-        HttpServer(
-            type(self.settings.ready)(
-                self.settings.ready.host, self.settings.metrics_port
-            ),
-            self._metrics_page,
-        )
+        self._serve_metrics()
         front = FrontServer(self.state, self.forwarder)
         store = PlatformStore(self.settings.store)
         watch = StoreWatch(self.state, store, self.mirror, self.exchange.follow)
@@ -95,6 +91,14 @@
         self.state.log.write("stop", True, in_flight=self.state.in_flight)
         self.state.log.flush()
 
+    def _serve_metrics(self) -> None:
+        address = Address(self.settings.ready.host, self.settings.metrics_port)
+        try:
+            HttpServer(address, self._metrics_page)
+        except OSError as error:
+            # Requests can be served without.
+            self.state.log.write("metrics_unavailable", True, error=str(error))
+
     def _stop_step(self, front: FrontServer) -> bool:
         """Takes a graceful stop further; returns whether it has ended."""
         if self._stop_at is None:
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -38,6 +38,9 @@
 HEDGE_RESERVE_SHARE = 0.15
 # How long an attempt that lost may go on, so that its connection is kept.
 LINGER_S = 0.3
+# A searcher may drop an idle connection unnoticed, and a request that must not
+# repeat is then lost; it goes out on a connection that was in use just now.
+UNREPEATABLE_IDLE_S = 0.3
 DEFAULT_TIME_LEFT_S = 60.0
 RETRY_AFTER_S = (0.05, 0.2)
 _NOT_RUN_STATUSES = frozenset({429, 503, 408, 421})
@@ -275,6 +278,7 @@
                 self._is_ours,
                 self.deadline,
                 self.request.method == "HEAD",
+                math.inf if self.route.repeatable else UNREPEATABLE_IDLE_S,
             )
             attempt.result = headers.decode_reply(
                 message.status, message.end_to_end_headers(), message.body()
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -138,7 +138,7 @@
                 continue
             if not data:
                 return
-            if self.reader.is_between_requests():
+            if self.reader.is_between_requests() or self.reader.is_in_body():
                 self.active_at = steady()
             try:
                 messages = self.reader.feed(data)
@@ -157,6 +157,8 @@
         age = steady() - self.active_at
         if self.reader.is_between_requests():
             return age > self.limits.idle_timeout_s
+        if self.reader.is_in_body() and age <= self.limits.idle_timeout_s:
+            return False
         if age <= self.limits.header_timeout_s:
             return False
         self._reject(MessageError("request not received in time", 408))
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -195,6 +195,10 @@
         if self.header_bytes > self.header_limit:
             raise MessageError("headers too long", 431)
 
+    def is_in_body(self) -> bool:
+        """Returns whether the headers of a request are in, but not its body."""
+        return self.message is not None and self.message.headers_done
+
     def is_between_requests(self) -> bool:
         """Returns whether no request has begun to arrive."""
         return self.message is None and not self.pending_header_bytes
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import errno
+import math
 import time
 
 from eventlet import hubs
@@ -67,9 +68,14 @@
     idle_limit_s: float = UNSTATED_IDLE_S
     fresh: bool = True
 
-    def is_usable(self, now: float) -> bool:
-        """Returns whether it can carry a request."""
-        if now - self.idle_since > self.idle_limit_s:
+    def is_usable(self, now: float, max_idle_s: float) -> bool:
+        """Returns whether it can carry a request.
+
+        Args:
+            now: Time of the steady clock.
+            max_idle_s: How long it may have been idle at most.
+        """
+        if now - self.idle_since > min(self.idle_limit_s, max_idle_s):
             return False
         try:
             # Bytes without a request, or the end, make it useless.
@@ -112,6 +118,7 @@
         accepts,
         deadline: float,
         bodyless: bool = False,
+        max_idle_s: float = math.inf,
     ) -> RawMessage:
         """Sends a request and returns its response.
 
@@ -122,6 +129,7 @@
             accepts: Returns whether a response belongs to the request.
             deadline: When to give up, on the steady clock.
             bodyless: Whether the response has no body whatever it says.
+            max_idle_s: How long a kept connection may have been idle.
 
         Returns:
             The whole response.
@@ -132,7 +140,7 @@
         connections = self.by_searcher.setdefault(
             searcher_id, _SearcherConnections()
         )
-        connection = self._take(connections, address, deadline)
+        connection = self._take(connections, address, deadline, max_idle_s)
         reusable = False
         try:
             message, reusable = _exchange(
@@ -171,11 +179,11 @@
         """Closes all idle connections."""
         self.prune(float("inf"), ())
 
-    def _take(self, connections, address, deadline) -> Connection:
+    def _take(self, connections, address, deadline, max_idle_s) -> Connection:
         now = steady()
         while connections.idle:
             connection = connections.idle.pop()
-            if connection.is_usable(now):
+            if connection.is_usable(now, max_idle_s):
                 return connection
             connections.open -= 1
             connection.close()
--- a/kumquatspur/wire/searcher_pool_test.py
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -76,6 +76,20 @@
         self.assertEqual(self.call(searcher).body(), b"two")
         self.assertEqual(searcher.accepted, 1)
 
+    def test_connection_that_was_idle_too_long_is_not_used(self):
+        searcher = FakeSearcher(with_length(b"one"), with_length(b"two"))
+        self.call(searcher)
+        eventlet.sleep(0.02)
+        self.pool.call(
+            "i-1",
+            searcher.address,
+            REQUEST,
+            is_ours,
+            steady() + 2.0,
+            max_idle_s=0.01,
+        )
+        self.assertEqual(searcher.accepted, 2)
+
     def test_body_without_length_ends_with_the_connection(self):
         searcher = FakeSearcher(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole")
         self.assertEqual(self.call(searcher).body(), b"whole")
