--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -1,12 +1,10 @@
 """Settings of an entry host on the platform, read from a JSON file."""
 
-import json
-import pathlib
 from typing import Annotated
 
 import pydantic
 
-from kumquatspur.border.validation import validation_diagnostics
+from kumquatspur.border.validation import read_json_file
 from kumquatspur.core.records import Address, Diagnostic
 
 
@@ -120,16 +118,4 @@
     Returns:
         The settings, or None, and the errors found.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return None, [Diagnostic(path, f"cannot be read: {error}")]
-    try:
-        raw = json.loads(text)
-    except json.JSONDecodeError as error:
-        source = f"{path}:{error.lineno}"
-        return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
-    try:
-        return EntrySettings.model_validate(raw), []
-    except pydantic.ValidationError as error:
-        return None, validation_diagnostics(path, error)
+    return read_json_file(path, EntrySettings)
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -10,7 +10,7 @@
     model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
 
 
-class HeardHost(_Model):
+class KnownHost(_Model):
     """A host that the sender has heard of.
 
     Attributes:
@@ -28,7 +28,7 @@
     age_s: float = pydantic.Field(ge=0)
 
 
-class ToldIncident(_Model):
+class CrashIncident(_Model):
     """The loss of a searcher under a content.
 
     Attributes:
@@ -62,7 +62,7 @@
     age_s: float = pydantic.Field(ge=0)
 
 
-class ToldItem(_Model):
+class StoreItem(_Model):
     """An item of the store.
 
     Attributes:
@@ -89,9 +89,9 @@
         slow: Searchers that it knows to be slow.
         hosts: Hosts that it has heard of.
         incidents: Losses of searchers that count against a content.
-        items: Its view of the store; None if it is not told.
+        items: Its view of the store; None if it is not sent.
         changes: Changes since the revision that the receiver had; None if
-            they are not told.
+            they are not sent.
     """
 
     name: str = pydantic.Field(min_length=1)
@@ -101,10 +101,10 @@
     revision: int = pydantic.Field(ge=0)
     age_s: float = pydantic.Field(ge=0)
     slow: tuple[SlowSearcher, ...] = ()
-    hosts: tuple[HeardHost, ...] = ()
-    incidents: tuple[ToldIncident, ...] = ()
-    items: tuple[ToldItem, ...] | None = None
-    changes: tuple[ToldItem, ...] | None = None
+    hosts: tuple[KnownHost, ...] = ()
+    incidents: tuple[CrashIncident, ...] = ()
+    items: tuple[StoreItem, ...] | None = None
+    changes: tuple[StoreItem, ...] | None = None
 
 
 def encode(exchange: Exchange) -> bytes:
--- a/kumquatspur/border/settings.py
+++ b/kumquatspur/border/settings.py
@@ -1,11 +1,8 @@
 """Settings of one daemon, read from a JSON file."""
 
-import json
-import pathlib
-
 import pydantic
 
-from kumquatspur.border.validation import validation_diagnostics
+from kumquatspur.border.validation import read_json_file
 from kumquatspur.core.records import Address, Diagnostic
 
 
@@ -102,16 +99,4 @@
     Returns:
         The settings, or None, and the errors found.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return None, [Diagnostic(path, f"cannot be read: {error}")]
-    try:
-        raw = json.loads(text)
-    except json.JSONDecodeError as error:
-        source = f"{path}:{error.lineno}"
-        return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
-    try:
-        return Settings.model_validate(raw), []
-    except pydantic.ValidationError as error:
-        return None, validation_diagnostics(path, error)
+    return read_json_file(path, Settings)
--- a/kumquatspur/border/validation.py
+++ b/kumquatspur/border/validation.py
@@ -1,9 +1,15 @@
-"""Errors of validated models as diagnostics."""
+"""Reads validated models; their errors become diagnostics."""
+
+import json
+import pathlib
+from typing import TypeVar
 
 import pydantic
 
 from kumquatspur.core.records import Diagnostic
 
+Model = TypeVar("Model", bound=pydantic.BaseModel)
+
 
 def validation_diagnostics(
     source: str, error: pydantic.ValidationError
@@ -22,3 +28,30 @@
         path = ".".join(str(part) for part in item["loc"])
         diagnostics.append(Diagnostic(f"{source}: {path}", item["msg"]))
     return diagnostics
+
+
+def read_json_file(
+    path: str, model: type[Model]
+) -> tuple[Model | None, list[Diagnostic]]:
+    """Reads and checks a JSON file.
+
+    Args:
+        path: Path of the file.
+        model: What it holds.
+
+    Returns:
+        The model, or None, and the errors found.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [Diagnostic(path, f"cannot be read: {error}")]
+    try:
+        raw = json.loads(text)
+    except json.JSONDecodeError as error:
+        source = f"{path}:{error.lineno}"
+        return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
+    try:
+        return model.model_validate(raw), []
+    except pydantic.ValidationError as error:
+        return None, validation_diagnostics(path, error)
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -16,10 +16,10 @@
 # has recovered is found again.
 SLOWNESS_HALF_LIFE_S = 3.0
 MAX_SLOWNESS = 20.0
-# Slowness that is told to other hosts, and how long it is news.
-TELL_SLOWNESS = 2.5
-TELL_AGE_S = 3.0
-MAX_TOLD = 64
+# Slowness that is reported to other hosts, and for how long.
+REPORTED_SLOWNESS = 2.5
+REPORT_AGE_S = 3.0
+MAX_REPORTED = 64
 # A stated load says little after this multiple of the typical latency, or
 # after this time if that is longer.
 LOAD_MEMORY_MULTIPLE = 2.0
@@ -88,7 +88,7 @@
         self.suspect_until = 0.0
         self._note_error_share(0.0, now)
 
-    def note_told(self, slowness: float, at: float) -> None:
+    def note_reported(self, slowness: float, at: float) -> None:
         """Takes the slowness that another host has measured.
 
         Args:
@@ -132,7 +132,7 @@
     it would meet most of the slow ones before it knew them.
 
     Args:
-        loads: What this host has seen or was told.
+        loads: What this host has seen or was reported by others.
         now: Steady time in seconds.
 
     Returns:
@@ -141,11 +141,11 @@
     found = [
         (searcher_id, load.slowness, now - load.slowness_at)
         for searcher_id, load in loads.items()
-        if load.slowness >= TELL_SLOWNESS
-        and now - load.slowness_at < TELL_AGE_S
+        if load.slowness >= REPORTED_SLOWNESS
+        and now - load.slowness_at < REPORT_AGE_S
     ]
     found.sort(key=lambda item: -item[1])
-    return found[:MAX_TOLD]
+    return found[:MAX_REPORTED]
 
 
 @dataclasses.dataclass
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -56,11 +56,11 @@
     def test_slowness_is_learnt_from_other_hosts(self):
         for at in (1.0, 1.1, 1.2):
             self.loads["near"].note_latency(8.0, at)
-        told = slow_searchers(self.loads, 1.5)
-        self.assertEqual([item[0] for item in told], ["near"])
+        reported = slow_searchers(self.loads, 1.5)
+        self.assertEqual([item[0] for item in reported], ["near"])
         other = collections.defaultdict(SearcherLoad)
-        for searcher_id, slowness, age_s in told:
-            other[searcher_id].note_told(slowness, 101.5 - age_s)
+        for searcher_id, slowness, age_s in reported:
+            other[searcher_id].note_reported(slowness, 101.5 - age_s)
         self.loads = other
         self.assertNotEqual(self.choose(101.5), "near")
         self.assertEqual(slow_searchers(other, 110.0), [])
@@ -68,7 +68,7 @@
     def test_own_newer_measurement_holds(self):
         load = self.loads["near"]
         load.note_latency(1.0, 5.0)
-        load.note_told(9.0, 4.0)
+        load.note_reported(9.0, 4.0)
         self.assertEqual(load.slowness, 1.0)
 
     def test_paused_searcher_is_left_while_a_call_hangs(self):
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -12,11 +12,11 @@
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import (
+    CrashIncident,
     Exchange,
-    HeardHost,
+    KnownHost,
     SlowSearcher,
-    ToldIncident,
-    ToldItem,
+    StoreItem,
 )
 from kumquatspur.core.records import Address
 from kumquatspur.platform.store import StoreChange, StoreView
@@ -96,16 +96,18 @@
     def _follow(self, peer: Peer) -> bool:
         timeout_s = FOLLOW_WAIT_S + CALL_TIMEOUT_S
         try:
-            told = self._post(peer.address, FOLLOW_PATH, self._own(), timeout_s)
+            message = self._post(
+                peer.address, FOLLOW_PATH, self._header(), timeout_s
+            )
         except _CALL_ERRORS as error:
             self._note_unfit(peer, str(error))
             return False
-        if told.age_s > STALE_S:
-            self._note_unfit(peer, f"its view is {told.age_s:.1f} s old")
+        if message.age_s > STALE_S:
+            self._note_unfit(peer, f"its view is {message.age_s:.1f} s old")
             return False
         self._note_followed(peer.name)
-        self._take_slow(told)
-        self._take_view(told)
+        self._apply_slow_searchers(message)
+        self._apply_view(message)
         return True
 
     def _note_followed(self, name: str | None) -> None:
@@ -137,8 +139,8 @@
             return
         address = self.state.random.choice(addresses)
         try:
-            told = self._post(
-                address, EXCHANGE_PATH, self._tell(), CALL_TIMEOUT_S
+            message = self._post(
+                address, EXCHANGE_PATH, self._message(), CALL_TIMEOUT_S
             )
         except _CALL_ERRORS as error:
             self.state.counters["peer_exchange_failed"] += 1
@@ -148,7 +150,7 @@
                 error=str(error)[:120],
             )
             return
-        self._take(told)
+        self._apply(message)
 
     def _post(
         self, address: Address, path: str, exchange: Exchange, timeout_s: float
@@ -179,24 +181,28 @@
         return [reply]
 
     def _answer_exchange(self, exchange: Exchange) -> Exchange:
-        self._take(exchange)
+        self._apply(exchange)
         stale = exchange.age_s > STALE_S and exchange.age_s > self._age_s()
         behind = exchange.revision < (self.mirror.revision or 0)
         # A host that is only a moment behind is about to learn by itself.
-        return self._tell(with_items=stale or (behind and exchange.age_s > 1.0))
+        return self._message(
+            with_items=stale or (behind and exchange.age_s > 1.0)
+        )
 
     def _answer_follower(self, exchange: Exchange) -> Exchange:
         """Waits until there are changes that a follower does not know."""
-        self._take_slow(exchange)
+        self._apply_slow_searchers(exchange)
         if (self.mirror.revision or 0) <= exchange.revision:
             self.mirror.changed.wait(timeout=FOLLOW_WAIT_S)
         changes = self.mirror.changes_after(exchange.revision)
         if changes is None:
-            items = _told_items(self.mirror.view().changes)
-            return self._own().model_copy(update={"items": items})
-        return self._own().model_copy(update={"changes": _told_items(changes)})
+            items = _encode_items(self.mirror.view().changes)
+            return self._header().model_copy(update={"items": items})
+        return self._header().model_copy(
+            update={"changes": _encode_items(changes)}
+        )
 
-    def _own(self) -> Exchange:
+    def _header(self) -> Exchange:
         own = self.state.settings.peer
         slow = slow_searchers(self.state.loads, steady())
         return Exchange(
@@ -212,19 +218,19 @@
             ),
         )
 
-    def _tell(self, with_items: bool = False) -> Exchange:
+    def _message(self, with_items: bool = False) -> Exchange:
         now = steady()
         update = {
-            "hosts": self._told_hosts(now),
-            "incidents": self._told_incidents(now),
+            "hosts": self._known_hosts(now),
+            "incidents": self._crash_incidents(now),
         }
         if with_items:
-            update["items"] = _told_items(self.mirror.view().changes)
-        return self._own().model_copy(update=update)
+            update["items"] = _encode_items(self.mirror.view().changes)
+        return self._header().model_copy(update=update)
 
-    def _told_hosts(self, now: float) -> tuple[HeardHost, ...]:
+    def _known_hosts(self, now: float) -> tuple[KnownHost, ...]:
         return tuple(
-            HeardHost(
+            KnownHost(
                 name=peer.name,
                 zone=peer.zone,
                 ip=peer.address.host,
@@ -234,9 +240,9 @@
             for peer in self.state.peers.named(self.state.random.sample)
         )
 
-    def _told_incidents(self, now: float) -> tuple[ToldIncident, ...]:
+    def _crash_incidents(self, now: float) -> tuple[CrashIncident, ...]:
         return tuple(
-            ToldIncident(
+            CrashIncident(
                 incident_id=incident.incident_id,
                 fingerprint=incident.fingerprint,
                 searcher=incident.searcher,
@@ -248,15 +254,15 @@
             for incident in known.values()
         )
 
-    def _take(self, told: Exchange) -> None:
+    def _apply(self, message: Exchange) -> None:
         now = steady()
         peers = self.state.peers
-        address = Address(told.ip, told.port)
-        peers.note(Peer(told.name, told.zone, address, now))
-        for host in told.hosts:
+        address = Address(message.ip, message.port)
+        peers.note(Peer(message.name, message.zone, address, now))
+        for host in message.hosts:
             address = Address(host.ip, host.port)
             peers.note(Peer(host.name, host.zone, address, now - host.age_s))
-        self._take_slow(told)
+        self._apply_slow_searchers(message)
         self.state.suspects.add(
             Incident(
                 incident.incident_id,
@@ -267,33 +273,33 @@
                 now - incident.age_s,
                 now - incident.age_s + MEMORY_S,
             )
-            for incident in told.incidents
+            for incident in message.incidents
         )
-        if told.items is not None and told.age_s < self._age_s():
-            self._take_view(told)
+        if message.items is not None and message.age_s < self._age_s():
+            self._apply_view(message)
 
-    def _take_slow(self, told: Exchange) -> None:
+    def _apply_slow_searchers(self, message: Exchange) -> None:
         now = steady()
-        for item in told.slow:
+        for item in message.slow:
             if item.searcher in self.state.directory.by_id:
-                self.state.load(item.searcher).note_told(
+                self.state.load(item.searcher).note_reported(
                     item.slowness, now - item.age_s
                 )
 
-    def _take_view(self, told: Exchange) -> None:
+    def _apply_view(self, message: Exchange) -> None:
         """Takes the store's state, or changes of it, from another host."""
         known = self.mirror.revision or 0
-        if told.revision < known:
+        if message.revision < known:
             return
-        at = steady() - told.age_s
-        source = f"peer {told.name}"
-        if told.changes is not None:
-            view = StoreView(told.revision, _changes(told.changes))
+        at = steady() - message.age_s
+        source = f"peer {message.name}"
+        if message.changes is not None:
+            view = StoreView(message.revision, _decode_items(message.changes))
             self.mirror.apply(view, at, at, source)
-        elif told.revision == known:
-            self.state.directory.note_contact(told.revision, at, at)
-        elif told.items is not None:
-            view = StoreView(told.revision, _changes(told.items))
+        elif message.revision == known:
+            self.state.directory.note_contact(message.revision, at, at)
+        elif message.items is not None:
+            view = StoreView(message.revision, _decode_items(message.items))
             self.mirror.replace(view, at, at, source)
 
     def _count_hosts(self) -> None:
@@ -317,14 +323,14 @@
         return steady() - read_at if read_at >= 0 else UNKNOWN_AGE_S
 
 
-def _told_items(changes: Iterable[StoreChange]) -> tuple[ToldItem, ...]:
+def _encode_items(changes: Iterable[StoreChange]) -> tuple[StoreItem, ...]:
     return tuple(
-        ToldItem(key=item.key, revision=item.revision, value=item.value)
+        StoreItem(key=item.key, revision=item.revision, value=item.value)
         for item in changes
     )
 
 
-def _changes(items: Iterable[ToldItem]) -> tuple[StoreChange, ...]:
+def _decode_items(items: Iterable[StoreItem]) -> tuple[StoreChange, ...]:
     return tuple(
         StoreChange(item.key, item.revision, item.value) for item in items
     )
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -1,4 +1,4 @@
-"""Applies the platform store's state to the blackboard, whoever tells it."""
+"""Applies the platform store's state to the blackboard, whoever sends it."""
 
 import collections
 
@@ -41,7 +41,7 @@
             view: The reading.
             asked: When the call began that read it.
             now: When it was current, on the steady clock.
-            source: Who told it.
+            source: Where it comes from: "store", or a peer.
         """
         self._note_contact(view, asked, now)
         self.recent.clear()
@@ -64,7 +64,7 @@
             revision=view.revision,
             searchers=len(known),
         )
-        self._tell_followers()
+        self._notify_followers()
 
     def apply(
         self, view: StoreView, asked: float, now: float, source: str
@@ -75,7 +75,7 @@
             view: The changes.
             asked: When the call began that read them.
             now: When they were current, on the steady clock.
-            source: Who told them.
+            source: Where they come from: "store", or a peer.
         """
         self._note_contact(view, asked, now)
         for change in view.changes:
@@ -93,7 +93,7 @@
                 self.recent_from = self.recent[0].revision
             self.recent.append(change)
         if view.changes:
-            self._tell_followers()
+            self._notify_followers()
 
     def changes_after(self, revision: int) -> list[StoreChange] | None:
         """Returns the changes after a revision, or None if some are gone."""
@@ -102,10 +102,10 @@
         return [item for item in self.recent if item.revision > revision]
 
     def view(self) -> StoreView:
-        """Returns the state, to be told to others."""
+        """Returns the state, for other hosts."""
         return StoreView(self.revision or 0, tuple(self.items.values()))
 
-    def _tell_followers(self) -> None:
+    def _notify_followers(self) -> None:
         changed, self.changed = self.changed, eventlet.event.Event()
         changed.send()
 
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -1,7 +1,6 @@
 """Stand-in of a searcher on the platform."""
 
 import collections
-import json
 import socket as plain_socket
 import struct
 import urllib.parse
@@ -178,24 +177,20 @@
 
 def scattered_route(name, prefix, services, **changes) -> dict:
     """Returns a route over shards as the operator writes it."""
-    return {
-        "name": name,
-        "host": "shop.example",
-        "prefix": prefix,
-        "route-type": "idempotent",
-        "timeout-ms": 600,
-        "target-latency-ms": 200,
-        "priority": 1,
-        "max-attempts": 2,
+    shards = {
         "fanout-services": list(services),
         "result-limit": 5,
         "min-shard-ratio": 0.5,
-        **changes,
     }
+    return _route(name, prefix, {**shards, **changes})
 
 
 def forwarded_route(name, prefix, service, **changes) -> dict:
     """Returns a route to one service as the operator writes it."""
+    return _route(name, prefix, {"service": service, **changes})
+
+
+def _route(name: str, prefix: str, fields: dict) -> dict:
     return {
         "name": name,
         "host": "shop.example",
@@ -205,8 +200,7 @@
         "target-latency-ms": 200,
         "priority": 1,
         "max-attempts": 2,
-        "service": service,
-        **changes,
+        **fields,
     }
 
 
@@ -241,8 +235,3 @@
         name, _, value = line.partition(":")
         fields[name.strip().lower()] = urllib.parse.unquote(value.strip())
     return int(lines[0].split()[1]), fields, body
-
-
-def to_json(value) -> bytes:
-    """Returns a value as the store holds it."""
-    return json.dumps(value).encode()
