--- a/kumquatspur/platform/headers.py
+++ b/kumquatspur/platform/headers.py
@@ -8,7 +8,6 @@
 SIGNATURE = b"kumquatspur-server-seal"
 LOAD = b"kumquatspur-server-load"
 NOT_EXECUTED = b"kumquatspur-not-executed"
-SEARCHER_ID = b"kumquatspur-instance-id"
 PART_SIGNATURES = b"kumquatspur-part-seals"
 MISSING_PARTS = b"kumquatspur-missing-parts"
 
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -29,7 +29,6 @@
         heartbeat_s: Interval at which searchers renew their entries.
         by_id: Entries by searcher.
         left_at: When a searcher was seen draining or removed.
-        removed: Searchers whose entry is gone.
         by_service: Searchers that take new work, by service.
         leaving: Draining or removed searchers by service.
         grace_until: Until when a removal may be a lapse.
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -60,13 +60,11 @@
         socket: The socket.
         idle_since: When its last response was complete.
         idle_limit_s: How long it may be idle.
-        fresh: Whether it carried no request yet.
     """
 
     socket: socket.socket
     idle_since: float
     idle_limit_s: float = UNSTATED_IDLE_S
-    fresh: bool = True
 
     def is_usable(self, now: float, max_idle_s: float) -> bool:
         """Returns whether it can carry a request.
@@ -175,10 +173,6 @@
             if not connections.open and searcher_id not in known:
                 del self.by_searcher[searcher_id]
 
-    def close_idle(self) -> None:
-        """Closes all idle connections."""
-        self.prune(float("inf"), ())
-
     def _take(self, connections, address, deadline, max_idle_s) -> Connection:
         now = steady()
         while connections.idle:
@@ -294,7 +288,6 @@
 def _keep(connection: Connection, message: RawMessage, trailing: bool) -> bool:
     if trailing or not message.keep_alive:
         return False
-    connection.fresh = False
     connection.idle_since = steady()
     connection.idle_limit_s = _idle_limit_s(message.header(b"keep-alive"))
     return connection.idle_limit_s > 0
