--- /dev/null
+++ b/kumquatspur/border/decision_lines.py
@@ -0,0 +1,153 @@
+"""Reads the decision logs of entry hosts."""
+
+import json
+import pathlib
+import re
+from typing import Annotated, Any, Literal
+
+import pydantic
+
+from kumquatspur.core.records import Diagnostic
+from kumquatspur.policy.day_report import Fate, RequestLine
+
+# Readers of several hosts put their own clock and the host before each line.
+_PREFIX = re.compile(r"^\s*(-?\d+(?:\.\d+)?)\s")
+
+
+class _Line(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    time: float
+    route: str | None = None
+
+
+class _Answered(_Line):
+    event: Literal["answered"]
+    status: int
+    ms: float
+    target_ms: float
+    parts: Annotated[str, pydantic.Field(pattern=r"^\d+/\d+$")]
+    attempts: list[list[Any]] = []
+
+
+class _Refused(_Line):
+    event: Literal["refused"]
+    status: int
+    reason: str
+
+
+class _ClientLeft(_Line):
+    event: Literal["client_left"]
+    ms: float
+
+
+class _LinesDropped(_Line):
+    event: Literal["log_lines_dropped"]
+    count: int
+
+
+_Decision = pydantic.TypeAdapter(
+    Annotated[
+        _Answered | _Refused | _ClientLeft | _LinesDropped,
+        pydantic.Field(discriminator="event"),
+    ]
+)
+_REFUSAL_FATES = {
+    404: Fate.NO_ROUTE,
+    429: Fate.REFUSED,
+    503: Fate.REFUSED,
+}
+_EVENTS = frozenset({"answered", "refused", "client_left", "log_lines_dropped"})
+
+
+def _from_answered(line: _Answered, at_s: float) -> RequestLine:
+    parts, shards = map(int, line.parts.split("/"))
+    fate = Fate.IN_TIME if line.ms <= line.target_ms else Fate.LATE
+    if line.status >= 500:
+        fate = Fate.REFUSED if line.status == 503 else Fate.FAILED
+    extra = sum(bool(item) and item[0] != "first" for item in line.attempts)
+    reason = "" if line.status < 500 else f"status {line.status}"
+    return RequestLine(
+        at_s, line.route or "", fate, reason, line.ms, parts, shards, extra
+    )
+
+
+def _from_refused(line: _Refused, at_s: float) -> RequestLine:
+    fate = _REFUSAL_FATES.get(line.status, Fate.FAILED)
+    return RequestLine(at_s, line.route or "", fate, line.reason)
+
+
+def _from_client_left(line: _ClientLeft, at_s: float) -> RequestLine:
+    return RequestLine(at_s, line.route or "", Fate.LEFT, duration_ms=line.ms)
+
+
+_CONVERTERS = {
+    _Answered: _from_answered,
+    _Refused: _from_refused,
+    _ClientLeft: _from_client_left,
+}
+
+
+class DayLines:
+    """The decisions read from some files.
+
+    Attributes:
+        requests: The ends of requests.
+        lines_dropped: Lines that hosts left out.
+        unreadable: Lines that look like a decision and are none.
+    """
+
+    def __init__(self):
+        self.requests = []
+        self.lines_dropped = 0
+        self.unreadable = 0
+
+    def read(self, text: str) -> None:
+        """Reads a log; lines that are not JSON belong to other programs."""
+        for line in text.splitlines():
+            start = line.find("{")
+            if start < 0:
+                continue
+            try:
+                raw = json.loads(line[start:])
+            except json.JSONDecodeError:
+                self.unreadable += 1
+                continue
+            if isinstance(raw, dict) and raw.get("event") in _EVENTS:
+                self._take(raw, _PREFIX.match(line[:start]))
+
+    def _take(self, raw: dict, prefix) -> None:
+        try:
+            line = _Decision.validate_python(raw)
+        except pydantic.ValidationError:
+            self.unreadable += 1
+            return
+        if isinstance(line, _LinesDropped):
+            self.lines_dropped += line.count
+            return
+        at_s = float(prefix.group(1)) if prefix else line.time
+        self.requests.append(_CONVERTERS[type(line)](line, at_s))
+
+
+def read_day(folder: str) -> tuple[DayLines, list[Diagnostic]]:
+    """Reads all logs of a folder.
+
+    Args:
+        folder: A folder with one file or more, or a single file.
+
+    Returns:
+        The decisions and the errors found.
+    """
+    found, errors = DayLines(), []
+    path = pathlib.Path(folder)
+    files = sorted(path.iterdir()) if path.is_dir() else [path]
+    for file in files:
+        if path.is_dir() and not file.is_file():
+            continue
+        try:
+            found.read(file.read_text(encoding="utf-8", errors="replace"))
+        except OSError as error:
+            errors.append(Diagnostic(str(file), f"cannot be read: {error}"))
+    if not errors and not found.requests:
+        errors.append(Diagnostic(folder, "holds no line about a request"))
+    return found, errors
--- /dev/null
+++ b/kumquatspur/policy/day_report.py
@@ -0,0 +1,180 @@
+"""Where a day's requests lost their worth, from the hosts' decision logs.
+
+Each request counts as one. It loses all of that if it was refused, failed or
+late, and what is missing from its coverage otherwise, which falls with the
+square of the shards that are in. A request without a route has nothing to lose.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+
+from kumquatspur.core.records import record
+
+BUCKET_S = 2.0
+LOWEST_US = 100
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+
+
+class Fate(enum.StrEnum):
+    """How a request ended, as its client sees it."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LEFT = "client left"
+    NO_ROUTE = "no route"
+
+
+@record
+class RequestLine:
+    """The end of one request, as one host logged it.
+
+    Attributes:
+        at_s: When it ended, in seconds; the origin is the same for all lines.
+        route: Name of its route, or "" if none matched.
+        fate: How it ended.
+        reason: Why it was refused or failed, or "".
+        duration_ms: From its arrival to its end; None if not logged.
+        parts: Shards that are in.
+        shards: Shards that were asked for; 0 if not logged.
+        extra_attempts: Attempts besides the first at each shard.
+    """
+
+    at_s: float
+    route: str
+    fate: Fate
+    reason: str = ""
+    duration_ms: float | None = None
+    parts: int = 0
+    shards: int = 0
+    extra_attempts: int = 0
+
+
+@dataclasses.dataclass
+class Losses:
+    """Requests of a route or a span, and what they lost.
+
+    Attributes:
+        requests: How many ended.
+        lost: Requests lost by cause; fractions where shards are missing.
+        reasons: Requests refused or failed, by reason.
+        extra_attempts: Attempts besides the first at each shard.
+        shards: Shards asked for.
+        parts: Shards that were in.
+        latencies: Durations of answers in microseconds.
+    """
+
+    requests: int = 0
+    lost: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    reasons: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    extra_attempts: int = 0
+    shards: int = 0
+    parts: int = 0
+    latencies: HdrHistogram = dataclasses.field(
+        default_factory=lambda: HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+    )
+
+    def add(self, line: RequestLine) -> None:
+        """Counts a request."""
+        if line.fate is Fate.NO_ROUTE:
+            self.reasons[line.reason or line.fate] += 1
+            return
+        self.requests += 1
+        self.extra_attempts += line.extra_attempts
+        answered = line.fate in (Fate.IN_TIME, Fate.LATE)
+        if answered and line.shards:
+            self.shards += line.shards
+            self.parts += line.parts
+        if answered and line.duration_ms is not None:
+            self.latencies.record_value(int(line.duration_ms * 1000))
+        if line.fate is not Fate.IN_TIME:
+            self.lost[line.fate] += 1.0
+            self.reasons[line.reason or line.fate] += 1
+        elif line.shards:
+            missing = 1.0 - (line.parts / line.shards) ** 2
+            if missing:
+                self.lost["parts left out"] += missing
+
+    def coverage(self) -> float:
+        """Returns the share of the shards that were in the answers."""
+        return self.parts / self.shards if self.shards else 1.0
+
+    def latency_ms(self, percentile: float) -> float:
+        """Returns a percentile of the answers' durations, 0 without any."""
+        if not self.latencies.get_total_count():
+            return 0.0
+        return self.latencies.get_value_at_percentile(percentile) / 1000.0
+
+    def kept_share(self) -> float:
+        """Returns the share of the requests' worth that was kept."""
+        if not self.requests:
+            return 1.0
+        return 1.0 - sum(self.lost.values()) / self.requests
+
+
+@dataclasses.dataclass
+class DayReport:
+    """Losses over a day.
+
+    Attributes:
+        total: All requests.
+        routes: Losses by route.
+        spans: Losses by start of the span in seconds, in order of time.
+        lines_dropped: Lines that hosts left out to bound their logs.
+        unreadable: Lines that are no decision.
+    """
+
+    total: Losses
+    routes: dict[str, Losses]
+    spans: dict[float, Losses]
+    lines_dropped: int = 0
+    unreadable: int = 0
+
+
+def build_day(lines: Iterable[RequestLine]) -> DayReport:
+    """Adds up the requests of a day.
+
+    Args:
+        lines: The ends of the requests, in any order.
+
+    Returns:
+        The report.
+    """
+    total = Losses()
+    routes = collections.defaultdict(Losses)
+    spans = collections.defaultdict(Losses)
+    for line in lines:
+        start = line.at_s // BUCKET_S * BUCKET_S
+        for losses in (total, routes[line.route], spans[start]):
+            losses.add(line)
+    return DayReport(total, dict(sorted(routes.items())), _filled(spans))
+
+
+def _filled(spans: dict[float, Losses]) -> dict[float, Losses]:
+    """Returns the spans in order, with empty ones where nothing ended."""
+    if not spans:
+        return {}
+    first, last = min(spans), max(spans)
+    count = int((last - first) / BUCKET_S) + 1
+    starts = (first + index * BUCKET_S for index in range(count))
+    return {start: spans.get(start, Losses()) for start in starts}
+
+
+def extra_share(report: DayReport) -> dict[float, float]:
+    """Returns extra attempts as a share of the shards asked, by span."""
+    return {
+        start: losses.extra_attempts / losses.shards if losses.shards else 0.0
+        for start, losses in report.spans.items()
+    }
--- /dev/null
+++ b/kumquatspur/scripts/day_command.py
@@ -0,0 +1,114 @@
+"""The `report day` command."""
+
+import pathlib
+
+from kumquatspur.border.decision_lines import read_day
+from kumquatspur.core.records import Diagnostic
+from kumquatspur.policy.day_report import (
+    DayReport,
+    Fate,
+    Losses,
+    build_day,
+    extra_share,
+)
+from kumquatspur.scripts import day_html, http_calls
+from kumquatspur.scripts.output import print_errors, print_json
+
+CAUSES = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, "parts left out")
+EXIT_BAD_INPUT = 2
+
+
+def run_day(arguments) -> int:
+    """Prints and writes the report.
+
+    Args:
+        arguments: A `DayCommand`.
+
+    Returns:
+        The exit code.
+    """
+    lines, errors = read_day(arguments.folder)
+    if errors:
+        print_errors(errors)
+        return EXIT_BAD_INPUT
+    report = build_day(lines.requests)
+    report.lines_dropped = lines.lines_dropped
+    report.unreadable = lines.unreadable
+    if arguments.json:
+        print_json(as_json(report))
+    else:
+        print("\n".join(as_text(report)))
+    if arguments.html:
+        try:
+            page = day_html.render(report)
+            pathlib.Path(arguments.html).write_text(page, encoding="utf-8")
+        except OSError as error:
+            source = Diagnostic(arguments.html, f"cannot be written: {error}")
+            print_errors([source])
+            return EXIT_BAD_INPUT
+    return http_calls.EXIT_OK
+
+
+def as_text(report: DayReport) -> list[str]:
+    """Returns the report as lines of text."""
+    heads = "".join(f"{cause:>15}" for cause in CAUSES)
+    found = [
+        f"{'route':16}{'requests':>9}{'kept':>8}{heads}"
+        f"{'p50 ms':>8}{'p99 ms':>8}{'extra':>8}"
+    ]
+    rows = {**report.routes, "all": report.total}
+    found += [_text_row(name or "(none)", row) for name, row in rows.items()]
+    found.append("")
+    for reason, count in report.total.reasons.most_common():
+        found.append(f"{reason}: {count}")
+    worst = sorted(
+        (losses.kept_share(), start)
+        for start, losses in report.spans.items()
+        if losses.requests
+    )[:3]
+    spans = ", ".join(f"{start:g} s: {kept:.0%}" for kept, start in worst)
+    found.append(f"least kept in spans starting at {spans}")
+    if report.lines_dropped:
+        found.append(f"not included: {report.lines_dropped} lines dropped")
+    if report.unreadable:
+        found.append(f"not included: {report.unreadable} unreadable lines")
+    return found
+
+
+def _text_row(name: str, row: Losses) -> str:
+    requests = max(1, row.requests)
+    causes = "".join(f"{row.lost[c] / requests:15.2%}" for c in CAUSES)
+    return (
+        f"{name:16}{row.requests:9d}{row.kept_share():8.1%}{causes}"
+        f"{row.latency_ms(50.0):8.1f}{row.latency_ms(99.0):8.1f}"
+        f"{row.extra_attempts:8d}"
+    )
+
+
+def as_json(report: DayReport) -> dict:
+    """Returns the report as JSON values; latencies are milliseconds."""
+    shares = extra_share(report)
+    spans = [
+        {"start_s": start, "extra_share": shares[start], **_json_row(losses)}
+        for start, losses in report.spans.items()
+    ]
+    return {
+        "total": _json_row(report.total),
+        "routes": {n: _json_row(row) for n, row in report.routes.items()},
+        "spans": spans,
+        "lines_dropped": report.lines_dropped,
+        "unreadable": report.unreadable,
+    }
+
+
+def _json_row(row: Losses) -> dict:
+    return {
+        "requests": row.requests,
+        "kept_share": row.kept_share(),
+        "lost": {str(cause): row.lost[cause] for cause in CAUSES},
+        "reasons": {str(key): n for key, n in sorted(row.reasons.items())},
+        "coverage": row.coverage(),
+        "extra_attempts": row.extra_attempts,
+        "p50_ms": row.latency_ms(50.0),
+        "p99_ms": row.latency_ms(99.0),
+    }
--- /dev/null
+++ b/kumquatspur/scripts/day_command_test.py
@@ -0,0 +1,160 @@
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from kumquatspur.border.decision_lines import read_day
+from kumquatspur.policy.day_report import Fate, build_day
+from kumquatspur.scripts import day_html
+from kumquatspur.scripts.day_command import as_json, as_text, run_day
+from kumquatspur.scripts.kumquatspur import DayCommand
+
+
+def answered(time, ms, parts="10/10", status=200, attempts=()):
+    return {
+        "time": time,
+        "event": "answered",
+        "route": "r-1",
+        "status": status,
+        "ms": ms,
+        "target_ms": 50,
+        "parts": parts,
+        "attempts": list(attempts),
+    }
+
+
+def refused(time, status, reason, route="r-1"):
+    return {
+        "time": time,
+        "event": "refused",
+        "route": route,
+        "status": status,
+        "reason": reason,
+    }
+
+
+HEDGES = (
+    ["first", "i-1", "z1", 0.1, 30.0, "open"],
+    ["hedge", "i-2", "z2", 20.0, 5.0, 200],
+    ["retry", "i-3", "z2", 25.0, 5.0, 200],
+)
+LOG = (
+    answered(100.0, 20.0),
+    answered(100.5, 20.0, "9/10", attempts=HEDGES),
+    answered(101.0, 70.0),
+    answered(105.0, 5.0, "0/10", 504),
+    refused(105.1, 503, "no_replica"),
+    refused(105.2, 404, "unknown_service", None),
+    {"time": 105.3, "event": "client_left", "route": "r-2", "ms": 12.0},
+    {"time": 105.4, "event": "log_lines_dropped", "count": 7},
+    {"time": 105.5, "event": "store_lost"},
+    {"time": 105.6, "event": "answered", "status": "soon"},
+)
+
+
+class DayCommandTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        lines = [json.dumps(line) for line in LOG]
+        self.write("a.log", lines[:5] + ["not a decision", "{ broken"])
+        self.write("b.log", lines[5:])
+
+    def write(self, name, lines):
+        (self.folder / name).write_text("\n".join(lines), encoding="utf-8")
+
+    def read(self):
+        lines, errors = read_day(str(self.folder))
+        self.assertEqual(errors, [])
+        return lines
+
+    def run_tool(self, command):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = run_day(command)
+        return code, out.getvalue(), err.getvalue()
+
+    def test_what_requests_lost(self):
+        report = build_day(self.read().requests)
+        total = report.total
+        self.assertEqual(total.requests, 6)
+        expected = {
+            Fate.LATE: 1.0,
+            Fate.FAILED: 1.0,
+            Fate.REFUSED: 1.0,
+            Fate.LEFT: 1.0,
+        }
+        found = dict(total.lost)
+        self.assertAlmostEqual(found.pop("parts left out"), 1 - 0.9**2)
+        self.assertEqual(found, expected)
+        self.assertEqual(total.extra_attempts, 2)
+        self.assertAlmostEqual(total.coverage(), 29 / 30)
+        self.assertEqual(
+            dict(total.reasons),
+            {
+                "late": 1,
+                "status 504": 1,
+                "no_replica": 1,
+                "unknown_service": 1,
+                "client left": 1,
+            },
+        )
+        self.assertEqual(sorted(report.routes), ["", "r-1", "r-2"])
+        self.assertAlmostEqual(total.kept_share(), (1 + 0.81) / 6)
+
+    def test_spans_without_requests_are_shown(self):
+        report = build_day(self.read().requests)
+        counts = {at: span.requests for at, span in report.spans.items()}
+        self.assertEqual(counts, {100.0: 3, 102.0: 0, 104.0: 3})
+
+    def test_what_is_not_included_is_said(self):
+        lines = self.read()
+        self.assertEqual((lines.lines_dropped, lines.unreadable), (7, 2))
+        _, out, _ = self.run_tool(DayCommand(str(self.folder)))
+        self.assertIn("7 lines dropped", out)
+        self.assertIn("2 unreadable", out)
+
+    def test_lines_after_the_clock_and_name_of_a_reader(self):
+        text = json.dumps(answered(5_000.0, 20.0))
+        self.write("c.log", [f"  -3.5000 host-1 {text}"])
+        spans = build_day(self.read().requests).spans
+        self.assertEqual(next(iter(spans)), -4.0)
+
+    def test_outputs(self):
+        page = str(self.folder / "day.html")
+        code, out, _ = self.run_tool(
+            DayCommand(str(self.folder), json=True, html=page)
+        )
+        self.assertEqual(code, 0)
+        self.assertEqual(json.loads(out)["total"]["requests"], 6)
+        html = pathlib.Path(page).read_text(encoding="utf-8")
+        self.assertIn("<svg", html)
+        self.assertIn("r-1", html)
+
+    def test_bad_input(self):
+        empty = self.folder / "empty"
+        empty.mkdir()
+        code, out, err = self.run_tool(DayCommand(str(empty)))
+        self.assertEqual((code, out), (2, ""))
+        self.assertIn("holds no line about a request", err)
+        code, _, err = self.run_tool(DayCommand(str(self.folder / "none")))
+        self.assertEqual(code, 2)
+        self.assertIn("cannot be read", err)
+        code, _, err = self.run_tool(
+            DayCommand(str(self.folder), html=str(self.folder / "no" / "x"))
+        )
+        self.assertEqual(code, 2)
+        self.assertIn("cannot be written", err)
+
+    def test_a_day_without_requests_can_be_rendered(self):
+        report = build_day([])
+        self.assertIn("0 requests", day_html.render(report))
+        self.assertEqual(as_json(report)["total"]["kept_share"], 1.0)
+        self.assertTrue(as_text(report))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatspur/scripts/day_html.py
@@ -0,0 +1,85 @@
+"""The report of a day as one HTML page with plots."""
+
+import html
+import io
+
+from kumquatspur.policy.day_report import DayReport, Fate, Losses, extra_share
+
+_PAGE = """<!DOCTYPE html>
+<html lang="en">
+<meta charset="utf-8">
+<title>Requests of a day</title>
+<h1>Requests of a day</h1>
+<p>{requests} requests, {kept:.1%} of their worth kept. {missing}</p>
+{plot}
+<table>
+<tr><th>route<th>requests<th>kept<th>late<th>refused<th>failed<th>client left
+<th>parts left out<th>p50 ms<th>p99 ms<th>extra attempts</tr>
+{rows}
+</table>
+</html>
+"""
+
+
+def render(report: DayReport) -> str:
+    """Renders a report.
+
+    Args:
+        report: The report.
+
+    Returns:
+        An HTML page that refers to no other file.
+    """
+    missing = ""
+    if report.lines_dropped or report.unreadable:
+        missing = (
+            f"<b>Not included: {report.lines_dropped} lines dropped, "
+            f"{report.unreadable} unreadable.</b>"
+        )
+    rows = {**report.routes, "all": report.total}
+    return _PAGE.format(
+        requests=report.total.requests,
+        kept=report.total.kept_share(),
+        missing=missing,
+        plot=_plot(report),
+        rows="\n".join(_row(name, row) for name, row in rows.items()),
+    )
+
+
+def _row(name: str, row: Losses) -> str:
+    requests = max(1, row.requests)
+    causes = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, "parts left out")
+    cells = [html.escape(name or "(none)"), row.requests]
+    cells.append(f"{row.kept_share():.1%}")
+    cells += [f"{row.lost[cause] / requests:.2%}" for cause in causes]
+    cells += [f"{row.latency_ms(p):.1f}" for p in (50.0, 99.0)]
+    cells.append(row.extra_attempts)
+    return "<tr>" + "".join(f"<td>{cell}" for cell in cells) + "</tr>"
+
+
+def _plot(report: DayReport) -> str:
+    """Draws latency, losses, coverage and extra attempts against time."""
+    # Imported here because only this report needs it and it loads slowly.
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(9, 10))
+    latency, lost, coverage, extra = figure.subplots(4, 1, sharex=True)
+    starts = list(report.spans)
+    spans = list(report.spans.values())
+    for percentile in (50.0, 90.0, 99.0):
+        values = [span.latency_ms(percentile) for span in spans]
+        latency.plot(starts, values, label=f"p{percentile:g}")
+    for fate in (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT):
+        lost.plot(starts, [span.lost[fate] for span in spans], label=fate)
+    coverage.plot(starts, [span.coverage() for span in spans])
+    extra.plot(starts, list(extra_share(report).values()))
+    latency.set_ylabel("latency (ms)")
+    lost.set_ylabel("requests lost")
+    coverage.set_ylabel("share of shards in")
+    extra.set_ylabel("extra attempts a shard")
+    extra.set_xlabel("time (s)")
+    for axes in (latency, lost):
+        axes.legend(fontsize="x-small")
+    text = io.StringIO()
+    figure.savefig(text, format="svg")
+    return text.getvalue()[text.getvalue().index("<svg") :]
--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -14,6 +14,7 @@
 from kumquatspur.scripts import (
     burn_command,
     config_commands,
+    day_command,
     file_commands,
     query_commands,
 )
@@ -282,12 +283,33 @@
         return burn_command.run_burn(self)
 
 
+@cappa.command(name="day")
+@dataclass
+class DayCommand:
+    """Reports what requests lost, from the decision logs of entry hosts.
+
+    Example: kumquatspur report day LOGS --html day.html
+    """
+
+    folder: Annotated[
+        str, cappa.Arg(help="A folder of logs, one file a host, or one file.")
+    ]
+    json: Json = False
+    html: Annotated[
+        str, cappa.Arg(long=True, help="Write an HTML report to this file.")
+    ] = ""
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return day_command.run_day(self)
+
+
 @cappa.command(name="report")
 @dataclass
 class ReportCommand:
     """Prints reports."""
 
-    command: cappa.Subcommands[BurnCommand]
+    command: cappa.Subcommands[BurnCommand | DayCommand]
 
 
 @cappa.command(name="kumquatspur")
