--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 BENCH_SECONDS ?= 320
 
-.PHONY: bench bench-full demo slopes test lint format clean
+.PHONY: bench bench-full demo demo-platform slopes test lint format clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(VENV)/installed
 	$(RUN) -m standins.demo $(if $(KEEP),--keep)
 
+demo-platform: $(VENV)/installed
+	$(RUN) -m standins.platform_demo
+
 slopes: $(VENV)/installed
 	$(RUN) -m bench.slopes
 
--- a/kumquatspur/scripts/day_command.py
+++ b/kumquatspur/scripts/day_command.py
@@ -16,6 +16,7 @@
 
 CAUSES = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, "parts left out")
 EXIT_BAD_INPUT = 2
+WORST_SPANS = 3
 
 
 def run_day(arguments) -> int:
@@ -65,9 +66,10 @@
         (losses.kept_share(), start)
         for start, losses in report.spans.items()
         if losses.requests
-    )[:3]
-    spans = ", ".join(f"{start:g} s: {kept:.0%}" for kept, start in worst)
-    found.append(f"least kept in spans starting at {spans}")
+    )[:WORST_SPANS]
+    first = next(iter(report.spans), 0.0)
+    spans = ", ".join(f"{at - first:g} s: {kept:.0%}" for kept, at in worst)
+    found.append(f"least kept in spans that begin after {spans}")
     if report.lines_dropped:
         found.append(f"not included: {report.lines_dropped} lines dropped")
     if report.unreadable:
--- /dev/null
+++ b/standins/platform_deployment.py
@@ -0,0 +1,286 @@
+"""A deployment on stand-ins of the platform: real entry hosts, one machine."""
+
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import eventlet
+from eventlet.green import socket
+
+from kumquatspur.core.records import Address
+from standins.platform_searcher import (
+    PlatformSearcher,
+    config,
+    forwarded_route,
+    scattered_route,
+)
+from standins.platform_store import PlatformStore
+
+LOCAL = "127.0.0.1"
+SHARDS = ("s0", "s1", "s2", "s3")
+SINGLE = "single"
+RECORDS = 20
+RECORD_BYTES = 16
+READY_WAIT_S = 20.0
+WAIT_S = 5.0
+STOP_WAIT_S = 10.0
+CALL_TIMEOUT_S = 3.0
+SHARD_WORK_S = 0.005
+SINGLE_WORK_S = 0.02
+GRACE_S = 3
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns TCP ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind((LOCAL, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def wait_until(condition, seconds: float = WAIT_S) -> None:
+    """Waits for a condition.
+
+    Args:
+        condition: Returns whether it holds.
+        seconds: Longest wait.
+
+    Raises:
+        AssertionError: It did not come true in time.
+    """
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition did not come true in time")
+        eventlet.sleep(0.005)
+
+
+def record(number: int) -> bytes:
+    """Returns a record that sorts like its number."""
+    return number.to_bytes(RECORD_BYTES, "big")
+
+
+def host_settings(name, zone, ports, store: Address, seeds) -> dict:
+    """Returns the settings of an entry host.
+
+    Args:
+        name: Its name.
+        zone: Its availability zone.
+        ports: Ports for clients, readiness, peers and metrics.
+        store: Where it finds the store.
+        seeds: Peer ports of some entry hosts.
+    """
+    front, ready, peer, metrics = ports
+    return {
+        "name": name,
+        "zone": zone,
+        "front": f"{LOCAL}:{front}",
+        "ready": f"{LOCAL}:{ready}",
+        "peer": f"{LOCAL}:{peer}",
+        "seeds": [f"{LOCAL}:{port}" for port in seeds],
+        "metrics_port": metrics,
+        "store": f"{store.host}:{store.port}",
+        "heartbeat_ms": 200,
+        "machine": {
+            "cpu_share": 1,
+            "cores": 1,
+            "memory_mb": 300,
+            "max_fds": 1000,
+            "link_mbps": 100,
+        },
+        "bounds": {
+            "drain_ms": 500,
+            "grace_s": GRACE_S,
+            "config_apply_ms": 3000,
+            "retry_budget_ratio": 0.2,
+            "retry_budget_window_s": 10,
+            "retry_budget_slack": 400,
+        },
+    }
+
+
+class Host:
+    """One entry host as a process.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+        ports: Ports for clients, readiness, peers and metrics.
+        process: The process; None while it is stopped.
+    """
+
+    def __init__(self, name: str, zone: str, folder: pathlib.Path):
+        self.name = name
+        self.zone = zone
+        self.ports = free_ports(4)
+        self.process = None
+        self.settings_path = folder / f"{name}.json"
+        self.log_path = folder / "logs" / f"{name}.log"
+
+    def write_settings(self, store: Address, seeds) -> None:
+        """Writes its settings file."""
+        settings = host_settings(self.name, self.zone, self.ports, store, seeds)
+        self.settings_path.write_text(json.dumps(settings), encoding="utf-8")
+
+    def start(self) -> None:
+        """Starts the process; its log is appended to."""
+        command = [
+            sys.executable,
+            *("-W", "ignore", "-m", "kumquatspur.scripts.platform_daemon"),
+            *("--settings", str(self.settings_path)),
+        ]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                command, stdout=log, stderr=subprocess.STDOUT
+            )
+
+    def is_running(self) -> bool:
+        """Returns whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self.is_running():
+            self.process.send_signal(number)
+
+    def wait_for_end(self, seconds: float = STOP_WAIT_S) -> None:
+        """Waits until the process has ended, and ends it if it does not."""
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+    def is_ready(self) -> bool:
+        """Returns whether it takes clients."""
+        connection = http.client.HTTPConnection(LOCAL, self.ports[1], timeout=1)
+        try:
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+class PlatformDeployment:
+    """Entry hosts as processes, and searchers and a store in this one.
+
+    Attributes:
+        store: The store.
+        searchers: The searchers by identifier.
+        hosts: The entry hosts by name.
+        folder: Where settings and logs are.
+        version: Version of the configuration in the store.
+    """
+
+    def __init__(self, folder: pathlib.Path, zones, hosts_per_zone: int):
+        self.folder = folder
+        (folder / "logs").mkdir(parents=True, exist_ok=True)
+        self.store = PlatformStore()
+        self.zones = tuple(zones)
+        self.searchers = {}
+        for index, shard in enumerate(SHARDS):
+            first = index * RECORDS
+            records = [record(first + item) for item in range(RECORDS)]
+            for zone in self.zones:
+                self.add_searcher(shard, zone, records, SHARD_WORK_S)
+        for zone in self.zones:
+            self.add_searcher(SINGLE, zone, (), SINGLE_WORK_S)
+        self.version = 0
+        self.configure()
+        names = [
+            (f"{zone}-{number}", zone)
+            for zone in self.zones
+            for number in range(hosts_per_zone)
+        ]
+        self.hosts = {name: Host(name, zone, folder) for name, zone in names}
+
+    def add_searcher(self, service, zone, records, work_s) -> None:
+        """Starts a searcher and registers it."""
+        name = f"i-{service}-{zone}"
+        searcher = PlatformSearcher(name, service, zone, records, work_s)
+        self.searchers[name] = searcher
+        searcher.register(self.store)
+
+    def routes(self) -> list[dict]:
+        """Returns the routes as the operator writes them."""
+        once = {"route-type": "non_idempotent"}
+        return [
+            scattered_route("all", "/all/", SHARDS),
+            forwarded_route("one", "/one/", SINGLE),
+            forwarded_route("once", "/once/", SINGLE, **once),
+        ]
+
+    def configure(self, routes=None) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 1
+        document = config(self.version, routes or self.routes())
+        self.store.put_json("op/config", document)
+
+    def start(self, store_of=None) -> None:
+        """Starts all entry hosts and waits until they are ready.
+
+        Args:
+            store_of: Returns the store's address for a host's name; the store
+                itself by default.
+        """
+        seeds = [host.ports[2] for host in list(self.hosts.values())[:3]]
+        for host in self.hosts.values():
+            store = store_of(host.name) if store_of else self.store.address
+            host.write_settings(store, seeds)
+            host.start()
+        for host in self.hosts.values():
+            wait_until(host.is_ready, READY_WAIT_S)
+
+    def stop(self) -> None:
+        """Ends all that was started."""
+        for host in self.hosts.values():
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGTERM)
+        for host in self.hosts.values():
+            if host.process is not None:
+                host.wait_for_end()
+        for searcher in self.searchers.values():
+            searcher.close()
+        self.store.close()
+
+
+def ask(host: Host, path: str, request_id: str, method="GET", body=b""):
+    """Sends one request to an entry host.
+
+    Args:
+        host: The host.
+        path: The request's path.
+        request_id: Its identifier.
+        method: HTTP method.
+        body: The request's body.
+
+    Returns:
+        Status, headers in lower case and body; None if the connection ended
+        without a response.
+    """
+    connection = http.client.HTTPConnection(
+        LOCAL, host.ports[0], timeout=CALL_TIMEOUT_S
+    )
+    fields = {
+        "Host": "shop.example",
+        "Kumquatspur-Attempt-Id": request_id,
+        "Kumquatspur-Deadline-Ms": "500",
+    }
+    try:
+        connection.request(method, path, body or None, fields)
+        response = connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return response.status, found, response.read()
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -2,7 +2,6 @@
 import json
 import pathlib
 import tempfile
-import time
 import unittest
 
 import eventlet
@@ -11,6 +10,12 @@
 from kumquatspur.border.entry_settings import read_entry_settings
 from kumquatspur.wire.entry_host import EntryHost
 from kumquatspur.wire.searcher_pool import steady
+from standins.platform_deployment import (
+    free_ports,
+    host_settings,
+    record,
+    wait_until,
+)
 from standins.platform_searcher import (
     PlatformSearcher,
     config,
@@ -24,28 +29,6 @@
 WAIT_S = 5.0
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
-def wait_until(condition):
-    end = time.monotonic() + WAIT_S
-    while not condition():
-        if time.monotonic() > end:
-            raise AssertionError("condition did not come true in time")
-        eventlet.sleep(0.005)
-
-
-def record(number):
-    return number.to_bytes(16, "big")
-
-
 class PlatformPathTest(unittest.TestCase):
     """The whole path: client, entry host, searchers and store."""
 
@@ -84,33 +67,9 @@
     def start_host(self, name, store=None, seeds=()):
         front, ready, peer, metrics = free_ports(4)
         store = store or self.store
+        ports = (front, ready, peer, metrics)
         text = json.dumps(
-            {
-                "name": name,
-                "zone": ZONE,
-                "front": f"127.0.0.1:{front}",
-                "ready": f"127.0.0.1:{ready}",
-                "peer": f"127.0.0.1:{peer}",
-                "seeds": [f"127.0.0.1:{port}" for port in seeds],
-                "metrics_port": metrics,
-                "store": f"127.0.0.1:{store.address.port}",
-                "heartbeat_ms": 200,
-                "machine": {
-                    "cpu_share": 1,
-                    "cores": 1,
-                    "memory_mb": 300,
-                    "max_fds": 1000,
-                    "link_mbps": 100,
-                },
-                "bounds": {
-                    "drain_ms": 500,
-                    "grace_s": 6,
-                    "config_apply_ms": 3000,
-                    "retry_budget_ratio": 0.2,
-                    "retry_budget_window_s": 10,
-                    "retry_budget_slack": 400,
-                },
-            }
+            host_settings(name, ZONE, ports, store.address, seeds)
         )
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
