--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -14,6 +14,14 @@
 _PREFIX = re.compile(r"^\s*(-?\d+(?:\.\d+)?)\s")
 
 
+class _Mark(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    time: float
+    host: str
+    event: str
+
+
 class _Line(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
@@ -93,12 +101,14 @@
 
     Attributes:
         requests: The ends of requests.
+        marks: Time, host and event of every line.
         lines_dropped: Lines that hosts left out.
         unreadable: Lines that look like a decision and are none.
     """
 
     def __init__(self):
         self.requests = []
+        self.marks = []
         self.lines_dropped = 0
         self.unreadable = 0
 
@@ -113,11 +123,16 @@
             except json.JSONDecodeError:
                 self.unreadable += 1
                 continue
-            if isinstance(raw, dict) and raw.get("event") in _EVENTS:
+            if isinstance(raw, dict) and "event" in raw:
                 self._take(raw, _PREFIX.match(line[:start]))
 
     def _take(self, raw: dict, prefix) -> None:
         try:
+            mark = _Mark.model_validate(raw)
+            at_s = float(prefix.group(1)) if prefix else mark.time
+            self.marks.append((at_s, mark.host, mark.event))
+            if mark.event not in _EVENTS:
+                return
             line = _Decision.validate_python(raw)
         except pydantic.ValidationError:
             self.unreadable += 1
@@ -125,7 +140,6 @@
         if isinstance(line, _LinesDropped):
             self.lines_dropped += line.count
             return
-        at_s = float(prefix.group(1)) if prefix else line.time
         self.requests.append(_CONVERTERS[type(line)](line, at_s))
 
 
--- a/kumquatspur/policy/day_report.py
+++ b/kumquatspur/policy/day_report.py
@@ -56,6 +56,23 @@
     extra_attempts: int = 0
 
 
+@record
+class LostProcess:
+    """A process that ended without having been told to stop.
+
+    Requests that it was serving have left no line.
+
+    Attributes:
+        host: Its entry host.
+        last_line_at_s: When it logged its last line.
+        started_at_s: When the next process of the host started.
+    """
+
+    host: str
+    last_line_at_s: float
+    started_at_s: float
+
+
 @dataclasses.dataclass
 class Losses:
     """Requests of a route or a span, and what they lost.
@@ -132,6 +149,7 @@
         total: All requests.
         routes: Losses by route.
         spans: Losses by start of the span in seconds, in order of time.
+        lost_processes: Processes that ended without having been told to.
         lines_dropped: Lines that hosts left out to bound their logs.
         unreadable: Lines that are no decision.
     """
@@ -139,6 +157,7 @@
     total: Losses
     routes: dict[str, Losses]
     spans: dict[float, Losses]
+    lost_processes: list[LostProcess] = dataclasses.field(default_factory=list)
     lines_dropped: int = 0
     unreadable: int = 0
 
@@ -162,6 +181,27 @@
     return DayReport(total, dict(sorted(routes.items())), _filled(spans))
 
 
+def find_lost_processes(
+    marks: Iterable[tuple[float, str, str]],
+) -> list[LostProcess]:
+    """Finds processes that were killed, crashed or lost their power.
+
+    Args:
+        marks: Time in seconds, host and event of all lines; those of a host at
+            the same time in their order.
+
+    Returns:
+        The processes in order of time.
+    """
+    last, found = {}, []
+    for at_s, host, event in sorted(marks, key=lambda mark: mark[0]):
+        before = last.get(host)
+        if event == "start" and before and before[1] != "stop":
+            found.append(LostProcess(host, before[0], at_s))
+        last[host] = (at_s, event)
+    return found
+
+
 def _filled(spans: dict[float, Losses]) -> dict[float, Losses]:
     """Returns the spans in order, with empty ones where nothing ended."""
     if not spans:
--- a/kumquatspur/scripts/day_command.py
+++ b/kumquatspur/scripts/day_command.py
@@ -1,5 +1,6 @@
 """The `report day` command."""
 
+import dataclasses
 import pathlib
 
 from kumquatspur.border.decision_lines import read_day
@@ -10,6 +11,7 @@
     Losses,
     build_day,
     extra_share,
+    find_lost_processes,
 )
 from kumquatspur.scripts import day_html, http_calls
 from kumquatspur.scripts.output import print_errors, print_json
@@ -33,6 +35,7 @@
         print_errors(errors)
         return EXIT_BAD_INPUT
     report = build_day(lines.requests)
+    report.lost_processes = find_lost_processes(lines.marks)
     report.lines_dropped = lines.lines_dropped
     report.unreadable = lines.unreadable
     if arguments.json:
@@ -70,6 +73,13 @@
     first = next(iter(report.spans), 0.0)
     spans = ", ".join(f"{at - first:g} s: {kept:.0%}" for kept, at in worst)
     found.append(f"least kept in spans that begin after {spans}")
+    for process in report.lost_processes:
+        silent_s = process.started_at_s - process.last_line_at_s
+        found.append(
+            f"{process.host} ended without a stop after "
+            f"{process.last_line_at_s - first:.1f} s; it started again "
+            f"{silent_s:.1f} s later"
+        )
     if report.lines_dropped:
         found.append(f"not included: {report.lines_dropped} lines dropped")
     if report.unreadable:
@@ -98,6 +108,9 @@
         "total": _json_row(report.total),
         "routes": {n: _json_row(row) for n, row in report.routes.items()},
         "spans": spans,
+        "lost_processes": [
+            dataclasses.asdict(process) for process in report.lost_processes
+        ],
         "lines_dropped": report.lines_dropped,
         "unreadable": report.unreadable,
     }
--- a/kumquatspur/scripts/day_command_test.py
+++ b/kumquatspur/scripts/day_command_test.py
@@ -6,7 +6,11 @@
 import unittest
 
 from kumquatspur.border.decision_lines import read_day
-from kumquatspur.policy.day_report import Fate, build_day
+from kumquatspur.policy.day_report import (
+    Fate,
+    build_day,
+    find_lost_processes,
+)
 from kumquatspur.scripts import day_html
 from kumquatspur.scripts.day_command import as_json, as_text, run_day
 from kumquatspur.scripts.kumquatspur import DayCommand
@@ -59,7 +63,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
-        lines = [json.dumps(line) for line in LOG]
+        lines = [json.dumps({"host": "h", **line}) for line in LOG]
         self.write("a.log", lines[:5] + ["not a decision", "{ broken"])
         self.write("b.log", lines[5:])
 
@@ -118,11 +122,27 @@
         self.assertIn("2 unreadable", out)
 
     def test_lines_after_the_clock_and_name_of_a_reader(self):
-        text = json.dumps(answered(5_000.0, 20.0))
+        text = json.dumps({"host": "h", **answered(5_000.0, 20.0)})
         self.write("c.log", [f"  -3.5000 host-1 {text}"])
         spans = build_day(self.read().requests).spans
         self.assertEqual(next(iter(spans)), -4.0)
 
+    def test_processes_that_were_not_told_to_stop(self):
+        events = (
+            (1.0, "start"),
+            (2.0, "store_read"),
+            (2.0, "answered"),
+            (4.0, "start"),
+            (5.0, "stopping"),
+            (6.0, "stop"),
+            (8.0, "start"),
+            (9.0, "stopping"),
+            (9.5, "start"),
+        )
+        lost = find_lost_processes((at, "h", event) for at, event in events)
+        spans = [(one.last_line_at_s, one.started_at_s) for one in lost]
+        self.assertEqual(spans, [(2.0, 4.0), (9.0, 9.5)])
+
     def test_outputs(self):
         page = str(self.folder / "day.html")
         code, out, _ = self.run_tool(
