--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -2,8 +2,9 @@
 
 Load pattern: with many shards a request nearly always meets one that pauses,
 is slow or has lost its replica. A late shard is asked again elsewhere, and a
-shard that stays late is left out while the answer is still in time. A request
-that can no longer be served ends at once.
+shard that stays late is left out while the answer is still in time. Once so
+many shards are lost that none of the others may be left out, these are asked
+again sooner. A request that can no longer be served ends at once.
 """
 
 import dataclasses
@@ -24,6 +25,12 @@
 # route are not known yet.
 MAX_HEDGE_SHARE = 0.35
 MIN_HEDGE_S = 0.004
+# Time between attempts for one shard, as a share of the usual one, while other
+# shards are lost and no further one may be left out.
+URGENT_HEDGE_SHARE = 0.5
+# Largest share of the shards for which that is done, so that hedges are not
+# sent for shards that are merely not in yet.
+URGENT_SHARDS_SHARE = 0.3
 # Time needed for an attempt to be worth its start.
 MIN_ATTEMPT_S = 0.003
 # Time before the deadline at which a request is ended.
@@ -57,7 +64,8 @@
         done: Whether its part is in.
         closed: Whether no further attempt is possible.
         verdicts: Verdicts of the attempts that failed.
-        hedge_at: When a further attempt may start.
+        started: When the last attempt started.
+        hedged: Whether a further attempt may start beside it.
     """
 
     sent: int = 0
@@ -66,7 +74,8 @@
     done: bool = False
     closed: bool = False
     verdicts: list[Verdict] = dataclasses.field(default_factory=list)
-    hedge_at: float = math.inf
+    started: float = 0.0
+    hedged: bool = False
 
     def is_open(self) -> bool:
         """Returns whether a part may still come."""
@@ -127,6 +136,7 @@
         if self.deadline - now < MIN_ATTEMPT_S:
             return []
         found = []
+        hedge_before = now - self._hedge_delay_now()
         for shard, progress in self.shards.items():
             if progress.done or progress.closed:
                 continue
@@ -134,19 +144,30 @@
                 first = not progress.tried
                 kind = AttemptKind.FIRST if first else AttemptKind.RETRY
                 found.append((shard, kind))
-            elif now >= progress.hedge_at:
+            elif progress.hedged and progress.started <= hedge_before:
                 found.append((shard, AttemptKind.HEDGE))
         return found
 
+    def _hedge_delay_now(self) -> float:
+        """Returns the time between attempts for one shard, in seconds."""
+        if not self.route.shards:
+            return self.hedge_delay_s
+        still_open = sum(p.is_open() for p in self.shards.values())
+        possible = self.answered + still_open
+        complete = possible == len(self.shards)
+        few = still_open <= URGENT_SHARDS_SHARE * len(self.shards)
+        if complete or possible > self.needed or not few:
+            return self.hedge_delay_s
+        return self.hedge_delay_s * URGENT_HEDGE_SHARE
+
     def note_start(self, shard: str, searcher_id: str, now: float) -> None:
         """Notes an attempt."""
         progress = self.shards[shard]
         progress.sent += 1
         progress.in_flight += 1
         progress.tried.add(searcher_id)
-        progress.hedge_at = math.inf
-        if self.route.repeatable:
-            progress.hedge_at = now + self.hedge_delay_s
+        progress.started = now
+        progress.hedged = self.route.repeatable
         if progress.sent >= self.route.max_attempts:
             progress.closed = True
 
@@ -154,7 +175,7 @@
         """Notes that no searcher, or no budget, is left for an attempt."""
         progress = self.shards[shard]
         if kind is AttemptKind.HEDGE:
-            progress.hedge_at = now + self.hedge_delay_s
+            progress.started = now
         else:
             progress.closed = True
 
@@ -213,9 +234,11 @@
         times = [self.deadline]
         if self.answered >= self.needed:
             times += [t for t in (self.answer_at, self.late_at) if t > now]
+        delay = self._hedge_delay_now()
         for progress in self.shards.values():
             if progress.in_flight and not (progress.done or progress.closed):
-                times.append(progress.hedge_at)
+                if progress.hedged:
+                    times.append(progress.started + delay)
         return min(times)
 
     def verdicts(self) -> list[Verdict]:
--- a/kumquatspur/policy/request_plan_test.py
+++ b/kumquatspur/policy/request_plan_test.py
@@ -54,6 +54,26 @@
         self.assertEqual(plan.wake_at(0.01), HEDGE_S)
         self.assertEqual(plan.due(HEDGE_S), [("s0", AttemptKind.HEDGE)])
 
+    def test_no_shard_may_be_left_out_once_one_is_lost(self):
+        """A shard has lost all replicas, and others stand on slow hosts."""
+        plan = self.new_plan()
+        self.start_all(plan)
+        plan.note_failure("s0", Verdict.NOT_RUN, False)
+        plan.note_unavailable("s0", AttemptKind.RETRY, 0.002)
+        for shard in SHARDS[2:]:
+            plan.note_part(shard)
+        self.assertEqual(plan.wake_at(0.002), HEDGE_S / 2)
+        self.assertEqual(plan.due(HEDGE_S / 2), [("s1", AttemptKind.HEDGE)])
+        plan.note_start("s1", "second", HEDGE_S / 2)
+        self.assertEqual(plan.due(HEDGE_S), [])
+
+    def test_lost_shard_makes_no_hurry_while_more_can_be_left_out(self):
+        plan = self.new_plan(ratio=0.5)
+        self.start_all(plan)
+        plan.note_failure("s0", Verdict.NOT_RUN, False)
+        plan.note_unavailable("s0", AttemptKind.RETRY, 0.002)
+        self.assertEqual(plan.due(HEDGE_S / 2), [])
+
     def test_shard_that_stays_late_is_left_out_in_time(self):
         plan = self.new_plan()
         self.start_all(plan)
