--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -19,8 +19,6 @@
 # Slowness that is reported to other hosts, and for how long.
 REPORTED_SLOWNESS = 2.5
 REPORT_AGE_S = 3.0
-# Slowness reported of a searcher that cannot be reached.
-UNREACHABLE_SLOWNESS = 6.0
 MAX_REPORTED = 64
 # A stated load says little after this multiple of the typical latency, or
 # after this time if that is longer.
@@ -60,7 +58,6 @@
         error_at: When it was measured.
         failures: Times in a row that it could not be reached.
         suspect_until: Until when it is avoided.
-        answered_at: When it last answered anything.
     """
 
     in_flight: dict[int, float] = dataclasses.field(default_factory=dict)
@@ -72,7 +69,6 @@
     error_at: float = 0.0
     failures: int = 0
     suspect_until: float = 0.0
-    answered_at: float = -1.0
 
     def current_slowness(self, now: float) -> float:
         """Returns the slowness, forgotten by half each half-life."""
@@ -103,25 +99,6 @@
             self.slowness = min(slowness, MAX_SLOWNESS)
             self.slowness_at = at
 
-    def note_abandoned(
-        self, started: float, typical_s: float, now: float
-    ) -> None:
-        """Takes a call that was given up without a response.
-
-        Load pattern: the host of a searcher has lost power, so that calls hang
-        instead of failing, and each is given up before its deadline.
-
-        Args:
-            started: When the call began.
-            typical_s: Typical latency of the work.
-            now: Steady time in seconds.
-        """
-        ratio = (now - started) / typical_s
-        if ratio > STUCK_MULTIPLE and self.answered_at < started:
-            self.note_unreachable(now)
-        elif ratio > self.current_slowness(now):
-            self.note_latency(ratio, now)
-
     def note_load(self, report: LoadReport, now: float) -> None:
         """Takes a load that the searcher states."""
         self.report, self.report_at = report, now
@@ -167,11 +144,6 @@
         if load.slowness >= REPORTED_SLOWNESS
         and now - load.slowness_at < REPORT_AGE_S
     ]
-    found += [
-        (searcher_id, UNREACHABLE_SLOWNESS, 0.0)
-        for searcher_id, load in loads.items()
-        if now < load.suspect_until
-    ]
     found.sort(key=lambda item: -item[1])
     return found[:MAX_REPORTED]
 
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -84,29 +84,6 @@
         self.assertNotEqual(self.choose(1.1), "near")
         self.assertEqual(self.choose(2.0), "near")
 
-    def test_silent_searcher_is_avoided_after_its_calls_were_given_up(self):
-        """Its host lost power: calls hang and are given up, none fails."""
-        entries = [entry("near"), entry("busy", "b")]
-        self.loads["busy"].in_flight = dict.fromkeys(range(6), 1.3)
-        self.loads["near"].note_abandoned(1.0, TYPICAL_S, 1.3)
-        self.assertEqual(self.choose(1.35, entries), "busy")
-
-    def test_searcher_that_answered_meanwhile_is_only_slow(self):
-        load = self.loads["near"]
-        load.answered_at = 1.2
-        load.note_abandoned(1.0, TYPICAL_S, 1.3)
-        self.assertLess(load.suspect_until, 1.3)
-        self.assertGreater(load.current_slowness(1.3), 1.0)
-
-    def test_call_given_up_early_says_nothing(self):
-        self.loads["near"].note_abandoned(1.0, TYPICAL_S, 1.0 + TYPICAL_S)
-        self.assertEqual(self.choose(1.1), "near")
-
-    def test_unreachable_searcher_is_reported(self):
-        self.loads["near"].note_unreachable(1.0)
-        reported = slow_searchers(self.loads, 1.1)
-        self.assertEqual([item[0] for item in reported], ["near"])
-
     def test_zone_of_several_silent_searchers_is_avoided(self):
         entries = [entry("x", "b"), entry("y", "c")]
         self.zones.note_silence("b", "other-1", 1.0)
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -288,7 +288,7 @@
         finally:
             load.in_flight.pop(number, None)
             if attempt.result is None:
-                load.note_abandoned(attempt.started, self.typical_s, steady())
+                self._observe_abandoned(attempt, load)
         attempt.ended = steady()
         self._observe(attempt, load)
         self.results.put(attempt)
@@ -318,7 +318,6 @@
                 )
             return
         self.state.zones.note_answer(entry.zone)
-        load.answered_at = now
         if result.load is not None:
             load.note_load(result.load, now)
         if result.status == headers.MISDIRECTED:
@@ -332,6 +331,13 @@
             load.note_latency(seconds / self.typical_s, now)
             self.forwarder.crashes.note_success(self.request, self.route.name)
 
+    def _observe_abandoned(self, attempt: Attempt, load) -> None:
+        """Notes how long an attempt had taken when it was given up."""
+        now = steady()
+        ratio = (now - attempt.started) / self.typical_s
+        if ratio > load.current_slowness(now):
+            load.note_latency(ratio, now)
+
     def _take(self, attempt: Attempt) -> None:
         """Takes a result into the plan."""
         result, shard = attempt.result, attempt.shard
