Hand scattered requests over to a host with a faster link

Cause: on the grown sites a slow host has 7 Mbit/s, so the parts of 36 shards (about 29 KB with headers) take 33 ms of a target of 96 ms, and its own processor 18 ms. The allowance of extra attempts is shared in proportion to the links. Ruled out: processor time of the hot path (0.1 ms an attempt, flat profile).

--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -6,6 +6,7 @@
 
 from kumquatspur.border.validation import read_json_file
 from kumquatspur.core.records import Address, Diagnostic
+from kumquatspur.core.routing import HostCapacity
 
 
 class _Model(pydantic.BaseModel):
@@ -58,7 +59,7 @@
 
     Attributes:
         cpu_share: Share of a core.
-        cores: Speed of the core, relative to a usual one.
+        cores: Speed of that share, relative to a core of the usual speed.
         memory_mb: Memory of a process.
         max_fds: Descriptors of a process.
         link_mbps: Bandwidth of the link.
@@ -70,6 +71,10 @@
     max_fds: int = pydantic.Field(gt=0)
     link_mbps: float = pydantic.Field(gt=0)
 
+    def capacity(self) -> HostCapacity:
+        """Returns what decisions on load need of it."""
+        return HostCapacity(self.link_mbps, self.cpu_share * self.cores)
+
 
 class EntrySettings(_Model):
     """Settings of one entry host.
@@ -82,6 +87,8 @@
         front: Where clients connect.
         ready: Where the platform asks whether this host takes clients.
         peer: Where other entry hosts connect.
+        relay: Where other entry hosts hand over requests to be scattered; None
+            to take none.
         seeds: Peer addresses of some entry hosts.
         metrics_port: Port of the metrics page.
         store: The platform's metadata store.
@@ -98,6 +105,7 @@
     front: Endpoint
     ready: Endpoint
     peer: Endpoint | None = None
+    relay: Endpoint | None = None
     seeds: Seeds = ()
     metrics_port: int = pydantic.Field(ge=1, le=65535)
     store: Endpoint
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -24,6 +24,9 @@
         ip: Where it listens for peers.
         port: The port.
         age_s: How long ago it was heard of.
+        relay_port: Where it takes requests to be scattered; 0 for none.
+        link_mbps: Bandwidth of its link.
+        cores: Its processor, in cores of the usual speed.
     """
 
     name: str
@@ -31,6 +34,9 @@
     ip: str
     port: int
     age_s: float = pydantic.Field(ge=0)
+    relay_port: int = 0
+    link_mbps: float = pydantic.Field(gt=0)
+    cores: float = pydantic.Field(gt=0)
 
 
 class CrashIncident(_Model):
@@ -89,6 +95,9 @@
         zone: Its availability zone.
         ip: Where it listens for peers.
         port: The port.
+        relay_port: Where it takes requests to be scattered; 0 for none.
+        link_mbps: Bandwidth of its link.
+        cores: Its processor, in cores of the usual speed.
         revision: Revision of its view of the store; 0 if it has none.
         age_s: How long ago that view was current.
         slow: Searchers that it knows to be slow.
@@ -106,6 +115,9 @@
     zone: str
     ip: str
     port: int
+    relay_port: int = 0
+    link_mbps: float = pydantic.Field(gt=0)
+    cores: float = pydantic.Field(gt=0)
     revision: int = pydantic.Field(ge=0)
     age_s: float = pydantic.Field(ge=0)
     slow: tuple[SlowSearcher, ...] = ()
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -182,6 +182,19 @@
     arrived: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostCapacity:
+    """What the machine of an entry host has.
+
+    Attributes:
+        link_mbps: Bandwidth of its link, in Mbit/s.
+        cores: Its processor, in cores of the usual speed.
+    """
+
+    link_mbps: float
+    cores: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientReply:
     """An answer to a client.
--- /dev/null
+++ b/kumquatspur/policy/delegation_test.py
@@ -0,0 +1,100 @@
+import random
+import unittest
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.routing import HostCapacity
+from kumquatspur.policy.delegation import (
+    FRESH_S,
+    INTAKE_SHARE,
+    UNFIT_S,
+    Candidate,
+    Delegate,
+    busy_s,
+    choose_delegate,
+    has_room,
+)
+
+SLOW = HostCapacity(7.0, 0.5)
+FAST = HostCapacity(70.0, 2.0)
+SHARDS = 36
+TARGET_S = 0.1
+
+
+class DelegationTest(unittest.TestCase):
+    def setUp(self):
+        self.random = random.Random(3)
+        self.delegates = {}
+
+    def candidate(self, name, capacity=FAST, same_zone=True, heard=10.0):
+        delegate = self.delegates.setdefault(name, Delegate())
+        address = Address("10.0.0.1", 1)
+        return Candidate(name, address, capacity, same_zone, heard, delegate)
+
+    def choose(self, *candidates, own=SLOW, shards=SHARDS, now=10.0):
+        found = choose_delegate(
+            own, candidates, shards, TARGET_S, now, self.random.random
+        )
+        return found and found.name
+
+    def test_slow_host_hands_over(self):
+        self.assertEqual(self.choose(self.candidate("fast")), "fast")
+
+    def test_hosts_alike_scatter_what_they_get(self):
+        others = [self.candidate(str(number), SLOW) for number in range(9)]
+        self.assertIsNone(self.choose(*others))
+        self.assertIsNone(self.choose(self.candidate("fast"), own=FAST))
+
+    def test_few_shards_are_not_worth_the_way(self):
+        self.assertIsNone(self.choose(self.candidate("fast"), shards=3))
+
+    def test_own_zone_is_preferred(self):
+        near = self.candidate("near")
+        far = self.candidate("far", same_zone=False)
+        chosen = {self.choose(far, near) for _ in range(50)}
+        self.assertEqual(chosen, {"near"})
+        self.assertEqual(self.choose(far), "far")
+
+    def test_lost_host_is_left_and_found_again(self):
+        lost = self.candidate("lost")
+        self.delegates["lost"].note_failure(10.0)
+        self.assertIsNone(self.choose(lost))
+        self.assertEqual(self.choose(lost, now=10.0 + UNFIT_S[0]), "lost")
+        for _ in range(9):
+            self.delegates["lost"].note_failure(10.0)
+        self.assertIsNone(self.choose(lost, now=9.9 + UNFIT_S[-1]))
+
+    def test_host_that_nobody_has_heard_of_is_left(self):
+        silent = self.candidate("silent", heard=10.0 - FRESH_S - 0.1)
+        self.assertIsNone(self.choose(silent))
+
+    def test_host_that_hangs_is_left(self):
+        stuck = self.candidate("stuck")
+        self.delegates["stuck"].in_flight[1] = 10.0 - 3 * TARGET_S
+        self.assertIsNone(self.choose(stuck))
+
+    def test_burst_is_spread_over_the_fast_hosts(self):
+        """Many requests arrive at one slow host in the same moment."""
+        fast = [self.candidate(f"fast-{number}") for number in range(3)]
+        counts = {}
+        for number in range(30):
+            name = self.choose(*fast)
+            counts[name] = counts.get(name, 0) + 1
+            if name:
+                self.delegates[name].in_flight[number] = 10.0
+        given = [counts.get(f"fast-{number}", 0) for number in range(3)]
+        self.assertLessEqual(max(given) - min(given), 1)
+        # The rest is faster here than behind all others.
+        self.assertGreater(counts.get(None, 0), 0)
+
+    def test_fast_host_takes_no_more_than_it_can_serve_in_time(self):
+        """A whole zone of slow hosts hands over at once."""
+        taken = 0
+        while has_room((taken + 1) * SHARDS, FAST, TARGET_S):
+            taken += 1
+        self.assertGreater(taken, 2)
+        busy = busy_s(taken * SHARDS, FAST)
+        self.assertLessEqual(busy, INTAKE_SHARE * TARGET_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatspur/policy/extra_attempts.py
+++ b/kumquatspur/policy/extra_attempts.py
@@ -32,7 +32,7 @@
         allowance: Extra attempts allowed to all hosts in a window besides.
         allowance_from: When this host may use its part of the allowance. What
             it spent before a restart still counts in the windows until then.
-        hosts: Hosts that share the allowance.
+        sharers: Hosts like this one that share the allowance.
         steps: Counts by service, as pairs of step number and counts.
     """
 
@@ -40,7 +40,7 @@
     ratio: float
     allowance: float
     allowance_from: float = 0.0
-    hosts: int = 1
+    sharers: float = 1.0
     steps: dict[str, collections.deque] = dataclasses.field(
         default_factory=dict
     )
@@ -68,7 +68,7 @@
                 requests += counts.requests
         limit = self.ratio * requests
         if now >= self.allowance_from:
-            limit += self.allowance / max(1, self.hosts)
+            limit += self.allowance / max(1.0, self.sharers)
         return limit * SAFETY * (1.0 - reserve_share) - extras
 
     def spend(
--- a/kumquatspur/policy/extra_attempts_test.py
+++ b/kumquatspur/policy/extra_attempts_test.py
@@ -10,7 +10,7 @@
 
 
 def new_budget():
-    return ExtraAttempts(WINDOW_S, RATIO, ALLOWANCE, hosts=HOSTS)
+    return ExtraAttempts(WINDOW_S, RATIO, ALLOWANCE, sharers=HOSTS)
 
 
 class ExtraAttemptsTest(unittest.TestCase):
@@ -49,7 +49,7 @@
 
     def test_host_of_a_large_fleet_can_hedge(self):
         """Each of 72 hosts sees a request of a service every second or two."""
-        budget = ExtraAttempts(WINDOW_S, RATIO, 184.0, hosts=72)
+        budget = ExtraAttempts(WINDOW_S, RATIO, 184.0, sharers=72)
         for second in range(7):
             budget.note_request("s", float(second))
         self.assertTrue(budget.spend("s", 7.0, reserve_share=0.15))
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from kumquatspur.core.records import Address
+from kumquatspur.core.routing import HostCapacity
 
 FORGET_S = 8.0
 # Hosts of a zone that call the platform's store; the others follow them. A
@@ -17,8 +18,8 @@
 WATCHERS_PER_ZONE = 2
 # Hosts named in one message, so that its size does not grow with the fleet.
 MAX_NAMED = 24
-# The greatest number of hosts seen within this time shares the budget, since
-# hosts that cannot be heard may still spend theirs.
+# The greatest capacity seen within this time shares the budget, since hosts
+# that cannot be heard may still spend theirs.
 COUNT_MEMORY_S = 30.0
 
 
@@ -31,12 +32,16 @@
         zone: Its availability zone.
         address: Where it listens for peers.
         heard: When anybody last heard of it.
+        capacity: What its machine has.
+        relay_port: Where it takes requests to be scattered; 0 for none.
     """
 
     name: str
     zone: str
     address: Address
     heard: float
+    capacity: HostCapacity
+    relay_port: int = 0
 
 
 @dataclasses.dataclass
@@ -46,14 +51,17 @@
     Attributes:
         own_name: The name of this host.
         own_zone: Its availability zone.
+        own_capacity: What its machine has.
         peers: Peers by name.
-        counts: Numbers of live hosts seen, as pairs of time and number.
+        totals: Capacity of the live hosts seen, as a multiple of this host's,
+            as pairs of time and total.
     """
 
     own_name: str
     own_zone: str
+    own_capacity: HostCapacity
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
-    counts: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    totals: list[tuple[float, float]] = dataclasses.field(default_factory=list)
 
     def note(self, peer: Peer) -> None:
         """Notes that a host was heard of."""
@@ -122,22 +130,27 @@
             return peers
         return sample(peers, MAX_NAMED)
 
-    def host_count(self, now: float, least: int) -> int:
-        """Returns how many hosts may be live, this one included.
+    def sharers(self, now: float, least: float) -> float:
+        """Returns how many hosts like this one may share what all may spend.
+
+        A host that can scatter more requests gets a larger part, in proportion
+        to its link.
 
         Args:
             now: Steady time in seconds.
-            least: The number assumed while few peers have been heard.
+            least: The number assumed while no peer has been heard.
         """
-        count = len(self.peers) + 1
         if not self.peers:
             return least
-        self.counts = [
-            item for item in self.counts if now - item[0] < COUNT_MEMORY_S
+        own = self.own_capacity.link_mbps
+        links = sum(peer.capacity.link_mbps for peer in self.peers.values())
+        total = 1.0 + links / own
+        self.totals = [
+            item for item in self.totals if now - item[0] < COUNT_MEMORY_S
         ]
-        if not self.counts or self.counts[-1][1] != count:
-            self.counts.append((now, count))
-        return max(number for _, number in self.counts)
+        if not self.totals or self.totals[-1][1] != total:
+            self.totals.append((now, total))
+        return max(known for _, known in self.totals)
 
 
 def _rank(name: str) -> int:
--- a/kumquatspur/policy/peer_table_test.py
+++ b/kumquatspur/policy/peer_table_test.py
@@ -2,6 +2,7 @@
 import unittest
 
 from kumquatspur.core.records import Address
+from kumquatspur.core.routing import HostCapacity
 from kumquatspur.policy.peer_table import (
     COUNT_MEMORY_S,
     FORGET_S,
@@ -11,6 +12,12 @@
     PeerTable,
 )
 
+CAPACITY = HostCapacity(10.0, 0.5)
+
+
+def new_table(name="own"):
+    return PeerTable(name, "z", CAPACITY)
+
 
 def address(number):
     return Address("10.0.0.1", 1000 + number)
@@ -18,19 +25,21 @@
 
 class PeerTableTest(unittest.TestCase):
     def setUp(self):
-        self.table = PeerTable("own", "z")
+        self.table = new_table()
 
     def note(self, name, where, heard, zone="z"):
-        self.table.note(Peer(name, zone, where, heard))
+        self.table.note(Peer(name, zone, where, heard, CAPACITY))
 
     def test_few_hosts_of_a_zone_watch_the_store_and_all_agree(self):
         names = [f"h{number}" for number in range(30)]
         watchers = set()
         for own in names:
-            table = PeerTable(own, "z")
+            table = new_table(own)
             for number, name in enumerate(names):
-                table.note(Peer(name, "z", address(number), 1.0))
-                table.note(Peer(f"o{name}", "y", address(number), 1.0))
+                table.note(Peer(name, "z", address(number), 1.0, CAPACITY))
+                table.note(
+                    Peer(f"o{name}", "y", address(number), 1.0, CAPACITY)
+                )
             chosen = [
                 own if peer is None else peer.name for peer in table.watchers()
             ]
@@ -51,11 +60,9 @@
     def test_pairs_that_met_first_find_each_other(self):
         """Eight hosts start at once with the same two seeds."""
         rng = random.Random(7)
-        tables = {
-            f"h{number}": PeerTable(f"h{number}", "z") for number in range(8)
-        }
+        tables = {f"h{number}": new_table(f"h{number}") for number in range(8)}
         peers = {
-            name: Peer(name, "z", address(number), 0.0)
+            name: Peer(name, "z", address(number), 0.0, CAPACITY)
             for number, name in enumerate(tables)
         }
         by_address = {peer.address: name for name, peer in peers.items()}
@@ -96,15 +103,29 @@
     def test_cut_off_hosts_still_count_for_the_budget(self):
         for number in range(8):
             self.note(str(number), address(number), 1.0)
-        self.assertEqual(self.table.host_count(1.0, 16), 9)
+        self.assertEqual(self.table.sharers(1.0, 16), 9)
         self.note("0", address(0), 12.0)
         self.table.forget_silent(12.0)
-        self.assertEqual(self.table.host_count(12.0, 16), 9)
+        self.assertEqual(self.table.sharers(12.0, 16), 9)
         late = 2.0 + COUNT_MEMORY_S
-        self.assertEqual(self.table.host_count(late, 16), 2)
+        self.assertEqual(self.table.sharers(late, 16), 2)
 
     def test_lonely_host_assumes_many_others(self):
-        self.assertEqual(self.table.host_count(1.0, 16), 16)
+        self.assertEqual(self.table.sharers(1.0, 16), 16)
+
+    def test_hosts_share_in_proportion_to_their_links(self):
+        """Eight hosts with a fast link and 64 with a slow one."""
+        links = [70.0] * 8 + [7.0] * 64
+        shares = []
+        for own, link in enumerate(links):
+            table = PeerTable(str(own), "z", HostCapacity(link, 1.0))
+            for number, other in enumerate(links):
+                capacity = HostCapacity(other, 1.0)
+                where = address(number)
+                table.note(Peer(str(number), "z", where, 1.0, capacity))
+            shares.append(1.0 / table.sharers(1.0, 16))
+        self.assertAlmostEqual(sum(shares), 1.0)
+        self.assertAlmostEqual(shares[0] / shares[-1], 10.0)
 
     def test_message_size_is_bounded(self):
         for number in range(100):
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -19,6 +19,7 @@
 from kumquatspur.wire.front_server import FrontServer
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.peer_exchange import PeerExchange
+from kumquatspur.wire.relay import Relay
 from kumquatspur.wire.searcher_pool import SearcherPool, steady
 from kumquatspur.wire.store_mirror import StoreMirror
 from kumquatspur.wire.store_watch import StoreWatch
@@ -50,7 +51,8 @@
         self.mirror = StoreMirror(self.state)
         self.exchange = PeerExchange(self.state, self.mirror)
         crashes = CrashWatch(self.state, self.exchange.hurry)
-        self.forwarder = Forwarder(self.state, self.pool, crashes)
+        self.relay = Relay(self.state)
+        self.forwarder = Forwarder(self.state, self.pool, crashes, self.relay)
         self._path = pathlib.Path(path)
         self._text = ""
         self._stop_at = None
@@ -71,7 +73,15 @@
         self._text = self._read_settings_text()
         HttpServer(self.settings.ready, self._ready_page)
         self._serve_metrics()
-        front = FrontServer(self.state, self.forwarder)
+        front = FrontServer(
+            self.state, self.settings.front, self.forwarder.serve
+        )
+        if self.settings.relay is not None:
+            FrontServer(
+                self.state,
+                self.settings.relay,
+                self.forwarder.serve_handed_over,
+            )
         store = PlatformStore(self.settings.store)
         watch = StoreWatch(self.state, store, self.mirror, self.exchange.follow)
         eventlet.spawn_n(watch.run)
@@ -85,6 +95,7 @@
             if now - pruned >= PRUNE_S:
                 pruned = now
                 self.pool.prune(now, self.state.directory.by_id)
+                self.relay.prune(now)
             if self._reload or now - checked >= SETTINGS_CHECK_S:
                 checked, self._reload = now, False
                 self._check_settings()
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -7,6 +7,7 @@
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.routing import RoutingConfig
 from kumquatspur.policy.crash_suspects import CrashSuspects
+from kumquatspur.policy.delegation import Delegate
 from kumquatspur.policy.extra_attempts import ExtraAttempts
 from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.peer_table import PeerTable
@@ -41,6 +42,8 @@
         store_ok: Whether the last call to the store succeeded.
         stopping: Whether a stop was asked for.
         in_flight: Client requests under way.
+        scattering: Shards of the scattered requests under way.
+        delegates: What was seen of hosts that scatter for this one, by name.
         random: Source of random numbers.
     """
 
@@ -63,6 +66,8 @@
     store_ok: bool = False
     stopping: bool = False
     in_flight: int = 0
+    scattering: int = 0
+    delegates: dict[str, Delegate] = dataclasses.field(default_factory=dict)
     random: random_numbers.Random = dataclasses.field(
         default_factory=random_numbers.Random
     )
@@ -136,9 +141,11 @@
             ratio=bounds.retry_budget_ratio,
             allowance=bounds.retry_budget_slack,
             allowance_from=steady() + bounds.retry_budget_window_s,
-            hosts=UNKNOWN_HOSTS,
+            sharers=UNKNOWN_HOSTS,
+        ),
+        peers=PeerTable(
+            settings.name, settings.zone, settings.machine.capacity()
         ),
-        peers=PeerTable(settings.name, settings.zone),
     )
 
 
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -27,6 +27,12 @@
 from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
 from kumquatspur.wire.crash_watch import CrashWatch
 from kumquatspur.wire.entry_state import EntryState, state_age_s
+from kumquatspur.wire.relay import (
+    Relay,
+    declined_reply,
+    kept_reply,
+    unpack_request,
+)
 from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
 
 # An attempt that takes longer than this quantile is repeated.
@@ -78,14 +84,20 @@
         state: The blackboard.
         pool: Connections to searchers.
         crashes: Notices requests that crash searchers.
+        relay: Hands requests over to other hosts, and takes theirs.
     """
 
     def __init__(
-        self, state: EntryState, pool: SearcherPool, crashes: CrashWatch
+        self,
+        state: EntryState,
+        pool: SearcherPool,
+        crashes: CrashWatch,
+        relay: Relay,
     ):
         self.state = state
         self.pool = pool
         self.crashes = crashes
+        self.relay = relay
 
     def serve(self, request: ClientRequest) -> ClientReply:
         """Returns the answer to a request.
@@ -104,10 +116,33 @@
         if self.crashes.is_refused(request, route.name):
             return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
         shards = route.shards
-        if not shards:
+        if shards:
+            reply = self.relay.hand_over(request, route)
+            if reply is not None:
+                return reply
+        else:
             shards = (table.choose_service(route, self.state.random.random()),)
         return _RequestRun(self, request, route, shards).run()
 
+    def serve_handed_over(self, request: ClientRequest) -> ClientReply:
+        """Returns the answer to a request that another host handed over.
+
+        Args:
+            request: The request, as it arrived here.
+        """
+        request, version = unpack_request(request)
+        table = self.state.table
+        route = table and table.find(request.host, request.path)
+        reason = self.relay.decline_reason(version, route)
+        if reason:
+            self.state.counters["handed_over_declined"] += 1
+            return declined_reply(reason)
+        idle_s = table.config.limits.idle_timeout_s
+        if self.crashes.is_refused(request, route.name):
+            return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
+        run = _RequestRun(self, request, route, route.shards)
+        return kept_reply(run.run(), idle_s)
+
     def refuse(
         self,
         request: ClientRequest,
@@ -206,10 +241,13 @@
         for shard in self.plan.shards:
             self.state.extra_attempts.note_request(shard, now)
         finished = False
+        scattered = len(self.route.shards)
+        self.state.scattering += scattered
         try:
             outcome = self._wait()
             finished = True
         finally:
+            self.state.scattering -= scattered
             self._end_attempts(finished)
             if not finished:
                 self._log_departure()
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -1,16 +1,18 @@
-"""Serves clients over HTTP/1.1 with kept connections."""
+"""Serves clients and other entry hosts over HTTP/1.1 with kept connections."""
 
 import collections
 import contextlib
 import logging
+from collections.abc import Callable
 
 import eventlet
 from eventlet.green import socket
 
+from kumquatspur.core.records import Address
 from kumquatspur.core.routing import ClientLimits, ClientReply, ClientRequest
 from kumquatspur.platform import headers
 from kumquatspur.wire.entry_state import EntryState
-from kumquatspur.wire.forwarder import Forwarder, error_reply
+from kumquatspur.wire.forwarder import error_reply
 from kumquatspur.wire.http_messages import (
     MessageError,
     RawMessage,
@@ -42,19 +44,23 @@
 
 
 class FrontServer:
-    """Accepts clients.
+    """Accepts connections and answers the requests on them.
 
     Attributes:
         state: The blackboard.
-        forwarder: Serves the requests.
+        serve: Returns the answer to a request.
         connections: The open connections.
     """
 
-    def __init__(self, state: EntryState, forwarder: Forwarder):
+    def __init__(
+        self,
+        state: EntryState,
+        address: Address,
+        serve: Callable[[ClientRequest], ClientReply],
+    ):
         self.state = state
-        self.forwarder = forwarder
+        self.serve = serve
         self.connections = set()
-        address = state.settings.front
         self._listener = eventlet.listen(
             (address.host, address.port),
             backlog=LISTEN_BACKLOG,
@@ -208,7 +214,7 @@
         if request is None:
             return error_reply(400, "request identifier or host is missing")
         try:
-            return self.server.forwarder.serve(request)
+            return self.server.serve(request)
         except Exception as error:
             _log.exception("request failed")
             self.state.counters["internal_errors"] += 1
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -19,6 +19,7 @@
     StoreItem,
 )
 from kumquatspur.core.records import Address
+from kumquatspur.core.routing import HostCapacity
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.policy.crash_suspects import MEMORY_S, Incident
 from kumquatspur.policy.peer_table import Peer
@@ -134,7 +135,7 @@
             jitter = self.state.random.uniform(0.8, 1.2)
             self._wake.acquire(timeout=interval * jitter)
             self._ask()
-            self._count_hosts()
+            self._share_budget()
 
     def _ask(self) -> None:
         own = self.state.settings.peer
@@ -214,13 +215,17 @@
         )
 
     def _header(self) -> Exchange:
-        own = self.state.settings.peer
+        own, relay = self.state.settings.peer, self.state.settings.relay
+        capacity = self.state.peers.own_capacity
         slow = slow_searchers(self.state.loads, steady())
         return Exchange(
             name=self.state.settings.name,
             zone=self.state.settings.zone,
             ip=own.host,
             port=own.port,
+            relay_port=relay.port if relay else 0,
+            link_mbps=capacity.link_mbps,
+            cores=capacity.cores,
             revision=self.mirror.revision or 0,
             age_s=self._age_s(),
             whole=self._needs_whole,
@@ -246,6 +251,9 @@
                 ip=peer.address.host,
                 port=peer.address.port,
                 age_s=max(0.0, now - peer.heard),
+                relay_port=peer.relay_port,
+                link_mbps=peer.capacity.link_mbps,
+                cores=peer.capacity.cores,
             )
             for peer in self.state.peers.named(self.state.random.sample)
         )
@@ -267,11 +275,9 @@
     def _apply(self, message: Exchange) -> None:
         now = steady()
         peers = self.state.peers
-        address = Address(message.ip, message.port)
-        peers.note(Peer(message.name, message.zone, address, now))
+        peers.note(_decode_peer(message, now))
         for host in message.hosts:
-            address = Address(host.ip, host.port)
-            peers.note(Peer(host.name, host.zone, address, now - host.age_s))
+            peers.note(_decode_peer(host, now - host.age_s))
         self._apply_slow_searchers(message)
         self.state.suspects.add(
             Incident(
@@ -318,27 +324,38 @@
                 return
             self.mirror.replace(view, at, at, source)
 
-    def _count_hosts(self) -> None:
+    def _share_budget(self) -> None:
         now = steady()
         for name in self.state.peers.forget_silent(now):
             self.state.log.write("peer_lost", True, peer=name)
         budget = self.state.extra_attempts
-        count = self.state.peers.host_count(now, UNKNOWN_HOSTS)
-        if count != budget.hosts:
+        sharers = self.state.peers.sharers(now, UNKNOWN_HOSTS)
+        if sharers != budget.sharers:
             self.state.log.write(
-                "hosts_counted",
+                "budget_shared",
                 True,
-                count=count,
-                previous=budget.hosts,
+                sharers=round(sharers, 2),
+                previous=round(budget.sharers, 2),
                 heard=len(self.state.peers.peers),
             )
-            budget.hosts = count
+            budget.sharers = sharers
 
     def _age_s(self) -> float:
         read_at = self.state.directory.read_at
         return steady() - read_at if read_at >= 0 else UNKNOWN_AGE_S
 
 
+def _decode_peer(host: Exchange | KnownHost, heard: float) -> Peer:
+    return Peer(
+        host.name,
+        host.zone,
+        Address(host.ip, host.port),
+        heard,
+        HostCapacity(host.link_mbps, host.cores),
+        host.relay_port,
+    )
+
+
 def _encode_items(changes: Iterable[StoreChange]) -> tuple[StoreItem, ...]:
     return tuple(
         StoreItem(key=item.key, revision=item.revision, value=item.value)
--- /dev/null
+++ b/kumquatspur/wire/relay.py
@@ -0,0 +1,210 @@
+"""Hands scattered requests over to hosts that are better placed for them."""
+
+import dataclasses
+import math
+
+from kumquatspur.core.records import Address
+from kumquatspur.core.routing import ClientReply, ClientRequest, Route
+from kumquatspur.policy.delegation import (
+    HOP_S,
+    Candidate,
+    Delegate,
+    choose_delegate,
+    has_room,
+)
+from kumquatspur.wire.entry_state import EntryState
+from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
+
+# Headers between entry hosts only.
+CONFIG = b"x-kumquatspur-config"
+AGE = b"x-kumquatspur-age-us"
+TIME_LEFT = b"x-kumquatspur-time-left-us"
+DECLINED = b"x-kumquatspur-declined"
+_OWN_HEADERS = frozenset({CONFIG, AGE, TIME_LEFT})
+DECLINED_STATUS = 421
+# Time after the deadline in which the other host's own answer may arrive.
+GRACE_S = 0.02
+
+
+class Relay:
+    """Hands requests over, and takes those of other hosts.
+
+    Attributes:
+        state: The blackboard.
+        pool: Connections to other entry hosts.
+    """
+
+    def __init__(self, state: EntryState):
+        self.state = state
+        self.pool = SearcherPool()
+
+    def hand_over(
+        self, request: ClientRequest, route: Route
+    ) -> ClientReply | None:
+        """Has another host scatter a request, if that is faster.
+
+        Args:
+            request: The request.
+            route: Its route, with shards.
+
+        Returns:
+            The answer; None if this host has to scatter the request.
+        """
+        now = steady()
+        state = self.state
+        chosen = choose_delegate(
+            state.settings.machine.capacity(),
+            self._candidates(),
+            len(route.shards),
+            route.target_latency_s,
+            now,
+            state.random.random,
+        )
+        if chosen is None:
+            return None
+        waits_s = min(request.time_left_s or math.inf, route.timeout_s)
+        deadline = request.arrived + waits_s + GRACE_S
+        delegate, number = chosen.delegate, id(request)
+        delegate.in_flight[number] = now
+        try:
+            message = self.pool.call(
+                chosen.name,
+                chosen.address,
+                encode_request(request, state.table.config.version, now),
+                lambda message: True,
+                deadline,
+                request.method == "HEAD",
+            )
+        except CallError as error:
+            delegate.note_failure(steady())
+            self._log(request, route, chosen, str(error))
+            if not error.sent:
+                return None
+            status = 504 if steady() >= deadline - GRACE_S else 502
+            return ClientReply(status, (), b"lost at another host\n")
+        finally:
+            delegate.in_flight.pop(number, None)
+        reason = message.header(DECLINED)
+        if reason is not None:
+            delegate.note_declined(steady())
+            self._log(request, route, chosen, f"declined: {reason.decode()}")
+            return None
+        delegate.note_answer()
+        self._log(request, route, chosen, message.status)
+        return ClientReply(
+            message.status, message.end_to_end_headers(), message.body()
+        )
+
+    def decline_reason(self, version: str, route: Route | None) -> str:
+        """Returns why a request of another host is not taken, or "".
+
+        Args:
+            version: Version of the other host's configuration.
+            route: The request's route here.
+        """
+        state = self.state
+        if state.stopping:
+            return "stopping"
+        if state.table is None or version != str(state.table.config.version):
+            return "configuration"
+        if route is None or not route.shards:
+            return "route"
+        attempts = state.scattering + len(route.shards)
+        capacity = state.settings.machine.capacity()
+        if not has_room(attempts, capacity, route.target_latency_s):
+            return "busy"
+        return ""
+
+    def prune(self, now: float) -> None:
+        """Closes connections that are too old, or whose host is gone."""
+        peers = self.state.peers.peers
+        self.pool.prune(now, peers)
+        for name in [
+            name for name in self.state.delegates if name not in peers
+        ]:
+            if not self.state.delegates[name].in_flight:
+                del self.state.delegates[name]
+
+    def _candidates(self):
+        own_zone = self.state.settings.zone
+        delegates = self.state.delegates
+        for peer in self.state.peers.peers.values():
+            if peer.relay_port:
+                yield Candidate(
+                    peer.name,
+                    Address(peer.address.host, peer.relay_port),
+                    peer.capacity,
+                    peer.zone == own_zone,
+                    peer.heard,
+                    delegates.setdefault(peer.name, Delegate()),
+                )
+
+    def _log(self, request, route, chosen, outcome) -> None:
+        self.state.counters["handed_over"] += 1
+        self.state.log.write(
+            "handed_over",
+            request_id=request.request_id,
+            route=route.name,
+            config=self.state.table.config.version,
+            to=chosen.name,
+            heard_s=round(steady() - chosen.heard, 3),
+            outcome=outcome,
+            ms=round((steady() - request.arrived) * 1000, 1),
+        )
+
+
+def encode_request(request: ClientRequest, version: int, now: float) -> bytes:
+    """Returns the bytes of a request for another host.
+
+    Args:
+        request: The request.
+        version: Version of the configuration that routed it.
+        now: Steady time in seconds.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
+    ]
+    for name, value in request.headers:
+        lines.append(b"%b: %b\r\n" % (name, value))
+    # The way back takes time as well.
+    age_us = int((now - request.arrived + HOP_S) * 1e6)
+    lines.append(b"%b: %d\r\n" % (CONFIG, version))
+    lines.append(b"%b: %d\r\n" % (AGE, age_us))
+    if request.time_left_s is not None:
+        left_us = int(request.time_left_s * 1e6)
+        lines.append(b"%b: %d\r\n" % (TIME_LEFT, left_us))
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(b"content-length: %d\r\n" % len(request.body))
+    lines += (b"\r\n", request.body)
+    return b"".join(lines)
+
+
+def unpack_request(request: ClientRequest) -> tuple[ClientRequest, str]:
+    """Returns a request of another host as its client sent it.
+
+    Args:
+        request: The request as it arrived here.
+
+    Returns:
+        The request, and the version of the other host's configuration.
+    """
+    found = dict(request.headers)
+    left_us = found.get(TIME_LEFT, b"")
+    client_request = dataclasses.replace(
+        request,
+        headers=tuple(h for h in request.headers if h[0] not in _OWN_HEADERS),
+        time_left_s=int(left_us) / 1e6 if left_us.isdigit() else None,
+        arrived=request.arrived - int(found.get(AGE, b"0")) / 1e6,
+    )
+    return client_request, found.get(CONFIG, b"").decode("latin-1")
+
+
+def declined_reply(reason: str) -> ClientReply:
+    """Returns the answer to a request that is not taken."""
+    return ClientReply(DECLINED_STATUS, ((DECLINED, reason.encode()),))
+
+
+def kept_reply(reply: ClientReply, idle_s: float) -> ClientReply:
+    """Returns an answer that states how long its connection may be idle."""
+    field = (b"Keep-Alive", b"timeout=%d" % idle_s)
+    return ClientReply(reply.status, (*reply.headers, field), reply.body)
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -63,8 +63,8 @@
                 for i in changed
             ]
             message = Exchange(
-                name="h", zone="z", ip="1", port=1, revision=300, age_s=0.0,
-                items=tuple(items), kept=tuple(kept),
+                name="h", zone="z", ip="1", port=1, link_mbps=1, cores=1,
+                revision=300, age_s=0.0, items=tuple(items), kept=tuple(kept),
             )  # fmt: skip
             return len(exchange_codec.encode(message))
 
@@ -78,7 +78,14 @@
 class ExchangeCodecTest(unittest.TestCase):
     def test_damaged_messages_are_refused(self):
         message = Exchange(
-            name="h", zone="z", ip="1", port=1, revision=1, age_s=0.0
+            name="h",
+            zone="z",
+            ip="1",
+            port=1,
+            link_mbps=1,
+            cores=1,
+            revision=1,
+            age_s=0.0,
         )
         data = exchange_codec.encode(message)
         self.assertEqual(exchange_codec.decode(data), message)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -70,23 +70,28 @@
     return number.to_bytes(RECORD_BYTES, "big")
 
 
-def host_settings(name, zone, ports, store: Address, seeds) -> dict:
+def host_settings(
+    name, zone, ports, store: Address, seeds, link_mbps=100.0
+) -> dict:
     """Returns the settings of an entry host.
 
     Args:
         name: Its name.
         zone: Its availability zone.
-        ports: Ports for clients, readiness, peers and metrics.
+        ports: Ports for clients, readiness, peers, metrics and requests of
+            other hosts.
         store: Where it finds the store.
         seeds: Peer ports of some entry hosts.
+        link_mbps: Bandwidth of its link.
     """
-    front, ready, peer, metrics = ports
+    front, ready, peer, metrics, relay = ports
     return {
         "name": name,
         "zone": zone,
         "front": f"{LOCAL}:{front}",
         "ready": f"{LOCAL}:{ready}",
         "peer": f"{LOCAL}:{peer}",
+        "relay": f"{LOCAL}:{relay}",
         "seeds": [f"{LOCAL}:{port}" for port in seeds],
         "metrics_port": metrics,
         "store": f"{store.host}:{store.port}",
@@ -96,7 +101,7 @@
             "cores": 1,
             "memory_mb": 300,
             "max_fds": 1000,
-            "link_mbps": 100,
+            "link_mbps": link_mbps,
         },
         "bounds": {
             "drain_ms": 500,
@@ -111,8 +116,8 @@
 
 def new_test_state() -> EntryState:
     """Returns the state of an entry host that runs nowhere."""
-    ports = (1, 2, 3, 4)
-    fields = host_settings("own", "z", ports, Address(LOCAL, 5), ())
+    ports = (1, 2, 3, 4, 5)
+    fields = host_settings("own", "z", ports, Address(LOCAL, 6), ())
     settings = EntrySettings.model_validate(fields)
     return new_state(settings, DecisionLog(settings.name))
 
@@ -123,14 +128,15 @@
     Attributes:
         name: Its name.
         zone: Its availability zone.
-        ports: Ports for clients, readiness, peers and metrics.
+        ports: Ports for clients, readiness, peers, metrics and requests of
+            other hosts.
         process: The process; None while it is stopped.
     """
 
     def __init__(self, name: str, zone: str, folder: pathlib.Path):
         self.name = name
         self.zone = zone
-        self.ports = free_ports(4)
+        self.ports = free_ports(5)
         self.process = None
         self.settings_path = folder / f"{name}.json"
         self.log_path = folder / "logs" / f"{name}.log"
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -1,4 +1,5 @@
 import collections
+import dataclasses
 import json
 import pathlib
 import tempfile
@@ -64,12 +65,12 @@
     def put_config(self, version, routes):
         self.store.put_json("op/config", config(version, routes))
 
-    def start_host(self, name, store=None, seeds=()):
-        front, ready, peer, metrics = free_ports(4)
+    def start_host(self, name, store=None, seeds=(), link_mbps=100.0):
         store = store or self.store
-        ports = (front, ready, peer, metrics)
         text = json.dumps(
-            host_settings(name, ZONE, ports, store.address, seeds)
+            host_settings(
+                name, ZONE, free_ports(5), store.address, seeds, link_mbps
+            )
         )
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -419,6 +420,72 @@
     def crashes_seen(self):
         return self.host.state.counters["searcher_crashes_seen"]
 
+    def start_fast_host(self):
+        """Starts a host whose link is so much faster that it gets work."""
+        port = self.host.settings.peer.port
+        fast = self.start_host("fast", seeds=(port,), link_mbps=100_000.0)
+        self.host.settings.machine.__dict__["link_mbps"] = 0.05
+        self.wait_ready(fast)
+        self.wait_ready()
+        wait_until(lambda: "fast" in self.host.state.peers.peers)
+        return fast
+
+    def test_request_is_handed_over_to_a_host_with_a_faster_link(self):
+        fast = self.start_fast_host()
+        status, fields, body = self.ask("/all/x", request_id="r7")
+        self.assertEqual(status, 200)
+        self.assertEqual(fields["kumquatspur-missing-parts"], "0")
+        expected = [record(number) for number in (34, 33, 32, 31, 30)]
+        self.assertEqual(body, b"".join(expected))
+        self.assertEqual(self.host.state.counters["handed_over"], 1)
+        self.assertEqual(fast.state.counters["answered_200"], 1)
+        self.assertEqual(self.host.state.counters["answered_200"], 0)
+        runs = sum(s.runs["r7"] for s in self.searchers.values())
+        self.assertEqual(runs, 4)
+
+    def test_request_that_is_declined_is_served_here(self):
+        fast = self.start_fast_host()
+        fast.state.stopping = True
+        status, fields, _ = self.ask("/all/x")
+        self.assertEqual(
+            (status, fields["kumquatspur-missing-parts"]), (200, "0")
+        )
+        self.assertEqual(fast.state.counters["handed_over_declined"], 1)
+        self.assertEqual(self.host.state.counters["answered_200"], 1)
+
+    def test_host_of_another_configuration_takes_nothing(self):
+        fast = self.start_fast_host()
+        version = fast.state.table.config.version
+        fast.state.table.config = dataclasses.replace(
+            fast.state.table.config, version=version + 5
+        )
+        status, _, _ = self.ask("/all/x")
+        self.assertEqual(status, 200)
+        self.assertEqual(fast.state.counters["handed_over_declined"], 1)
+
+    def test_client_that_leaves_ends_the_work_at_the_other_host(self):
+        fast = self.start_fast_host()
+        self.script("i-s", *["hang"] * 2)
+        sock = self.connect()
+        sock.sendall(self.request("/all/x"))
+        wait_until(lambda: fast.state.scattering)
+        sock.close()
+        wait_until(lambda: not fast.state.scattering)
+        wait_until(lambda: not self.host.state.in_flight)
+
+    def test_host_that_cannot_be_reached_gets_nothing_for_a_while(self):
+        fast = self.start_fast_host()
+        fast.settings.__dict__["relay"] = None
+        peers = self.host.state.peers.peers
+        port = free_ports(1)[0]
+        peers["fast"] = dataclasses.replace(peers["fast"], relay_port=port)
+        self.host.exchange.hurry = lambda: None
+        for number in range(2):
+            status, _, _ = self.ask("/all/x", request_id=f"u{number}")
+            self.assertEqual(status, 200)
+        self.assertGreater(self.host.state.delegates["fast"].failures, 0)
+        self.assertEqual(self.host.state.counters["answered_200"], 2)
+
     def test_graceful_stop_serves_open_connections(self):
         self.wait_ready()
         sock = self.connect()
