Refuse entries that nobody can connect to; fuzz the platform's decoders

platform_fuzz_test found: an entry whose port is out of range or whose host is no address raised outside of the typed errors when it was used, figures without end were accepted, and deeply nested JSON ended the thread that follows the store.

--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes what the operator and the searchers keep in the platform's store."""
 
+import ipaddress
 import json
 from typing import Annotated, Literal
 
@@ -25,6 +26,13 @@
 _Positive = Annotated[float, pydantic.Field(strict=True, gt=0)]
 
 
+def _parse_address(value) -> Address:
+    host, _, port = str(value).rpartition(":")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError("is not ADDRESS:PORT")
+    return Address(str(ipaddress.IPv4Address(host)), int(port))
+
+
 def _field_name(name: str) -> str:
     return name.replace("_", "-")
 
@@ -33,7 +41,10 @@
     """Base of the platform's documents; unknown fields are ignored."""
 
     model_config = pydantic.ConfigDict(
-        alias_generator=_field_name, extra="ignore", frozen=True
+        alias_generator=_field_name,
+        extra="ignore",
+        frozen=True,
+        allow_inf_nan=False,
     )
 
 
@@ -113,7 +124,7 @@
 
 class _Searcher(_Document):
     service: _Name
-    address: Annotated[_Name, pydantic.StringConstraints(pattern=r"^.+:\d+$")]
+    address: Annotated[Address, pydantic.BeforeValidator(_parse_address)]
     zone: _Name
     # The version of the searcher's software, not of the configuration.
     config_version: _Name
@@ -139,7 +150,7 @@
         document = _Config.model_validate(json.loads(value))
     except pydantic.ValidationError as error:
         return None, validation_diagnostics(CONFIG_KEY, error)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return None, [Diagnostic(CONFIG_KEY, f"is not JSON: {error}")]
     limits = ClientLimits()
     if document.limits:
@@ -179,14 +190,13 @@
         document = _Searcher.model_validate(json.loads(value))
     except pydantic.ValidationError as error:
         return None, validation_diagnostics(key, error)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return None, [Diagnostic(key, f"is not JSON: {error}")]
-    host, _, port = document.address.rpartition(":")
     return (
         SearcherEntry(
             searcher_id=key.removeprefix(SEARCHER_PREFIX),
             service=document.service,
-            address=Address(host, int(port)),
+            address=document.address,
             zone=document.zone,
             slots=document.slots,
             state=SearcherState(document.state),
--- /dev/null
+++ b/standins/platform_fuzz_test.py
@@ -0,0 +1,256 @@
+"""Hostile bytes against the decoders of the platform and the HTTP readers."""
+
+import ipaddress
+import json
+import math
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kumquatspur.border import exchange_codec
+from kumquatspur.border.decision_lines import DayLines
+from kumquatspur.platform import documents, headers
+from kumquatspur.wire.front_server import decode_request
+from kumquatspur.wire.http_messages import (
+    MessageError,
+    RequestReader,
+    ResponseReader,
+)
+from kumquatspur.wire.relay import unpack_request
+from standins.platform_searcher import config, forwarded_route, scattered_route
+
+# The same examples in every run; more by hand with another profile.
+fuzz = settings(max_examples=150, derandomize=True, deadline=None)
+
+HEADER_LIMIT = 2000
+BODY_LIMIT = 3000
+ENTRY = {
+    "service": "s0",
+    "address": "10.0.0.1:8000",
+    "zone": "z",
+    "config-version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "sequence": 1,
+    "born": 5,
+}
+CONFIG = config(
+    3,
+    [
+        scattered_route("a", "/a/", ("s0", "s1")),
+        forwarded_route("b", "/b/", "s2"),
+    ],
+)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(
+        ["ready", "10.0.0.1:99999", ":1", "[::1]:80", "a:1", "/"]
+    ),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+TOKEN = st.text("abcXYZ-09", min_size=1, max_size=8)
+VALUE = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=12)
+CUTS = st.lists(st.integers(0, 6000), max_size=6)
+NAMES = [
+    "Host",
+    "Content-Length",
+    "Transfer-Encoding",
+    "Connection",
+    "Expect",
+    "Kumquatspur-Attempt-Id",
+    "Kumquatspur-Deadline-Ms",
+    "Kumquatspur-Server-Load",
+    "x-kumquatspur-age-us",
+    "Upgrade",
+]
+VALUES = ["5", "0", "-1", "1e9", "chunked", "close", "100-continue", "a, b"]
+FIELD = st.tuples(
+    st.sampled_from(NAMES) | TOKEN, st.sampled_from(VALUES) | VALUE
+)
+
+
+@st.composite
+def damaged(draw, document):
+    """Draws a JSON document with a field replaced, left out or added."""
+    found = json.loads(json.dumps(document))
+    where = found
+    while True:
+        keys = list(where) if isinstance(where, dict) else range(len(where))
+        if not keys:
+            return found
+        key = draw(st.sampled_from(list(keys)))
+        inner = where[key]
+        if isinstance(inner, dict | list) and draw(st.booleans()):
+            where = inner
+            continue
+        if draw(st.booleans()):
+            where[key] = draw(JSON)
+        else:
+            del where[key]
+        return found
+
+
+@st.composite
+def messages(draw, first_lines):
+    """Draws the bytes of a message that may be wrong in some way."""
+    lines = [draw(st.sampled_from(first_lines))]
+    for name, value in draw(st.lists(FIELD, max_size=6)):
+        lines.append(f"{name}: {value}")
+    body = draw(st.binary(max_size=40))
+    if draw(st.booleans()):
+        lines.append(f"Content-Length: {len(body)}")
+    end = draw(st.sampled_from(["\r\n", "\r\n", "\n"]))
+    data = end.join([*lines, "", ""]).encode("latin-1") + body
+    return data * draw(st.integers(1, 2))
+
+
+def pieces(data, cuts):
+    """Splits bytes at some places."""
+    places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[a:b] for a, b in zip(places, places[1:], strict=False)]
+
+
+def read_all(reader, parts):
+    """Returns the messages that were read, and whether the bytes were wrong."""
+    found = []
+    try:
+        for part in parts:
+            found += reader.feed(part)
+    except MessageError:
+        return found, True
+    return found, False
+
+
+def summary(message):
+    return (message.method, message.target, message.status, message.body())
+
+
+class PlatformFuzzTest(unittest.TestCase):
+    @fuzz
+    @given(st.binary(max_size=60) | damaged(ENTRY))
+    def test_entry_is_usable_or_refused(self, value):
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        entry, errors = documents.decode_searcher("servers/i", value)
+        self.assertEqual(entry is None, bool(errors))
+        if entry is not None:
+            ipaddress.IPv4Address(entry.address.host)
+            self.assertTrue(0 < entry.address.port < 65536)
+            self.assertTrue(math.isfinite(entry.warmup_left_s))
+
+    @fuzz
+    @given(st.binary(max_size=60) | damaged(CONFIG))
+    def test_configuration_is_usable_or_refused(self, value):
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        found, errors = documents.decode_config(value)
+        self.assertEqual(found is None, bool(errors))
+        if found is not None:
+            for route in found.routes:
+                self.assertTrue(math.isfinite(route.timeout_s))
+                self.assertTrue(math.isfinite(route.target_latency_s))
+                weights = [target.weight for target in route.targets]
+                self.assertTrue(all(map(math.isfinite, weights)))
+
+    def test_addresses_that_nobody_can_connect_to_are_refused(self):
+        for address in (":1", "a:1", "10.0.0.1:0", "10.0.0.1:65536", "[::1]:9"):
+            with self.subTest(address):
+                value = json.dumps({**ENTRY, "address": address}).encode()
+                entry, _ = documents.decode_searcher("servers/i", value)
+                self.assertIsNone(entry)
+
+    def test_figures_that_are_not_finite_are_refused(self):
+        value = json.dumps({**ENTRY, "warmup-left-ms": math.inf}).encode()
+        self.assertIsNone(documents.decode_searcher("servers/i", value)[0])
+        for field in ("timeout-ms", "target-latency-ms"):
+            route = {**CONFIG["routes"][0], field: math.inf}
+            value = json.dumps({**CONFIG, "routes": [route]}).encode()
+            self.assertIsNone(documents.decode_config(value)[0])
+
+    def test_deep_nesting_is_refused(self):
+        value = b"[" * 100_000
+        self.assertIsNone(documents.decode_searcher("servers/i", value)[0])
+        self.assertIsNone(documents.decode_config(value)[0])
+
+    @fuzz
+    @given(st.binary(max_size=30) | st.from_regex(rb"[0-9,._ e-]{0,20}"))
+    def test_header_values(self, value):
+        load = headers.decode_load(value)
+        if load is not None:
+            self.assertTrue(math.isfinite(load.work_factor))
+        left_s = headers.decode_time_left_s(value)
+        if left_s is not None:
+            self.assertTrue(math.isfinite(left_s))
+            headers.encode_searcher_headers("i", left_s)
+
+    @fuzz
+    @given(
+        messages(["GET /a HTTP/1.1", "POST /b?c HTTP/1.0", "GET", "é / HTTP"]),
+        CUTS,
+    )
+    def test_requests_do_not_depend_on_how_they_are_split(self, data, cuts):
+        whole = read_all(RequestReader(HEADER_LIMIT, BODY_LIMIT), [data])
+        split = read_all(
+            RequestReader(HEADER_LIMIT, BODY_LIMIT), pieces(data, cuts)
+        )
+        self.assertEqual(whole[1], split[1])
+        if not whole[1]:
+            self.assertEqual(
+                [summary(m) for m in whole[0]], [summary(m) for m in split[0]]
+            )
+        for message in split[0]:
+            request = decode_request(message)
+            if request is not None:
+                unpack_request(request)
+
+    @fuzz
+    @given(st.binary(max_size=200), CUTS)
+    def test_readers_raise_nothing_else(self, data, cuts):
+        read_all(RequestReader(HEADER_LIMIT, BODY_LIMIT), pieces(data, cuts))
+        read_all(ResponseReader(), pieces(data, cuts))
+
+    @fuzz
+    @given(messages(["HTTP/1.1 200 OK", "HTTP/1.1 503 Full", "HTTP/1.1"]), CUTS)
+    def test_responses_do_not_depend_on_how_they_are_split(self, data, cuts):
+        whole = read_all(ResponseReader(), [data])
+        split = read_all(ResponseReader(), pieces(data, cuts))
+        first = [summary(m) for m in whole[0]][:1]
+        self.assertEqual(first, [summary(m) for m in split[0]][:1])
+
+    @fuzz
+    @given(st.binary(min_size=1, max_size=60), st.data())
+    def test_response_cut_short_is_not_complete(self, body, data):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        whole = head.encode() + body
+        cut = data.draw(st.integers(0, len(whole) - 1))
+        reader = ResponseReader()
+        self.assertEqual(reader.feed(whole[:cut]), [])
+        self.assertIsNone(reader.end())
+
+    @fuzz
+    @given(st.binary(max_size=100))
+    def test_messages_between_hosts(self, data):
+        with self.assertRaises(ValueError):
+            exchange_codec.decode(data)
+
+    @fuzz
+    @given(JSON, st.text(max_size=20))
+    def test_decision_logs(self, value, text):
+        lines = DayLines()
+        lines.read(f"{json.dumps(value)}\n{text}\n{json.dumps(value)[1:]}")
+        line = {"time": 1, "host": "h", "event": "answered", "route": value}
+        lines.read(json.dumps(line))
+
+
+if __name__ == "__main__":
+    unittest.main()
