Treat a store that answers nonsense as lost

The fuzz test found: items that are no objects or have no text as key, deeply nested JSON, and a page that repeats itself for ever, of which the last two kept the thread that follows the store from going on.

--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -95,7 +95,10 @@
         while True:
             reply = self._call("GET", path + after)
             try:
-                found += [_decode_change(item) for item in reply["items"]]
+                page = [_decode_change(item) for item in reply["items"]]
+                if found and page and page[-1].key <= found[-1].key:
+                    raise ValueError("a page does not follow the one before")
+                found += page
                 if revision is None:
                     revision = _revision(reply["current-rev"])
                 more = bool(reply["has-more"]) and bool(reply["items"])
@@ -158,7 +161,7 @@
             )
         try:
             reply = json.loads(response.data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformStoreError(f"bad reply: {error}") from error
         if not isinstance(reply, dict):
             raise PlatformStoreError("bad reply: not an object")
@@ -166,6 +169,8 @@
 
 
 def _decode_change(item: dict) -> StoreChange:
+    if not isinstance(item, dict) or not isinstance(item["key"], str):
+        raise TypeError("an item is no object with a key")
     # A removal has a flag in place of a value.
     if item.get("removed"):
         return StoreChange(item["key"], _revision(item["revision"]), None)
--- a/standins/platform_fuzz_test.py
+++ b/standins/platform_fuzz_test.py
@@ -4,13 +4,16 @@
 import json
 import math
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.decision_lines import DayLines
+from kumquatspur.core.records import Address
 from kumquatspur.platform import documents, headers
+from kumquatspur.platform.store import PlatformStore, PlatformStoreError
 from kumquatspur.wire.front_server import decode_request
 from kumquatspur.wire.http_messages import (
     MessageError,
@@ -43,6 +46,14 @@
         forwarded_route("b", "/b/", "s2"),
     ],
 )
+ITEM = {"key": "servers/i", "value": "e30=", "revision": 3, "lease": 0}
+REMOVAL = {"key": "servers/j", "revision": 4, "removed": True}
+STORE_REPLY = {
+    "items": [ITEM],
+    "events": [ITEM, REMOVAL],
+    "has-more": False,
+    "current-rev": 4,
+}
 JSON = st.recursive(
     st.none()
     | st.booleans()
@@ -237,6 +248,31 @@
         self.assertEqual(reader.feed(whole[:cut]), [])
         self.assertIsNone(reader.end())
 
+    def read_store(self, reply):
+        store = PlatformStore(Address("127.0.0.1", 1))
+        response = mock.Mock(status=200, data=reply)
+        with mock.patch.object(store, "_pool") as pool:
+            pool.urlopen.return_value = response
+            for call in (
+                lambda: store.read_all("x"),
+                lambda: store.wait_for_changes("x", 1, 0.1),
+            ):
+                try:
+                    view = call()
+                except PlatformStoreError:
+                    continue
+                for change in view.changes:
+                    self.assertIsInstance(change.key, str)
+                    self.assertIsInstance(change.revision, int)
+
+    @fuzz
+    @given(damaged(STORE_REPLY) | JSON)
+    def test_store_that_answers_nonsense_counts_as_lost(self, reply):
+        self.read_store(json.dumps(reply).encode())
+
+    def test_store_that_answers_deeply_nested_json(self):
+        self.read_store(b"[" * 100_000)
+
     @fuzz
     @given(st.binary(max_size=100))
     def test_messages_between_hosts(self, data):
