Reject at once what only a cut-off zone could serve

With the zones known to be silent too few shards remain, so the request is refused, which is true: nothing was sent.

--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -176,6 +176,28 @@
         count = sum(now - at < ZONE_SUSPECT_S for at in recent.values())
         return count >= ZONE_SUSPECT_SEARCHERS
 
+    def suspects(self, now: float) -> list[str]:
+        """Returns the zones that are probably cut off."""
+        return sorted(z for z in self.silent if self.is_suspect(z, now))
+
+    def reachable(
+        self, entries: Iterable[SearcherEntry], now: float
+    ) -> list[SearcherEntry]:
+        """Returns the searchers that do not stand in a zone cut off from here.
+
+        Load pattern: a zone is cut off and holds some shards only. Requests
+        that need the others would wait until their time is up. No answer can
+        clear a zone that is not asked, so it is tried again once the silence
+        is older than what makes it suspect.
+
+        Args:
+            entries: The searchers.
+            now: Steady time in seconds.
+        """
+        if not self.silent:
+            return list(entries)
+        return [e for e in entries if not self.is_suspect(e.zone, now)]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChoiceContext:
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -5,6 +5,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import LoadReport, SearcherEntry, SearcherState
 from kumquatspur.policy.searcher_choice import (
+    ZONE_SUSPECT_S,
     ChoiceContext,
     SearcherLoad,
     ZoneHealth,
@@ -94,6 +95,23 @@
         self.zones.note_answer("b")
         self.assertFalse(self.zones.is_suspect("b", 1.2))
 
+    def test_requests_that_need_a_cut_off_zone_are_known(self):
+        """All searchers in b are silent; c answers."""
+        entries = [entry("x", "b"), entry("y", "b")]
+        self.assertEqual(self.zones.reachable(entries, 1.0), entries)
+        for name in "xy":
+            self.zones.note_silence("b", name, 1.0)
+        self.zones.note_answer("c")
+        self.assertEqual(self.zones.reachable(entries, 1.1), [])
+        both = [*entries, entry("z", "c")]
+        self.assertEqual(self.zones.reachable(both, 1.1), both[2:])
+        later = 1.1 + ZONE_SUSPECT_S
+        self.assertEqual(self.zones.reachable(entries, later), entries)
+        self.zones.note_silence("b", "x", later)
+        self.zones.note_silence("b", "y", later)
+        self.zones.note_answer("b")
+        self.assertEqual(self.zones.reachable(entries, later), entries)
+
     def test_cold_searcher_is_used_less(self):
         entries = [entry("cold", warmup_left_s=2.0), entry("warm")]
         chosen = {self.choose(1.0, entries) for _ in range(50)}
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -167,6 +167,7 @@
             config=self.state.table and self.state.table.config.version,
             status=status,
             reason=reason,
+            silent_zones=self.state.zones.suspects(steady()),
         )
         return error_reply(status, reason, self.retry_after_s())
 
@@ -230,8 +231,9 @@
     def run(self) -> ClientReply:
         """Returns the answer."""
         now = steady()
+        state = self.state
         servable = sum(
-            bool(self.state.directory.usable(shard, now))
+            bool(state.zones.reachable(state.directory.usable(shard, now), now))
             for shard in self.plan.shards
         )
         if servable < self.plan.needed:
