--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -13,11 +13,14 @@
 from kumquatspur.core.routing import HostCapacity
 
 FORGET_S = 8.0
+# Share of the messages that go to another zone; most news concerns the own
+# zone, and bytes between zones cost.
+REMOTE_SHARE = 0.25
 # Hosts of a zone that call the platform's store; the others follow them. A
 # second one serves while the first is lost.
 WATCHERS_PER_ZONE = 2
 # Hosts named in one message, so that its size does not grow with the fleet.
-MAX_NAMED = 24
+MAX_NAMED = 64
 # The greatest capacity seen within this time shares the budget, since hosts
 # that cannot be heard may still spend theirs.
 COUNT_MEMORY_S = 30.0
@@ -98,16 +101,20 @@
         Returns:
             Their names.
         """
+        # With more hosts than a message names, news takes longer.
+        patience_s = FORGET_S * max(1.0, len(self.peers) / MAX_NAMED)
         silent = [
             peer.name
             for peer in self.peers.values()
-            if now - peer.heard > FORGET_S
+            if now - peer.heard > patience_s
         ]
         for name in silent:
             del self.peers[name]
         return silent
 
-    def addresses(self, seeds: Iterable[Address]) -> list[Address]:
+    def addresses(
+        self, seeds: Iterable[Address], chance: float = 0.0
+    ) -> list[Address]:
         """Returns where a message may go.
 
         Seeds stay among them, since hosts that have heard of each other first
@@ -115,7 +122,16 @@
 
         Args:
             seeds: Addresses of some hosts; they may be gone.
+            chance: A random number in [0, 1) that decides whether the message
+                stays in the own zone.
         """
+        near = {
+            peer.address
+            for peer in self.peers.values()
+            if peer.zone == self.own_zone
+        }
+        if near and chance >= REMOTE_SHARE:
+            return sorted(near, key=str)
         known = {peer.address for peer in self.peers.values()}
         return sorted(known.union(seeds), key=str)
 
--- a/kumquatspur/policy/peer_table_test.py
+++ b/kumquatspur/policy/peer_table_test.py
@@ -57,6 +57,40 @@
         expected = [address(1), address(2), address(3)]
         self.assertEqual(self.table.addresses(seeds), expected)
 
+    def test_most_messages_stay_in_the_zone(self):
+        self.note("near", address(1), 1.0)
+        self.note("far", address(2), 1.0, "y")
+        seeds = (address(3),)
+        self.assertEqual(self.table.addresses(seeds, 0.9), [address(1)])
+        expected = [address(1), address(2), address(3)]
+        self.assertEqual(self.table.addresses(seeds, 0.1), expected)
+
+    def test_large_fleet_forgets_no_live_host(self):
+        """Each of 90 hosts in three zones exchanges once a second."""
+        rng = random.Random(9)
+        zones = {f"h{number}": "xyz"[number % 3] for number in range(90)}
+        tables = {n: PeerTable(n, z, CAPACITY) for n, z in zones.items()}
+        where = {name: address(i) for i, name in enumerate(zones)}
+        names = {where[name]: name for name in zones}
+        seeds = [where["h0"], where["h1"], where["h2"]]
+        lost = 0
+        for second in range(40):
+            for name, table in tables.items():
+                now = second + rng.random()
+                targets = table.addresses(seeds, rng.random())
+                other = names[rng.choice(targets)]
+                for one, two in ((name, other), (other, name)):
+                    said = [
+                        Peer(one, zones[one], where[one], now, CAPACITY),
+                        *tables[one].named(rng.sample),
+                    ]
+                    for peer in said:
+                        tables[two].note(peer)
+                forgotten = table.forget_silent(now)
+                lost += len(forgotten) if second > 15 else 0
+        self.assertEqual({len(t.peers) for t in tables.values()}, {89})
+        self.assertEqual(lost, 0)
+
     def test_pairs_that_met_first_find_each_other(self):
         """Eight hosts start at once with the same two seeds."""
         rng = random.Random(7)
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -140,7 +140,8 @@
     def _ask(self) -> None:
         own = self.state.settings.peer
         seeds = [item for item in self.state.settings.seeds if item != own]
-        addresses = self.state.peers.addresses(seeds)
+        chance = self.state.random.random()
+        addresses = self.state.peers.addresses(seeds, chance)
         if not addresses:
             return
         address = self.state.random.choice(addresses)
@@ -250,7 +251,7 @@
                 zone=peer.zone,
                 ip=peer.address.host,
                 port=peer.address.port,
-                age_s=max(0.0, now - peer.heard),
+                age_s=round(max(0.0, now - peer.heard), 2),
                 relay_port=peer.relay_port,
                 link_mbps=peer.capacity.link_mbps,
                 cores=peer.capacity.cores,
