--- a/kumquatspur/policy/delegation.py
+++ b/kumquatspur/policy/delegation.py
@@ -22,8 +22,9 @@
 REMOTE_HOP_S = 0.006
 # Least gain, as a share of the target latency.
 MIN_GAIN_SHARE = 0.05
-# Share of the target latency that the work accepted by a host may need.
-INTAKE_SHARE = 0.35
+# Share of the target latency that the work accepted by a host may need. A
+# request counts with all its shards until its end, when most of it is done.
+INTAKE_SHARE = 0.6
 # A host is not used if nobody has heard of it for this time.
 FRESH_S = 5.0
 # How long a host is left after failures in a row.
