Add a randomized soak of entry hosts; only a refused connection means nobody listens

Searchers reset connections beyond their limit, so that can happen on the platform. Test: searcher_pool_test.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 RUN = $(VENV)/bin/python -W ignore
 
 BENCH_SECONDS ?= 320
+SEEDS ?= 10
+FIRST ?= $(shell date +%s)
 
-.PHONY: bench bench-full demo demo-platform slopes test lint format clean
+.PHONY: bench bench-full demo demo-platform slopes soak test lint format clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +25,9 @@
 test: lint
 	$(RUN) -m testing
 
+soak: $(VENV)/installed
+	$(RUN) -m soak.run --seeds $(SEEDS) --first $(FIRST) --jobs 3
+
 lint: $(VENV)/installed
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -42,14 +42,18 @@
         sent: Whether any byte may have reached the searcher.
         silent: Whether the searcher did not react at all.
         lost: Whether the connection was lost while the request was there.
+        refused: Whether nothing listens at the address.
     """
 
-    def __init__(self, message, sent=True, silent=False, lost=False):
+    def __init__(
+        self, message, sent=True, silent=False, lost=False, refused=False
+    ):
         super().__init__(message)
         self.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
         self.sent = sent
         self.silent = silent
         self.lost = lost
+        self.refused = refused
 
 
 @dataclasses.dataclass(slots=True)
@@ -205,7 +209,8 @@
     except OSError as error:
         sock.close()
         reason = errno.errorcode.get(error.errno, str(error))
-        raise CallError(f"connect: {reason}", False) from error
+        refused = error.errno == errno.ECONNREFUSED
+        raise CallError(f"connect: {reason}", False, refused=refused) from error
     except BaseException:
         sock.close()
         raise
@@ -257,8 +262,9 @@
     try:
         _connect(address, CONNECT_TIMEOUT_S).close()
     except CallError as error:
-        # Silence tells nothing about the process.
-        return error.silent
+        # Silence tells nothing about the process, and a searcher resets
+        # connections beyond its limit.
+        return not error.refused
     return True
 
 
--- a/kumquatspur/wire/searcher_pool_test.py
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -1,13 +1,20 @@
 import socket as plain_socket
 import struct
 import unittest
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket
 
 from kumquatspur.core.records import Address
 from kumquatspur.core.verdict import Verdict
-from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
+from kumquatspur.wire import searcher_pool
+from kumquatspur.wire.searcher_pool import (
+    CallError,
+    SearcherPool,
+    is_listening,
+    steady,
+)
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nhost: a\r\nid: 1\r\n\r\n"
 
@@ -23,6 +30,20 @@
     )
 
 
+class ListeningTest(unittest.TestCase):
+    def test_only_a_refused_connection_says_that_nothing_listens(self):
+        closed = eventlet.listen(("127.0.0.1", 0))
+        address = Address(*closed.getsockname())
+        self.assertTrue(is_listening(address))
+        closed.close()
+        self.assertFalse(is_listening(address))
+
+    def test_searcher_that_resets_connections_over_its_limit_listens(self):
+        error = CallError("connect: ECONNRESET", False)
+        with mock.patch.object(searcher_pool, "_connect", side_effect=error):
+            self.assertTrue(is_listening(Address("127.0.0.1", 1)))
+
+
 class FakeSearcher:
     """Answers each request on a connection with the next scripted bytes."""
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of entry hosts as processes, with faults from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,163 @@
+"""Faults that are injected from outside of the entry hosts."""
+
+import dataclasses
+import json
+import random
+import signal
+
+import eventlet
+
+from soak.proxy import Harm, Proxy
+from standins.platform_deployment import Host, PlatformDeployment
+
+DELAYS_S = (0.02, 0.3)
+RESTART_S = (0.0, 1.0)
+SPOILED = ("lost", "truncated", "extra", "other_id", "error", "shed", "hang")
+SPOILED_COUNT = 8
+
+
+@dataclasses.dataclass
+class World:
+    """What faults act on.
+
+    Attributes:
+        deployment: The deployment.
+        searcher_links: Proxies in front of the searchers, by searcher.
+        store_links: Proxies in front of the store, by entry host.
+        rng: The seed's source of randomness.
+        removed: Routes of earlier configurations.
+    """
+
+    deployment: PlatformDeployment
+    searcher_links: dict[str, Proxy]
+    store_links: dict[str, Proxy]
+    rng: random.Random
+    removed: list[str] = dataclasses.field(default_factory=list)
+
+    def any_host(self) -> Host:
+        """Draws an entry host."""
+        return self.rng.choice(list(self.deployment.hosts.values()))
+
+
+def _harm(links: dict[str, Proxy], world: World, for_s: float, share: float):
+    """Harms some links for a while."""
+    harm = world.rng.choice([h for h in Harm if h is not Harm.NONE])
+    delay_s = world.rng.uniform(*DELAYS_S)
+    count = max(1, int(share * len(links)))
+    chosen = world.rng.sample(sorted(links), count)
+    for name in chosen:
+        links[name].apply(harm, delay_s)
+    eventlet.sleep(for_s)
+    for name in chosen:
+        links[name].apply(Harm.NONE)
+
+
+def harm_searchers(world: World, for_s: float) -> None:
+    """Delays, resets, cuts or silences the links of some searchers."""
+    _harm(world.searcher_links, world, for_s, world.rng.choice((0.1, 0.3)))
+
+
+def harm_store(world: World, for_s: float) -> None:
+    """Does the same between some hosts, or all of them, and the store."""
+    _harm(world.store_links, world, for_s, world.rng.choice((0.3, 1.0)))
+
+
+def refuse_at_store(world: World, for_s: float) -> None:
+    """Has the store refuse all calls."""
+    store = world.deployment.store
+    store.refuse_with = world.rng.choice((429, 503))
+    eventlet.sleep(for_s)
+    store.refuse_with = 0
+
+
+def lose_history(world: World, for_s: float) -> None:
+    """Has the store forget its history after a change."""
+    world.deployment.configure(world.deployment.routes())
+    world.deployment.store.drop_history()
+
+
+def spoil_answers(world: World, for_s: float) -> None:
+    """Has some searchers lose, cut, repeat, mix up or refuse answers."""
+    searchers = world.deployment.searchers
+    for name in world.rng.sample(sorted(searchers), 4):
+        kinds = world.rng.choices(SPOILED, k=SPOILED_COUNT)
+        searchers[name].script.extend(kinds)
+    eventlet.sleep(for_s)
+    for searcher in searchers.values():
+        searcher.script.clear()
+
+
+def pause_host(world: World, for_s: float) -> None:
+    """Stops a host's process and has it go on later."""
+    host = world.any_host()
+    host.signal(signal.SIGSTOP)
+    eventlet.sleep(for_s)
+    host.signal(signal.SIGCONT)
+
+
+def _restart(world: World, hosts: list[Host], number: int) -> None:
+    processes = [host.process for host in hosts]
+    for host in hosts:
+        host.signal(signal.SIGCONT)
+        host.signal(number)
+    # Another fault may start a host again meanwhile.
+    for process in processes:
+        while process.poll() is None:
+            eventlet.sleep(0.02)
+    eventlet.sleep(world.rng.uniform(*RESTART_S))
+    for host in hosts:
+        if not host.is_running():
+            host.start()
+
+
+def kill_host(world: World, for_s: float) -> None:
+    """Kills a host's process and starts it again."""
+    _restart(world, [world.any_host()], signal.SIGKILL)
+
+
+def kill_all(world: World, for_s: float) -> None:
+    """Kills all hosts at once and starts them again."""
+    hosts = list(world.deployment.hosts.values())
+    _restart(world, hosts, signal.SIGKILL)
+
+
+def stop_host(world: World, for_s: float) -> None:
+    """Stops a host gracefully and starts it again."""
+    _restart(world, [world.any_host()], signal.SIGTERM)
+
+
+def reload_host(world: World, for_s: float) -> None:
+    """Spoils a settings file, with a signal or without, and mends it."""
+    host = world.any_host()
+    text = host.settings_path.read_text(encoding="utf-8")
+    fields = json.loads(text)
+    if "bounds" not in fields:
+        # Another fault has spoiled it already.
+        return
+    del fields["bounds"]
+    host.settings_path.write_text(json.dumps(fields), encoding="utf-8")
+    host.signal(signal.SIGHUP)
+    eventlet.sleep(min(for_s, 1.5))
+    host.settings_path.write_text(text, encoding="utf-8")
+
+
+def change_configuration(world: World, for_s: float) -> None:
+    """Replaces the route that marks the version, several times in a row."""
+    for _ in range(world.rng.randint(1, 4)):
+        world.deployment.mark_version()
+        eventlet.sleep(world.rng.uniform(0.05, 0.5))
+
+
+FAULTS = (
+    harm_searchers,
+    harm_store,
+    refuse_at_store,
+    lose_history,
+    spoil_answers,
+    pause_host,
+    kill_host,
+    kill_all,
+    stop_host,
+    reload_host,
+    change_configuration,
+)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,169 @@
+"""Runs seeds of the soak: `python -m soak.run --seeds 50 --first 1000`."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import argparse  # noqa: E402
+import pathlib  # noqa: E402
+import random  # noqa: E402
+import shutil  # noqa: E402
+import subprocess  # noqa: E402
+import sys  # noqa: E402
+
+from soak.clients import Client  # noqa: E402
+from soak.faults import FAULTS, World  # noqa: E402
+from soak.promises import broken_promises  # noqa: E402
+from soak.proxy import Proxy  # noqa: E402
+from standins.platform_deployment import (  # noqa: E402
+    PlatformDeployment,
+    ask,
+    wait_until,
+)
+
+BUILD = pathlib.Path("build/soak")
+ZONES = ("z1", "z2", "z3")
+HOSTS_PER_ZONE = 2
+CLIENTS_PER_HOST = 2
+FAULTS_A_SEED = 5
+FAULTY_S = 6.0
+FAULT_S = (0.3, 3.0)
+# From the end of the last fault until every host serves everything again; the
+# platform allows 12 s.
+RECOVERY_S = 12.0
+
+
+def build_world(folder: pathlib.Path, rng: random.Random) -> World:
+    """Starts the deployment with a proxy on each link that is harmed."""
+    deployment = PlatformDeployment(folder, ZONES, HOSTS_PER_ZONE)
+    searcher_links = {}
+    for name, searcher in deployment.searchers.items():
+        link = searcher_links[name] = Proxy(searcher.address)
+        address = f"{link.address.host}:{link.address.port}"
+        searcher.register(deployment.store, address=address)
+    store_links = {
+        name: Proxy(deployment.store.address) for name in deployment.hosts
+    }
+    return World(deployment, searcher_links, store_links, rng)
+
+
+def has_recovered(world: World) -> bool:
+    """Returns whether every host serves everything by the last version."""
+    deployment = world.deployment
+    for number, host in enumerate(deployment.hosts.values()):
+        for path, status in deployment.marker_paths():
+            found = ask(host, path, f"end{number}{path}")
+            if found is None or found[0] != status:
+                return False
+        found = ask(host, "/all/end", f"end{number}")
+        if found is None or found[0] != 200:
+            return False
+        if found[1].get("kumquatspur-missing-parts") != "0":
+            return False
+        found = ask(host, "/one/end", f"end{number}one")
+        if found is None or found[0] != 200:
+            return False
+    return True
+
+
+def run_seed(seed: int) -> tuple[list[str], list[str]]:
+    """Runs one seed.
+
+    Args:
+        seed: The seed.
+
+    Returns:
+        The names of its faults, and what went wrong.
+    """
+    folder = BUILD / str(seed)
+    shutil.rmtree(folder, ignore_errors=True)
+    rng = random.Random(seed)
+    world = build_world(folder, rng)
+    deployment = world.deployment
+    clients, faults, wrong = [], [], []
+    try:
+        deployment.start(lambda name: world.store_links[name].address)
+        for host in deployment.hosts.values():
+            for number in range(CLIENTS_PER_HOST):
+                clients.append(Client(host, f"{host.name}-{number}", seed))
+        plan = sorted(
+            (rng.uniform(0.0, FAULTY_S), index, rng.choice(FAULTS))
+            for index in range(FAULTS_A_SEED)
+        )
+        faults = [fault.__name__ for _, _, fault in plan]
+        threads = [
+            eventlet.spawn_after(at, fault, world, rng.uniform(*FAULT_S))
+            for at, _, fault in plan
+        ]
+        for thread in threads:
+            thread.wait()
+        try:
+            wait_until(lambda: has_recovered(world), RECOVERY_S)
+        except AssertionError:
+            wrong.append("not everything is served again")
+        for host in deployment.hosts.values():
+            if not host.is_running():
+                wrong.append(f"{host.name} has ended by itself")
+    finally:
+        for client in clients:
+            client.stop()
+        deployment.stop()
+        for links in (world.searcher_links, world.store_links):
+            for link in links.values():
+                link.close()
+    seen = [item for client in clients for item in client.seen]
+    if not any(item.reply and item.reply[0] == 200 for item in seen):
+        wrong.append("no request was served")
+    wrong += broken_promises(deployment, seen)
+    if not wrong:
+        shutil.rmtree(folder, ignore_errors=True)
+    return faults, wrong
+
+
+def run_many(first: int, count: int, jobs: int) -> int:
+    """Runs seeds as processes of their own and prints how they ended.
+
+    Returns:
+        How many failed.
+    """
+    pool = eventlet.GreenPool(jobs)
+
+    def run(seed):
+        command = [sys.executable, "-W", "ignore", "-m", "soak.run"]
+        command += ["--first", str(seed), "--seeds", "1"]
+        done = subprocess.run(command, capture_output=True, text=True)
+        print(done.stdout or done.stderr, end="", flush=True)
+        return done.returncode != 0
+
+    failed = sum(pool.imap(run, range(first, first + count)))
+    print(f"{count} seeds from {first}: {failed} failed")
+    return failed
+
+
+def main() -> int:
+    """Runs the soak.
+
+    Returns:
+        The exit code.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument("--first", type=int, default=1, help="the first one")
+    parser.add_argument("--jobs", type=int, default=2, help="at a time")
+    arguments = parser.parse_args()
+    if arguments.seeds > 1:
+        return int(
+            run_many(arguments.first, arguments.seeds, arguments.jobs) > 0
+        )
+    faults, wrong = run_seed(arguments.first)
+    state = "failed" if wrong else "ok"
+    print(f"seed {arguments.first}: {state}: {', '.join(faults)}")
+    for line in wrong:
+        print(f"    {line}")
+    if wrong:
+        print(f"    logs: {BUILD / str(arguments.first) / 'logs'}")
+    return int(bool(wrong))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/soak_test.py
@@ -0,0 +1,96 @@
+import subprocess
+import sys
+import unittest
+
+from soak.faults import FAULTS
+from soak.promises import Seen, broken_promises
+from standins.platform_deployment import SHARDS, record
+
+# Seeds that failed before something was mended, with the cause.
+REGRESSIONS = {
+    1: "a reset connection counted as a searcher that is gone",
+}
+SEEDS = (*REGRESSIONS, 8)
+SEED_TIMEOUT_S = 120.0
+
+
+class FakeSearcher:
+    def __init__(self, name, service, records=()):
+        self.service = service
+        self.records = list(records)
+        self.runs = {}
+        self.searcher_id = name
+
+
+class FakeDeployment:
+    def __init__(self):
+        self.searchers = {
+            f"i-{shard}": FakeSearcher(f"i-{shard}", shard, [record(number)])
+            for number, shard in enumerate(SHARDS)
+        }
+
+
+def parts(*names, missing, body, request_id="r"):
+    seals = ", ".join(f"i-{name}.{request_id}" for name in names)
+    fields = {
+        "kumquatspur-part-seals": seals,
+        "kumquatspur-missing-parts": str(missing),
+    }
+    return (200, fields, body)
+
+
+class PromisesTest(unittest.TestCase):
+    """The checks themselves find what they are for."""
+
+    def check(self, **fields):
+        deployment = FakeDeployment()
+        for searcher in deployment.searchers.values():
+            searcher.runs = {"twice": 1, "r": 0, "ran": 0}
+        deployment.searchers["i-s0"].runs["ran"] = 1
+        item = Seen(**{"request_id": "r", "path": "/all/x", **fields})
+        return broken_promises(deployment, [item])
+
+    def test_sound_answers(self):
+        two = record(1) + record(0)
+        reply = parts("s0", "s1", missing=2, body=two)
+        self.assertEqual(self.check(repeatable=True, reply=reply), [])
+
+    def test_wrong_answers(self):
+        two = record(1) + record(0)
+        wrong = {
+            "order": parts("s0", "s1", missing=2, body=two[::-1]),
+            "count": parts("s0", "s1", missing=1, body=two),
+            "twice": parts("s0", "s0", missing=2, body=two),
+            "other": parts("s0", missing=3, body=record(0), request_id="q"),
+            "unknown": parts("s9", missing=3, body=record(0)),
+        }
+        for name, reply in wrong.items():
+            with self.subTest(name):
+                found = self.check(repeatable=True, reply=reply)
+                self.assertEqual(len(found), 1)
+
+    def test_runs(self):
+        once = {"path": "/once/x", "repeatable": False}
+        self.assertTrue(self.check(request_id="twice", **once))
+        refused = (503, {}, b"")
+        self.assertTrue(self.check(request_id="ran", reply=refused, **once))
+        self.assertFalse(self.check(request_id="r", reply=refused, **once))
+
+
+class SoakTest(unittest.TestCase):
+    def test_seeds(self):
+        self.assertGreater(len(FAULTS), 5)
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                command = [sys.executable, "-W", "ignore", "-m", "soak.run"]
+                done = subprocess.run(
+                    [*command, "--first", str(seed)],
+                    capture_output=True,
+                    text=True,
+                    timeout=SEED_TIMEOUT_S,
+                )
+                self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -212,6 +212,8 @@
         for zone in self.zones:
             self.add_searcher(SINGLE, zone, (), SINGLE_WORK_S)
         self.version = 0
+        self._marked = 0
+        self._marker_stands = False
         self.configure()
         names = [
             (f"{zone}-{number}", zone)
@@ -239,9 +241,26 @@
     def configure(self, routes=None) -> None:
         """Writes the next version of the configuration."""
         self.version += 1
-        document = config(self.version, routes or self.routes())
+        routes = routes or self.routes()
+        self._marker_stands = len(routes) > len(self.routes())
+        document = config(self.version, routes)
         self.store.put_json("op/config", document)
 
+    def mark_version(self) -> None:
+        """Replaces the route that exists in one version only."""
+        self._marked += 1
+        marker = forwarded_route("mark", f"/mark{self._marked}/", SINGLE)
+        self.configure([*self.routes(), marker])
+
+    def marker_paths(self) -> list[tuple[str, int]]:
+        """Returns paths and the status that each gets by the last version."""
+        if not self._marked:
+            return []
+        paths = [(f"/mark{self._marked - 1}/x", 404)]
+        if self._marker_stands:
+            paths.append((f"/mark{self._marked}/x", 200))
+        return paths
+
     def start(self, store_of=None) -> None:
         """Starts all entry hosts and waits until they are ready.
 
