Leave searchers that reject requests although they have room

A rejection counted for nothing, and their stated load is empty, so they were chosen again and again (single searchers 346 times in 7 s); the budget was spent on the repeats and 440 requests ended with 502 after 5 ms. Ruled out: overload (no slot was taken). The cost of failures grows with the attempts that a success takes. Tests: searcher_choice_test, platform_path_test (fails without the change).

--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -26,8 +26,10 @@
 MIN_LOAD_MEMORY_S = 0.1
 # Weight of a failed attempt in the moving mean of failures.
 ERROR_WEIGHT = 0.2
-# Cost of a searcher whose attempts all fail, relative to one that is sound.
-ERROR_COST = 5.0
+# Cost of a failed attempt, relative to a typical latency; with a share of
+# failures p there are p / (1 - p) of them until an attempt succeeds.
+ERROR_COST = 4.0
+MAX_ERROR_SHARE = 0.95
 # Additional cost of another zone, relative to a typical latency.
 REMOTE_COST = 0.35
 COLD_FACTOR = 1.6
@@ -54,7 +56,7 @@
         slowness_at: When it was measured.
         report: The last load stated.
         report_at: When it was stated.
-        error_share: Moving mean of lost or spoiled responses.
+        error_share: Moving mean of failed attempts.
         error_at: When it was measured.
         failures: Times in a row that it could not be reached.
         suspect_until: Until when it is avoided.
@@ -104,7 +106,11 @@
         self.report, self.report_at = report, now
 
     def note_error(self, now: float) -> None:
-        """Takes a lost or spoiled response of a searcher that is reached."""
+        """Takes a lost, spoiled or failed response, or a rejection.
+
+        A searcher that rejects requests although it states that it has room
+        would otherwise look like the least loaded one.
+        """
         self._note_error_share(1.0, now)
 
     def note_unreachable(self, now: float) -> None:
@@ -248,7 +254,8 @@
         busy = max(busy, busy + (stated - 1) * weight)
         factor = 1.0 + (load.report.work_factor - 1.0) * weight
     cost = load.current_slowness(now) * factor * _queueing(busy, slots)
-    cost *= 1.0 + (ERROR_COST - 1.0) * load.current_error_share(now)
+    failing = min(load.current_error_share(now), MAX_ERROR_SHARE)
+    cost *= 1.0 + ERROR_COST * failing / (1.0 - failing)
     if entry.warmup_left_s > 0:
         cost *= COLD_FACTOR
     if load.in_flight:
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -117,6 +117,22 @@
         chosen = {self.choose(1.0, entries) for _ in range(50)}
         self.assertEqual(chosen, {"warm"})
 
+    def test_searchers_that_reject_with_room_are_left(self):
+        """Half of the replicas of all shards reject, and state no load."""
+        entries = [entry("a"), entry("b", "b"), entry("c", "c")]
+        rejected = 0
+        for step in range(200):
+            now = step * 0.1
+            name = self.choose(now, entries)
+            load = self.loads[name]
+            load.note_load(LoadReport(0, 0, 4), now)
+            if name == "c":
+                load.note_latency(1.0, now)
+            else:
+                load.note_error(now)
+                rejected += 1
+        self.assertLess(rejected, 30)
+
     def test_lost_responses_do_not_crowd_the_sound_searcher(self):
         """Three of four searchers lose a share of their responses.
 
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -363,7 +363,7 @@
         if result.status == headers.MISDIRECTED:
             load.note_unreachable(now)
             return
-        if result.status >= 500 and not result.not_executed:
+        if result.status >= 500 or result.not_executed:
             load.note_error(now)
         if 200 <= result.status < 300:
             seconds = now - attempt.started
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -244,6 +244,13 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.single_runs("r2"), 1)
 
+    def test_rejections_are_held_against_a_searcher(self):
+        self.wait_ready()
+        self.script("i-s0-", "shed", "ok")
+        self.assertEqual(self.ask("/all/x")[0], 200)
+        loads = [self.host.state.load(f"i-s0-{copy}") for copy in "ab"]
+        self.assertGreater(max(load.error_share for load in loads), 0.0)
+
     def test_address_of_another_searcher_runs_nothing(self):
         self.wait_ready()
         single = self.searchers["i-single-a"]
