Take the first view from other hosts when the whole system starts

Seeds read, the others ask them and read only if nothing has come after 1.5 s to 3 s. Restarts still read at once.

--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -114,6 +114,12 @@
     machine: Machine
     bounds: Bounds
 
+    def waits_for_peers(self) -> bool:
+        """Returns whether to wait for other hosts before asking the store."""
+        others = [seed for seed in self.seeds if seed != self.peer]
+        # The seeds ask the store, and the others ask the seeds.
+        return self.first_start and len(others) == len(self.seeds) > 0
+
 
 def read_entry_settings(
     path: str,
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -19,6 +19,10 @@
 # Changes that come in quick succession are fetched together.
 BATCH_S = 0.3
 ALL_KEYS = ""
+# How long a host waits for another one's view when the whole system starts for
+# the first time; clients come much later then.
+FIRST_VIEW_S = (1.5, 3.0)
+FIRST_VIEW_POLL_S = 0.05
 
 
 class StoreWatch:
@@ -47,6 +51,8 @@
 
     def run(self) -> None:
         """Follows the store for good."""
+        if self.state.settings.waits_for_peers():
+            self._wait_for_peers()
         while True:
             if self.follow():
                 continue
@@ -59,6 +65,16 @@
                 self._note_loss(error)
                 eventlet.sleep(self.state.random.uniform(*RETRY_S))
 
+    def _wait_for_peers(self) -> None:
+        """Gives other hosts time to send their view.
+
+        Load pattern: all hosts of a large fleet start for the first time, and
+        would all read everything at the same moment.
+        """
+        end = steady() + self.state.random.uniform(*FIRST_VIEW_S)
+        while self.mirror.revision is None and steady() < end:
+            eventlet.sleep(FIRST_VIEW_POLL_S)
+
     def _step(self) -> None:
         # Peers may have advanced the mirror meanwhile.
         revision = self.mirror.revision
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -71,7 +71,13 @@
 
 
 def host_settings(
-    name, zone, ports, store: Address, seeds, link_mbps=100.0
+    name,
+    zone,
+    ports,
+    store: Address,
+    seeds,
+    link_mbps=100.0,
+    first_start=False,
 ) -> dict:
     """Returns the settings of an entry host.
 
@@ -83,6 +89,7 @@
         store: Where it finds the store.
         seeds: Peer ports of some entry hosts.
         link_mbps: Bandwidth of its link.
+        first_start: Whether the whole system starts for the first time.
     """
     front, ready, peer, metrics, relay = ports
     return {
@@ -96,6 +103,7 @@
         "metrics_port": metrics,
         "store": f"{store.host}:{store.port}",
         "heartbeat_ms": 200,
+        "first_start": first_start,
         "machine": {
             "cpu_share": 1,
             "cores": 1,
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -65,12 +65,11 @@
     def put_config(self, version, routes):
         self.store.put_json("op/config", config(version, routes))
 
-    def start_host(self, name, store=None, seeds=(), link_mbps=100.0):
-        store = store or self.store
+    def start_host(self, name, store=None, seeds=(), **options):
+        address = (store or self.store).address
+        ports = free_ports(5)
         text = json.dumps(
-            host_settings(
-                name, ZONE, free_ports(5), store.address, seeds, link_mbps
-            )
+            host_settings(name, ZONE, ports, address, seeds, **options)
         )
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -395,6 +394,23 @@
             wait_until(lambda: host.state.table.config.version == 9)  # noqa: B023
         wait_until(lambda: all(h.exchange.followed for h in followers))
 
+    def test_first_start_reads_the_store_once_for_all(self):
+        self.wait_ready()
+        seeds = (self.host.settings.peer.port,)
+        before = self.store.calls["/kv-range"]
+        others = [
+            self.start_host(f"h{number}", seeds=seeds, first_start=True)
+            for number in range(3)
+        ]
+        for host in others:
+            self.wait_ready(host)
+        self.assertEqual(self.store.calls["/kv-range"], before)
+
+    def test_first_start_without_other_hosts_reads_the_store(self):
+        port = free_ports(1)[0]
+        lone = self.start_host("lone", seeds=(port,), first_start=True)
+        self.wait_ready(lone)
+
     def test_store_outage_does_not_stop_service(self):
         self.wait_ready()
         self.store.refuse_with = 503
