Give a host up that gives no sign of life after a request was handed over

Load pattern: the host that scatters for others loses its power. A request there would hang until its deadline, and each host would send it another one every second or so. A request is now given up after 2.5 times its target if that host has answered nothing since, and the host is left for 4 s. Tests: delegation_test, platform_path_test.

--- a/kumquatspur/policy/delegation.py
+++ b/kumquatspur/policy/delegation.py
@@ -26,13 +26,19 @@
 # request counts with all its shards until its end, when most of it is done.
 INTAKE_SHARE = 0.6
 # A host is not used if nobody has heard of it for this time.
-FRESH_S = 5.0
+FRESH_S = 3.0
 # How long a host is left after failures in a row.
 UNFIT_S = (0.5, 1.0, 2.0, 4.0, 8.0)
+# How long a host is left that gave no sign of life; its machine is probably
+# dark or cut off, and each request to it would be lost.
+SILENT_UNFIT_S = 4.0
 # How long a host is left that had no room or another configuration.
 DECLINED_S = 0.1
 # A host whose oldest answer is overdue by this share of the target is stuck.
 STUCK_MULTIPLE = 2.0
+# A request is given up after this multiple of its target latency if the host
+# has answered nothing since; complete answers leave it much earlier.
+SILENCE_MULTIPLE = 2.5
 # Spread of random tie-breaking, in seconds.
 JITTER_S = 0.0005
 
@@ -45,25 +51,39 @@
         in_flight: Start times of requests under way there, by number.
         failures: Failures in a row.
         unfit_until: Until when it is left.
+        answered_at: When it last answered anything.
     """
 
     in_flight: dict[int, float] = dataclasses.field(default_factory=dict)
     failures: int = 0
     unfit_until: float = 0.0
+    answered_at: float = -1.0
 
-    def note_answer(self) -> None:
+    def note_answer(self, now: float) -> None:
         """Notes that it answered."""
         self.failures = 0
+        self.answered_at = now
 
     def note_declined(self, now: float) -> None:
         """Notes that it did not take a request."""
         self.unfit_until = now + DECLINED_S
+        self.answered_at = now
 
-    def note_failure(self, now: float) -> None:
-        """Notes that it could not be reached, or broke off."""
+    def note_failure(self, silent: bool, now: float) -> None:
+        """Notes that it could not be reached, or broke off.
+
+        Args:
+            silent: Whether it did not react at all.
+            now: Steady time in seconds.
+        """
         step = min(self.failures, len(UNFIT_S) - 1)
         self.failures += 1
-        self.unfit_until = now + UNFIT_S[step]
+        pause_s = max(UNFIT_S[step], SILENT_UNFIT_S if silent else 0.0)
+        self.unfit_until = now + pause_s
+
+    def is_silent(self, since: float) -> bool:
+        """Returns whether it has answered nothing since a time."""
+        return self.answered_at < since
 
     def is_fit(self, target_s: float, now: float) -> bool:
         """Returns whether it may get a request."""
--- a/kumquatspur/policy/delegation_test.py
+++ b/kumquatspur/policy/delegation_test.py
@@ -6,6 +6,7 @@
 from kumquatspur.policy.delegation import (
     FRESH_S,
     INTAKE_SHARE,
+    SILENT_UNFIT_S,
     UNFIT_S,
     Candidate,
     Delegate,
@@ -56,12 +57,30 @@
 
     def test_lost_host_is_left_and_found_again(self):
         lost = self.candidate("lost")
-        self.delegates["lost"].note_failure(10.0)
+        self.delegates["lost"].note_failure(False, 10.0)
         self.assertIsNone(self.choose(lost))
         self.assertEqual(self.choose(lost, now=10.0 + UNFIT_S[0]), "lost")
         for _ in range(9):
-            self.delegates["lost"].note_failure(10.0)
-        self.assertIsNone(self.choose(lost, now=9.9 + UNFIT_S[-1]))
+            self.delegates["lost"].note_failure(False, 10.0)
+        heard = self.candidate("lost", heard=9.9 + UNFIT_S[-1])
+        self.assertIsNone(self.choose(heard, now=9.9 + UNFIT_S[-1]))
+
+    def test_dark_host_is_left_for_longer(self):
+        """A host has lost its power, and each request to it is lost."""
+        self.candidate("dark")
+        self.delegates["dark"].note_failure(True, 10.0)
+        later = 9.9 + SILENT_UNFIT_S
+        heard = self.candidate("dark", heard=later)
+        self.assertIsNone(self.choose(heard, now=later))
+        self.assertEqual(self.choose(heard, now=later + 0.2), "dark")
+
+    def test_sign_of_life(self):
+        delegate = Delegate()
+        self.assertTrue(delegate.is_silent(10.0))
+        delegate.note_answer(10.1)
+        self.assertFalse(delegate.is_silent(10.0))
+        delegate.note_declined(10.4)
+        self.assertFalse(delegate.is_silent(10.3))
 
     def test_host_that_nobody_has_heard_of_is_left(self):
         silent = self.candidate("silent", heard=10.0 - FRESH_S - 0.1)
--- a/kumquatspur/wire/relay.py
+++ b/kumquatspur/wire/relay.py
@@ -3,16 +3,20 @@
 import dataclasses
 import math
 
+import eventlet
+
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import ClientReply, ClientRequest, Route
 from kumquatspur.policy.delegation import (
     HOP_S,
+    SILENCE_MULTIPLE,
     Candidate,
     Delegate,
     choose_delegate,
     has_room,
 )
 from kumquatspur.wire.entry_state import EntryState
+from kumquatspur.wire.http_messages import RawMessage
 from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
 
 # Headers between entry hosts only.
@@ -67,16 +71,9 @@
         delegate, number = chosen.delegate, id(request)
         delegate.in_flight[number] = now
         try:
-            message = self.pool.call(
-                chosen.name,
-                chosen.address,
-                encode_request(request, state.table.config.version, now),
-                lambda message: True,
-                deadline,
-                request.method == "HEAD",
-            )
+            message = self._call(chosen, request, route, deadline)
         except CallError as error:
-            delegate.note_failure(steady())
+            delegate.note_failure(error.silent, steady())
             self._log(request, route, chosen, str(error))
             if not error.sent:
                 return None
@@ -89,12 +86,46 @@
             delegate.note_declined(steady())
             self._log(request, route, chosen, f"declined: {reason.decode()}")
             return None
-        delegate.note_answer()
+        delegate.note_answer(steady())
         self._log(request, route, chosen, message.status)
         return ClientReply(
             message.status, message.end_to_end_headers(), message.body()
         )
 
+    def _call(self, chosen, request, route, deadline) -> RawMessage:
+        now = steady()
+        data = encode_request(request, self.state.table.config.version, now)
+        bodyless = request.method == "HEAD"
+
+        def call():
+            try:
+                return self.pool.call(
+                    chosen.name,
+                    chosen.address,
+                    data,
+                    lambda message: True,
+                    deadline,
+                    bodyless,
+                )
+            except CallError as error:
+                return error
+
+        thread = eventlet.spawn(call)
+        result = None
+        try:
+            patience_s = SILENCE_MULTIPLE * route.target_latency_s
+            with eventlet.Timeout(patience_s, False):
+                result = thread.wait()
+            if result is None and chosen.delegate.is_silent(now):
+                raise CallError("no sign of life", silent=True)
+            result = result or thread.wait()
+        finally:
+            # Also when the calling green thread is killed.
+            thread.kill()
+        if isinstance(result, CallError):
+            raise result
+        return result
+
     def decline_reason(self, version: str, route: Route | None) -> str:
         """Returns why a request of another host is not taken, or "".
 
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import tempfile
+import time
 import unittest
 
 import eventlet
@@ -509,6 +510,30 @@
         self.assertGreater(self.host.state.delegates["fast"].failures, 0)
         self.assertEqual(self.host.state.counters["answered_200"], 2)
 
+    def test_host_that_gives_no_sign_of_life_is_given_up(self):
+        fast = self.start_fast_host()
+        fast.settings.__dict__["relay"] = None
+        silent = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        peers = self.host.state.peers.peers
+        port = silent.getsockname()[1]
+        peers["fast"] = dataclasses.replace(peers["fast"], relay_port=port)
+        table = self.host.state.table
+        table.config = dataclasses.replace(
+            table.config,
+            routes=tuple(
+                dataclasses.replace(route, target_latency_s=0.05)
+                for route in table.config.routes
+            ),
+        )
+        self.host.state.table = type(table)(table.config)
+        began = time.monotonic()
+        status, _, _ = self.ask("/all/x", request_id="d1")
+        self.assertEqual(status, 502)
+        self.assertLess(time.monotonic() - began, 0.45)
+        status, _, _ = self.ask("/all/x", request_id="d2")
+        self.assertEqual(status, 200)
+
     def test_graceful_stop_serves_open_connections(self):
         self.wait_ready()
         sock = self.connect()
