--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -4,6 +4,7 @@
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import Exchange, StoreItem
+from kumquatspur.platform.documents import SEARCHER_PREFIX
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.wire.store_mirror import StoreMirror
 from standins.platform_deployment import new_test_state
@@ -23,7 +24,9 @@
         "warmup-left-ms": 0,
         "sequence": revision,
     }
-    return StoreChange(f"servers/{name}", revision, json.dumps(entry).encode())
+    return StoreChange(
+        f"{SEARCHER_PREFIX}{name}", revision, json.dumps(entry).encode()
+    )
 
 
 def filled_mirror(revision=SEARCHERS):
@@ -42,7 +45,7 @@
         items = tuple(ahead.items.values())
         behind.replace(StoreView(SEARCHERS, items), 0.0, 0.0, "store")
         changes = (item("i-1", 301, "draining"), item("i-new", 302))
-        gone = StoreChange("servers/i-2", 303, None)
+        gone = StoreChange(f"{SEARCHER_PREFIX}i-2", 303, None)
         ahead.apply(StoreView(303, (*changes, gone)), 1.0, 1.0, "store")
         changed, kept = ahead.view_for(behind.revision)
         self.assertEqual(changed, list(changes))
@@ -72,7 +75,9 @@
 
     def test_kept_item_that_is_unknown_makes_the_view_useless(self):
         mirror = filled_mirror()
-        self.assertIsNone(mirror.join_view(301, [], ["servers/other"]))
+        self.assertIsNone(
+            mirror.join_view(301, [], [f"{SEARCHER_PREFIX}other"])
+        )
 
 
 class ExchangeCodecTest(unittest.TestCase):
