--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -49,6 +49,13 @@
     ms: float
 
 
+class _HandedOver(_Line):
+    event: Literal["handed_over"]
+    ms: float
+    # Otherwise the request has a line of the host that served it.
+    lost: bool
+
+
 class _LinesDropped(_Line):
     event: Literal["log_lines_dropped"]
     count: int
@@ -56,7 +63,7 @@
 
 _Decision = pydantic.TypeAdapter(
     Annotated[
-        _Answered | _Refused | _ClientLeft | _LinesDropped,
+        _Answered | _Refused | _ClientLeft | _HandedOver | _LinesDropped,
         pydantic.Field(discriminator="event"),
     ]
 )
@@ -65,7 +72,9 @@
     429: Fate.REFUSED,
     503: Fate.REFUSED,
 }
-_EVENTS = frozenset({"answered", "refused", "client_left", "log_lines_dropped"})
+_EVENTS = frozenset(
+    {"answered", "refused", "client_left", "handed_over", "log_lines_dropped"}
+)
 
 
 def _from_answered(line: _Answered, at_s: float) -> RequestLine:
@@ -89,10 +98,21 @@
     return RequestLine(at_s, line.route or "", Fate.LEFT, duration_ms=line.ms)
 
 
+def _from_handed_over(line: _HandedOver, at_s: float) -> RequestLine:
+    return RequestLine(
+        at_s,
+        line.route or "",
+        Fate.FAILED,
+        "lost at another host",
+        duration_ms=line.ms,
+    )
+
+
 _CONVERTERS = {
     _Answered: _from_answered,
     _Refused: _from_refused,
     _ClientLeft: _from_client_left,
+    _HandedOver: _from_handed_over,
 }
 
 
@@ -140,6 +160,8 @@
         if isinstance(line, _LinesDropped):
             self.lines_dropped += line.count
             return
+        if isinstance(line, _HandedOver) and not line.lost:
+            return
         self.requests.append(_CONVERTERS[type(line)](line, at_s))
 
 
--- a/kumquatspur/scripts/day_command_test.py
+++ b/kumquatspur/scripts/day_command_test.py
@@ -109,6 +109,14 @@
         self.assertEqual(sorted(report.routes), ["", "r-1", "r-2"])
         self.assertAlmostEqual(total.kept_share(), (1 + 0.81) / 6)
 
+    def test_request_that_was_handed_over_counts_once(self):
+        line = {"event": "handed_over", "host": "h", "route": "r-1", "ms": 9.0}
+        lines = [{**line, "time": 101.0, "lost": lost} for lost in (0, 1)]
+        self.write("c.log", [json.dumps(item) for item in lines])
+        total = build_day(self.read().requests).total
+        self.assertEqual(total.requests, 7)
+        self.assertEqual(total.reasons["lost at another host"], 1)
+
     def test_spans_without_requests_are_shown(self):
         report = build_day(self.read().requests)
         counts = {at: span.requests for at, span in report.spans.items()}
--- a/kumquatspur/wire/relay.py
+++ b/kumquatspur/wire/relay.py
@@ -74,7 +74,7 @@
             message = self._call(chosen, request, route, deadline)
         except CallError as error:
             delegate.note_failure(error.silent, steady())
-            self._log(request, route, chosen, str(error))
+            self._log(request, route, chosen, str(error), lost=error.sent)
             if not error.sent:
                 return None
             status = 504 if steady() >= deadline - GRACE_S else 502
@@ -170,7 +170,7 @@
                     delegates.setdefault(peer.name, Delegate()),
                 )
 
-    def _log(self, request, route, chosen, outcome) -> None:
+    def _log(self, request, route, chosen, outcome, lost=False) -> None:
         self.state.counters["handed_over"] += 1
         self.state.log.write(
             "handed_over",
@@ -180,6 +180,7 @@
             to=chosen.name,
             heard_s=round(steady() - chosen.heard, 3),
             outcome=outcome,
+            lost=lost,
             ms=round((steady() - request.arrived) * 1000, 1),
         )
 
