--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -85,7 +85,9 @@
             self._history_lost = False
             self._note_contact()
             return
-        view = self.store.wait_for_changes(ALL_KEYS, revision, WAIT_S)
+        # After a loss the first call only asks whether the store is back.
+        wait_s = WAIT_S if self.state.store_ok else 0.0
+        view = self.store.wait_for_changes(ALL_KEYS, revision, wait_s)
         self.mirror.apply(view, asked, steady(), "store")
         self._note_contact()
         if view.changes:
