--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -140,7 +140,7 @@
                 continue
             try:
                 raw = json.loads(line[start:])
-            except json.JSONDecodeError:
+            except (ValueError, RecursionError):
                 self.unreadable += 1
                 continue
             if isinstance(raw, dict) and "event" in raw:
--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -116,9 +116,9 @@
 
     def waits_for_peers(self) -> bool:
         """Returns whether to wait for other hosts before asking the store."""
-        others = [seed for seed in self.seeds if seed != self.peer]
         # The seeds ask the store, and the others ask the seeds.
-        return self.first_start and len(others) == len(self.seeds) > 0
+        asks_seeds = bool(self.seeds) and self.peer not in self.seeds
+        return self.first_start and asks_seeds
 
 
 def read_entry_settings(
--- a/standins/platform_fuzz_test.py
+++ b/standins/platform_fuzz_test.py
@@ -283,7 +283,8 @@
     @given(JSON, st.text(max_size=20))
     def test_decision_logs(self, value, text):
         lines = DayLines()
-        lines.read(f"{json.dumps(value)}\n{text}\n{json.dumps(value)[1:]}")
+        nested = '{"a":' * 50_000
+        lines.read(f"{json.dumps(value)}\n{text}\n{nested}")
         line = {"time": 1, "host": "h", "event": "answered", "route": value}
         lines.read(json.dumps(line))
 
