--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -24,6 +25,9 @@
 from standins.platform_store import PlatformStore
 
 LOCAL = "127.0.0.1"
+# Below the ports that the system gives to outgoing connections, and above
+# those of the example deployments.
+PORTS = (25_000, 32_000)
 SHARDS = ("s0", "s1", "s2", "s3")
 SINGLE = "single"
 RECORDS = 20
@@ -36,17 +40,21 @@
 SHARD_WORK_S = 0.005
 SINGLE_WORK_S = 0.02
 GRACE_S = 3
+_ports = random.SystemRandom()
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((LOCAL, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Returns TCP ports that nobody uses and no connection will be given."""
+    found = set()
+    while len(found) < count:
+        port = _ports.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOCAL, port))
+            except OSError:
+                continue
+        found.add(port)
+    return sorted(found)
 
 
 def wait_until(condition, seconds: float = WAIT_S) -> None:
