--- a/kumquatspur/policy/day_report.py
+++ b/kumquatspur/policy/day_report.py
@@ -13,11 +13,10 @@
 from hdrh.histogram import HdrHistogram
 
 from kumquatspur.core.records import record
+from kumquatspur.policy.latency_histogram import new_histogram
 
 BUCKET_S = 2.0
-LOWEST_US = 100
-HIGHEST_US = 60_000_000
-SIGNIFICANT_DIGITS = 2
+PARTS_LEFT_OUT = "parts left out"
 
 
 class Fate(enum.StrEnum):
@@ -31,6 +30,10 @@
     NO_ROUTE = "no route"
 
 
+# What a request can lose by, in the order of reports.
+CAUSES = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, PARTS_LEFT_OUT)
+
+
 @record
 class RequestLine:
     """The end of one request, as one host logged it.
@@ -97,11 +100,7 @@
     extra_attempts: int = 0
     shards: int = 0
     parts: int = 0
-    latencies: HdrHistogram = dataclasses.field(
-        default_factory=lambda: HdrHistogram(
-            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-        )
-    )
+    latencies: HdrHistogram = dataclasses.field(default_factory=new_histogram)
 
     def add(self, line: RequestLine) -> None:
         """Counts a request."""
@@ -122,7 +121,7 @@
         elif line.shards:
             missing = 1.0 - (line.parts / line.shards) ** 2
             if missing:
-                self.lost["parts left out"] += missing
+                self.lost[PARTS_LEFT_OUT] += missing
 
     def coverage(self) -> float:
         """Returns the share of the shards that were in the answers."""
--- a/kumquatspur/scripts/burn_command.py
+++ b/kumquatspur/scripts/burn_command.py
@@ -1,12 +1,11 @@
 """The `report burn` command."""
 
 import dataclasses
-import pathlib
 from collections.abc import Iterable
 
 from hdrh.histogram import HdrHistogram
 
-from kumquatspur.core.records import Diagnostic, Objectives, record
+from kumquatspur.core.records import Objectives, record
 from kumquatspur.policy.burn import (
     BurnRow,
     EventCounts,
@@ -14,7 +13,7 @@
     merge_windows,
 )
 from kumquatspur.scripts import burn_html, http_calls
-from kumquatspur.scripts.output import print_errors, print_json
+from kumquatspur.scripts.output import print_errors, print_json, write_page
 from kumquatspur.scripts.status_commands import ask_all, error_sources
 
 PERCENTILES = (50.0, 99.0, 99.9)
@@ -55,7 +54,7 @@
         _print_report(report)
         print_errors(errors)
     if arguments.html:
-        errors += _write_html(arguments.html, report)
+        errors += write_page(arguments.html, burn_html.render(report))
     return http_calls.EXIT_UNREACHABLE if errors else http_calls.EXIT_OK
 
 
@@ -123,15 +122,3 @@
             f"  burn rate {row.burn_rate:8.2f}"
             f"  budget left {row.budget_left:8.1%}"
         )
-
-
-def _write_html(path: str, report: BurnReport) -> list[Diagnostic]:
-    try:
-        pathlib.Path(path).write_text(
-            burn_html.render(report), encoding="utf-8"
-        )
-    except OSError as error:
-        errors = [Diagnostic(path, f"cannot be written: {error}")]
-        print_errors(errors)
-        return errors
-    return []
--- a/kumquatspur/scripts/burn_html.py
+++ b/kumquatspur/scripts/burn_html.py
@@ -1,7 +1,8 @@
 """The burn report as one HTML page with a plot."""
 
 import html
-import io
+
+from kumquatspur.scripts.output import html_row, svg
 
 _PAGE = """<!DOCTYPE html>
 <html lang="en">
@@ -50,7 +51,7 @@
         f"{row.burn_rate:.2f}",
         f"{row.budget_left:.1%}",
     )
-    return "<tr>" + "".join(f"<td>{cell}" for cell in cells) + "</tr>"
+    return html_row(cells)
 
 
 def _plot(rows) -> str:
@@ -74,6 +75,4 @@
     axes.set_ylabel("burn rate")
     if rows:
         axes.legend(fontsize="x-small")
-    text = io.StringIO()
-    figure.savefig(text, format="svg")
-    return text.getvalue()[text.getvalue().index("<svg") :]
+    return svg(figure)
--- a/kumquatspur/scripts/day_command.py
+++ b/kumquatspur/scripts/day_command.py
@@ -1,23 +1,19 @@
 """The `report day` command."""
 
 import dataclasses
-import pathlib
 
 from kumquatspur.border.decision_lines import read_day
-from kumquatspur.core.records import Diagnostic
 from kumquatspur.policy.day_report import (
+    CAUSES,
     DayReport,
-    Fate,
     Losses,
     build_day,
     extra_share,
     find_lost_processes,
 )
 from kumquatspur.scripts import day_html, http_calls
-from kumquatspur.scripts.output import print_errors, print_json
+from kumquatspur.scripts.output import print_errors, print_json, write_page
 
-CAUSES = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, "parts left out")
-EXIT_BAD_INPUT = 2
 WORST_SPANS = 3
 
 
@@ -33,7 +29,7 @@
     lines, errors = read_day(arguments.folder)
     if errors:
         print_errors(errors)
-        return EXIT_BAD_INPUT
+        return http_calls.EXIT_BAD_INPUT
     report = build_day(lines.requests)
     report.lost_processes = find_lost_processes(lines.marks)
     report.lines_dropped = lines.lines_dropped
@@ -43,13 +39,8 @@
     else:
         print("\n".join(as_text(report)))
     if arguments.html:
-        try:
-            page = day_html.render(report)
-            pathlib.Path(arguments.html).write_text(page, encoding="utf-8")
-        except OSError as error:
-            source = Diagnostic(arguments.html, f"cannot be written: {error}")
-            print_errors([source])
-            return EXIT_BAD_INPUT
+        if write_page(arguments.html, day_html.render(report)):
+            return http_calls.EXIT_BAD_INPUT
     return http_calls.EXIT_OK
 
 
--- a/kumquatspur/scripts/day_html.py
+++ b/kumquatspur/scripts/day_html.py
@@ -1,9 +1,15 @@
 """The report of a day as one HTML page with plots."""
 
 import html
-import io
 
-from kumquatspur.policy.day_report import DayReport, Fate, Losses, extra_share
+from kumquatspur.policy.day_report import (
+    CAUSES,
+    PARTS_LEFT_OUT,
+    DayReport,
+    Losses,
+    extra_share,
+)
+from kumquatspur.scripts.output import html_row, svg
 
 _PAGE = """<!DOCTYPE html>
 <html lang="en">
@@ -13,8 +19,8 @@
 <p>{requests} requests, {kept:.1%} of their worth kept. {missing}</p>
 {plot}
 <table>
-<tr><th>route<th>requests<th>kept<th>late<th>refused<th>failed<th>client left
-<th>parts left out<th>p50 ms<th>p99 ms<th>extra attempts</tr>
+<tr><th>route<th>requests<th>kept{causes}<th>p50 ms<th>p99 ms
+<th>extra attempts</tr>
 {rows}
 </table>
 </html>
@@ -42,19 +48,19 @@
         kept=report.total.kept_share(),
         missing=missing,
         plot=_plot(report),
+        causes="".join(f"<th>{cause}" for cause in CAUSES),
         rows="\n".join(_row(name, row) for name, row in rows.items()),
     )
 
 
 def _row(name: str, row: Losses) -> str:
     requests = max(1, row.requests)
-    causes = (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT, "parts left out")
     cells = [html.escape(name or "(none)"), row.requests]
     cells.append(f"{row.kept_share():.1%}")
-    cells += [f"{row.lost[cause] / requests:.2%}" for cause in causes]
+    cells += [f"{row.lost[cause] / requests:.2%}" for cause in CAUSES]
     cells += [f"{row.latency_ms(p):.1f}" for p in (50.0, 99.0)]
     cells.append(row.extra_attempts)
-    return "<tr>" + "".join(f"<td>{cell}" for cell in cells) + "</tr>"
+    return html_row(cells)
 
 
 def _plot(report: DayReport) -> str:
@@ -69,8 +75,11 @@
     for percentile in (50.0, 90.0, 99.0):
         values = [span.latency_ms(percentile) for span in spans]
         latency.plot(starts, values, label=f"p{percentile:g}")
-    for fate in (Fate.LATE, Fate.REFUSED, Fate.FAILED, Fate.LEFT):
-        lost.plot(starts, [span.lost[fate] for span in spans], label=fate)
+    for cause in CAUSES:
+        # Missing parts are in the plot of coverage.
+        if cause != PARTS_LEFT_OUT:
+            values = [span.lost[cause] for span in spans]
+            lost.plot(starts, values, label=cause)
     coverage.plot(starts, [span.coverage() for span in spans])
     extra.plot(starts, list(extra_share(report).values()))
     latency.set_ylabel("latency (ms)")
@@ -80,6 +89,4 @@
     extra.set_xlabel("time (s)")
     for axes in (latency, lost):
         axes.legend(fontsize="x-small")
-    text = io.StringIO()
-    figure.savefig(text, format="svg")
-    return text.getvalue()[text.getvalue().index("<svg") :]
+    return svg(figure)
--- a/kumquatspur/scripts/output.py
+++ b/kumquatspur/scripts/output.py
@@ -1,6 +1,8 @@
 """Output of the command-line tool."""
 
+import io
 import json
+import pathlib
 import sys
 
 from kumquatspur.core.records import Diagnostic
@@ -15,3 +17,34 @@
 def print_json(value) -> None:
     """Prints a value as indented JSON."""
     print(json.dumps(value, indent=2))
+
+
+def write_page(path: str, page: str) -> list[Diagnostic]:
+    """Writes an HTML page.
+
+    Args:
+        path: Where to.
+        page: The page.
+
+    Returns:
+        The errors, which have been printed.
+    """
+    try:
+        pathlib.Path(path).write_text(page, encoding="utf-8")
+    except OSError as error:
+        errors = [Diagnostic(path, f"cannot be written: {error}")]
+        print_errors(errors)
+        return errors
+    return []
+
+
+def html_row(cells) -> str:
+    """Returns a row of an HTML table; cells are HTML already."""
+    return "<tr>" + "".join(f"<td>{cell}" for cell in cells) + "</tr>"
+
+
+def svg(figure) -> str:
+    """Returns a figure as an SVG element that stands in an HTML page."""
+    text = io.StringIO()
+    figure.savefig(text, format="svg")
+    return text.getvalue()[text.getvalue().index("<svg") :]
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -10,12 +10,12 @@
 from kumquatspur.policy.delegation import Delegate
 from kumquatspur.policy.extra_attempts import ExtraAttempts
 from kumquatspur.policy.hedging import LatencyWindow
+from kumquatspur.policy.latency_histogram import new_histogram
 from kumquatspur.policy.peer_table import PeerTable
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
 from kumquatspur.policy.searcher_directory import SearcherDirectory
 from kumquatspur.wire.decision_log import DecisionLog
-from kumquatspur.wire.metrics import new_histogram
 from kumquatspur.wire.searcher_pool import steady
 
 # Hosts assumed to share the allowance of extra attempts until peers are known.
--- a/kumquatspur/wire/metrics.py
+++ b/kumquatspur/wire/metrics.py
@@ -2,17 +2,12 @@
 
 import dataclasses
 
-from hdrh.histogram import HdrHistogram
-
 from kumquatspur.core import actions
 from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import Objectives
 from kumquatspur.policy.burn import EventCounts
 from kumquatspur.policy.event_windows import EventWindows
-
-LOWEST_US = 100
-HIGHEST_US = 60_000_000
-SIGNIFICANT_DIGITS = 2
+from kumquatspur.policy.latency_histogram import new_histogram
 
 # Refusals of requests that were wrong themselves; they burn no budget.
 CALLER_FAULTS = frozenset(
@@ -26,11 +21,6 @@
 )
 
 
-def new_histogram() -> HdrHistogram:
-    """Returns an empty histogram of microseconds."""
-    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-
-
 def count_events(action, seconds: float, objectives: Objectives) -> EventCounts:
     """Classifies the end of a query against the service's objectives.
 
