One encoder of passed-on requests, one model of a host; drop a second revision

The relay had a copy of the forwarder's encoding of a request; both call one function that takes the header lines that differ. Exchange and KnownHost share the fields of a host. The directory's revision was a copy of the mirror's that only a test read. Hosts of this host's own size are not looked at for each scattered request, since none of them can be faster.

--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -15,30 +15,38 @@
     model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
 
 
-class KnownHost(_Model):
-    """A host that the sender has heard of.
+class _Host(_Model):
+    """What hosts know of each other.
 
     Attributes:
         name: Its name.
         zone: Its availability zone.
         ip: Where it listens for peers.
         port: The port.
-        age_s: How long ago it was heard of.
         relay_port: Where it takes requests to be scattered; 0 for none.
         link_mbps: Bandwidth of its link.
         cores: Its processor, in cores of the usual speed.
     """
 
-    name: str
+    name: str = pydantic.Field(min_length=1)
     zone: str
     ip: str
     port: int
-    age_s: float = pydantic.Field(ge=0)
     relay_port: int = 0
     link_mbps: float = pydantic.Field(gt=0)
     cores: float = pydantic.Field(gt=0)
 
 
+class KnownHost(_Host):
+    """A host that the sender has heard of.
+
+    Attributes:
+        age_s: How long ago it was heard of.
+    """
+
+    age_s: float = pydantic.Field(ge=0)
+
+
 class CrashIncident(_Model):
     """The loss of a searcher under a content.
 
@@ -87,17 +95,10 @@
     value: bytes | None
 
 
-class Exchange(_Model):
-    """What one host tells another.
+class Exchange(_Host):
+    """What one host, the sender, tells another.
 
     Attributes:
-        name: The sender.
-        zone: Its availability zone.
-        ip: Where it listens for peers.
-        port: The port.
-        relay_port: Where it takes requests to be scattered; 0 for none.
-        link_mbps: Bandwidth of its link.
-        cores: Its processor, in cores of the usual speed.
         revision: Revision of its view of the store; 0 if it has none.
         age_s: How long ago that view was current.
         slow: Searchers that it knows to be slow.
@@ -111,13 +112,6 @@
             they are not sent.
     """
 
-    name: str = pydantic.Field(min_length=1)
-    zone: str
-    ip: str
-    port: int
-    relay_port: int = 0
-    link_mbps: float = pydantic.Field(gt=0)
-    cores: float = pydantic.Field(gt=0)
     revision: int = pydantic.Field(ge=0)
     age_s: float = pydantic.Field(ge=0)
     slow: tuple[SlowSearcher, ...] = ()
--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -148,11 +148,15 @@
                 found.append((shard, AttemptKind.HEDGE))
         return found
 
+    def _still_open(self) -> int:
+        """Returns how many further parts may come."""
+        return sum(p.is_open() for p in self.shards.values())
+
     def _hedge_delay_now(self) -> float:
         """Returns the time between attempts for one shard, in seconds."""
         if not self.route.shards:
             return self.hedge_delay_s
-        still_open = sum(p.is_open() for p in self.shards.values())
+        still_open = self._still_open()
         possible = self.answered + still_open
         complete = possible == len(self.shards)
         few = still_open <= URGENT_SHARDS_SHARE * len(self.shards)
@@ -218,7 +222,7 @@
         enough = self.answered >= self.needed
         if now >= self.deadline:
             return Outcome.ANSWER if enough else Outcome.FAIL
-        still_open = sum(p.is_open() for p in self.shards.values())
+        still_open = self._still_open()
         if enough and not still_open:
             return Outcome.ANSWER
         if self.answered + still_open < self.needed:
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -33,7 +33,6 @@
         leaving: Draining or removed searchers by service.
         grace_until: Until when a removal may be a lapse.
         doubtful: When a searcher was removed within the grace.
-        revision: The store's revision of this state.
         read_at: When the state was last known to be current.
     """
 
@@ -49,14 +48,12 @@
     )
     grace_until: float = -1.0
     doubtful: dict[str, float] = dataclasses.field(default_factory=dict)
-    revision: int = 0
     read_at: float = -1.0
 
-    def note_contact(self, revision: int, asked: float, now: float) -> None:
+    def note_contact(self, asked: float, now: float) -> None:
         """Notes that the state is current.
 
         Args:
-            revision: The store's revision.
             asked: When the call that succeeded began; a watch may take long
                 without an outage.
             now: Steady time in seconds.
@@ -65,7 +62,6 @@
         if self.read_at >= 0 and asked - self.read_at > outage_s:
             self.grace_until = now + LAPSE_GRACE_S
         self.read_at = now
-        self.revision = max(self.revision, revision)
 
     def put(self, entry: SearcherEntry, now: float) -> None:
         """Takes an entry as it was written."""
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -27,6 +27,7 @@
 from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
 from kumquatspur.wire.crash_watch import CrashWatch
 from kumquatspur.wire.entry_state import EntryState, state_age_s
+from kumquatspur.wire.http_messages import encode_request
 from kumquatspur.wire.relay import (
     Relay,
     declined_reply,
@@ -314,7 +315,12 @@
             message = self.forwarder.pool.call(
                 entry.searcher_id,
                 entry.address,
-                encode_request(self.request, entry, self.deadline - steady()),
+                encode_request(
+                    self.request,
+                    headers.encode_searcher_headers(
+                        entry.searcher_id, self.deadline - steady()
+                    ),
+                ),
                 self._is_ours,
                 self.deadline,
                 self.request.method == "HEAD",
@@ -487,30 +493,6 @@
         )
 
 
-def encode_request(
-    request: ClientRequest, entry: SearcherEntry, time_left_s: float
-) -> bytes:
-    """Returns the bytes that are sent to a searcher.
-
-    Args:
-        request: The client's request.
-        entry: The searcher.
-        time_left_s: How long an answer is of use, in seconds.
-    """
-    lines = [
-        f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
-    ]
-    for name, value in request.headers:
-        lines.append(b"%b: %b\r\n" % (name, value))
-    lines.append(
-        headers.encode_searcher_headers(entry.searcher_id, time_left_s)
-    )
-    if request.body or request.method not in ("GET", "HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(request.body))
-    lines += (b"\r\n", request.body)
-    return b"".join(lines)
-
-
 def _is_plain(attempt: Attempt) -> bool:
     if attempt.kind is not AttemptKind.FIRST:
         return False
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -1,9 +1,11 @@
-"""Reads HTTP/1.1 messages with a parser library."""
+"""Reads HTTP/1.1 messages with a parser library, and writes requests."""
 
 import dataclasses
 
 import httptools
 
+from kumquatspur.core.routing import ClientRequest
+
 # Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
     {
@@ -80,6 +82,25 @@
         self.status = status
 
 
+def encode_request(request: ClientRequest, own_headers: bytes) -> bytes:
+    """Returns the bytes that pass a request on.
+
+    Args:
+        request: The client's request.
+        own_headers: Header lines that are added.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
+    ]
+    for name, value in request.headers:
+        lines.append(b"%b: %b\r\n" % (name, value))
+    lines.append(own_headers)
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(b"content-length: %d\r\n" % len(request.body))
+    lines += (b"\r\n", request.body)
+    return b"".join(lines)
+
+
 class _Callbacks:
     """Collects what the parser reports.
 
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -314,7 +314,7 @@
             view = StoreView(message.revision, _decode_items(message.changes))
             self.mirror.apply(view, at, at, source)
         elif message.revision == known:
-            self.state.directory.note_contact(message.revision, at, at)
+            self.state.directory.note_contact(at, at)
         elif message.items is not None:
             view = self.mirror.join_view(
                 message.revision, _decode_items(message.items), message.kept
--- a/kumquatspur/wire/relay.py
+++ b/kumquatspur/wire/relay.py
@@ -2,11 +2,17 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 
 import eventlet
 
 from kumquatspur.core.records import Address
-from kumquatspur.core.routing import ClientReply, ClientRequest, Route
+from kumquatspur.core.routing import (
+    ClientReply,
+    ClientRequest,
+    HostCapacity,
+    Route,
+)
 from kumquatspur.policy.delegation import (
     HOP_S,
     SILENCE_MULTIPLE,
@@ -16,7 +22,7 @@
     has_room,
 )
 from kumquatspur.wire.entry_state import EntryState
-from kumquatspur.wire.http_messages import RawMessage
+from kumquatspur.wire.http_messages import RawMessage, encode_request
 from kumquatspur.wire.searcher_pool import CallError, SearcherPool, steady
 
 # Headers between entry hosts only.
@@ -56,9 +62,10 @@
         """
         now = steady()
         state = self.state
+        own = state.settings.machine.capacity()
         chosen = choose_delegate(
-            state.settings.machine.capacity(),
-            self._candidates(),
+            own,
+            self._candidates(own),
             len(route.shards),
             route.target_latency_s,
             now,
@@ -94,7 +101,8 @@
 
     def _call(self, chosen, request, route, deadline) -> RawMessage:
         now = steady()
-        data = encode_request(request, self.state.table.config.version, now)
+        version = self.state.table.config.version
+        data = encode_request(request, handover_headers(request, version, now))
         bodyless = request.method == "HEAD"
 
         def call():
@@ -150,17 +158,21 @@
         """Closes connections that are too old, or whose host is gone."""
         peers = self.state.peers.peers
         self.pool.prune(now, peers)
-        for name in [
-            name for name in self.state.delegates if name not in peers
-        ]:
-            if not self.state.delegates[name].in_flight:
-                del self.state.delegates[name]
-
-    def _candidates(self):
+        delegates = self.state.delegates
+        gone = [
+            name
+            for name, delegate in delegates.items()
+            if name not in peers and not delegate.in_flight
+        ]
+        for name in gone:
+            del delegates[name]
+
+    def _candidates(self, own: HostCapacity) -> Iterator[Candidate]:
         own_zone = self.state.settings.zone
         delegates = self.state.delegates
         for peer in self.state.peers.peers.values():
-            if peer.relay_port:
+            # A host like this one is never faster; most fleets have no other.
+            if peer.relay_port and peer.capacity != own:
                 yield Candidate(
                     peer.name,
                     Address(peer.address.host, peer.relay_port),
@@ -185,30 +197,21 @@
         )
 
 
-def encode_request(request: ClientRequest, version: int, now: float) -> bytes:
-    """Returns the bytes of a request for another host.
+def handover_headers(request: ClientRequest, version: int, now: float) -> bytes:
+    """Returns the header lines that are added for another host.
 
     Args:
         request: The request.
         version: Version of the configuration that routed it.
         now: Steady time in seconds.
     """
-    lines = [
-        f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
-    ]
-    for name, value in request.headers:
-        lines.append(b"%b: %b\r\n" % (name, value))
     # The way back takes time as well.
     age_us = int((now - request.arrived + HOP_S) * 1e6)
-    lines.append(b"%b: %d\r\n" % (CONFIG, version))
-    lines.append(b"%b: %d\r\n" % (AGE, age_us))
+    lines = b"%b: %d\r\n%b: %d\r\n" % (CONFIG, version, AGE, age_us)
     if request.time_left_s is not None:
         left_us = int(request.time_left_s * 1e6)
-        lines.append(b"%b: %d\r\n" % (TIME_LEFT, left_us))
-    if request.body or request.method not in ("GET", "HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(request.body))
-    lines += (b"\r\n", request.body)
-    return b"".join(lines)
+        lines += b"%b: %d\r\n" % (TIME_LEFT, left_us)
+    return lines
 
 
 def unpack_request(request: ClientRequest) -> tuple[ClientRequest, str]:
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -139,7 +139,7 @@
         changed.send()
 
     def _note_contact(self, view: StoreView, asked: float, now: float) -> None:
-        self.state.directory.note_contact(view.revision, asked, now)
+        self.state.directory.note_contact(asked, now)
         self.revision = max(self.revision or 0, view.revision)
 
     def _apply_config(self, change: StoreChange, source: str) -> None:
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -337,14 +337,14 @@
         self.assertEqual(self.ask("/new/x")[0], 200)
         self.put_config(4, self.routes)
         revision = self.store.revision
-        wait_until(lambda: self.host.state.directory.revision >= revision)
+        wait_until(lambda: self.host.mirror.revision >= revision)
         self.assertEqual(table(), 5)
 
     def test_unreadable_configuration_changes_nothing(self):
         self.wait_ready()
         self.store.put("op/config", b"{")
         revision = self.store.revision
-        wait_until(lambda: self.host.state.directory.revision >= revision)
+        wait_until(lambda: self.host.mirror.revision >= revision)
         self.assertEqual(self.ask("/one/x")[0], 200)
 
     def test_unknown_configuration_is_no_404(self):
