--- a/kumquatspur/wire/searcher_pool_test.py
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -1,5 +1,3 @@
-import socket as plain_socket
-import struct
 import unittest
 from unittest import mock
 
@@ -15,6 +13,7 @@
     is_listening,
     steady,
 )
+from standins.faults import reset
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nhost: a\r\nid: 1\r\n\r\n"
 
@@ -70,11 +69,7 @@
             sock.sendall(reply)
             if self.reset:
                 eventlet.sleep(0.05)
-                sock.setsockopt(
-                    plain_socket.SOL_SOCKET,
-                    plain_socket.SO_LINGER,
-                    struct.pack("ii", 1, 0),
-                )
+                reset(sock)
                 break
             if b"content-length" not in reply:
                 break
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -6,13 +6,18 @@
 import eventlet
 
 from soak.promises import Seen
-from standins.platform_deployment import LOCAL, Host
+from standins.platform_deployment import (
+    Host,
+    connect,
+    read_reply,
+    request_fields,
+)
 
-CALL_TIMEOUT_S = 3.0
 PAUSE_S = (0.02, 0.15)
 DEADLINES_MS = (100, 500)
 # Share of the requests whose client leaves before the answer.
 LEAVING_SHARE = 0.03
+CONTENTS = 3
 
 
 class Client:
@@ -42,7 +47,9 @@
     def _next(self) -> Seen:
         request_id = f"{self._name}-{len(self.seen)}"
         kind = self._rng.choice(("all", "all", "one", "once"))
-        item = Seen(request_id, f"/{kind}/{request_id}", kind != "once")
+        # Contents come again, as those do that crash searchers.
+        content = self._rng.randrange(CONTENTS)
+        item = Seen(request_id, f"/{kind}/{content}", kind != "once")
         if kind == "once":
             item.body = request_id.encode()
         self.seen.append(item)
@@ -50,14 +57,9 @@
 
     def _ask(self, item: Seen) -> None:
         if self._connection is None:
-            self._connection = http.client.HTTPConnection(
-                LOCAL, self._host.ports[0], timeout=CALL_TIMEOUT_S
-            )
-        fields = {
-            "Host": "shop.example",
-            "Kumquatspur-Attempt-Id": item.request_id,
-            "Kumquatspur-Deadline-Ms": str(self._rng.choice(DEADLINES_MS)),
-        }
+            self._connection = connect(self._host)
+        deadline_ms = self._rng.choice(DEADLINES_MS)
+        fields = request_fields(item.request_id, deadline_ms)
         method = "GET" if item.repeatable else "POST"
         try:
             self._connection.request(
@@ -67,13 +69,9 @@
                 eventlet.sleep(0.01)
                 self._drop()
                 return
-            response = self._connection.getresponse()
-            body = response.read()
+            item.reply = read_reply(self._connection)
         except (OSError, http.client.HTTPException):
             self._drop()
-            return
-        found = {name.lower(): value for name, value in response.getheaders()}
-        item.reply = (response.status, found, body)
 
     def _drop(self) -> None:
         self._connection.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,9 +7,10 @@
 
 import eventlet
 
-from soak.proxy import Harm, Proxy
 from standins.platform_deployment import Host, PlatformDeployment
+from standins.relay import Relay
 
+HARMS = ("delay", "cut", "one_way", "stall")
 DELAYS_S = (0.02, 0.3)
 RESTART_S = (0.0, 1.0)
 SPOILED = ("lost", "truncated", "extra", "other_id", "error", "shed", "hang")
@@ -22,34 +23,33 @@
 
     Attributes:
         deployment: The deployment.
-        searcher_links: Proxies in front of the searchers, by searcher.
-        store_links: Proxies in front of the store, by entry host.
+        searcher_links: Relays in front of the searchers, by searcher.
+        store_links: Relays in front of the store, by entry host.
         rng: The seed's source of randomness.
-        removed: Routes of earlier configurations.
     """
 
     deployment: PlatformDeployment
-    searcher_links: dict[str, Proxy]
-    store_links: dict[str, Proxy]
+    searcher_links: dict[str, Relay]
+    store_links: dict[str, Relay]
     rng: random.Random
-    removed: list[str] = dataclasses.field(default_factory=list)
 
     def any_host(self) -> Host:
         """Draws an entry host."""
         return self.rng.choice(list(self.deployment.hosts.values()))
 
 
-def _harm(links: dict[str, Proxy], world: World, for_s: float, share: float):
+def _harm(links: dict[str, Relay], world: World, for_s: float, share: float):
     """Harms some links for a while."""
-    harm = world.rng.choice([h for h in Harm if h is not Harm.NONE])
+    harm = world.rng.choice(HARMS)
     delay_s = world.rng.uniform(*DELAYS_S)
     count = max(1, int(share * len(links)))
     chosen = world.rng.sample(sorted(links), count)
     for name in chosen:
-        links[name].apply(harm, delay_s)
+        links[name].delay_s = delay_s
+        links[name].set_mode(harm)
     eventlet.sleep(for_s)
     for name in chosen:
-        links[name].apply(Harm.NONE)
+        links[name].set_mode("pass")
 
 
 def harm_searchers(world: World, for_s: float) -> None:
@@ -72,7 +72,7 @@
 
 def lose_history(world: World, for_s: float) -> None:
     """Has the store forget its history after a change."""
-    world.deployment.configure(world.deployment.routes())
+    world.deployment.configure()
     world.deployment.store.drop_history()
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from kumquatspur.core.reason import Reason
 from standins.platform_deployment import RECORD_BYTES, PlatformDeployment
 
 RESULT_LIMIT = 5
@@ -49,6 +50,9 @@
         refused = status in NOT_RUN_STATUSES
         if refused and not item.repeatable and runs:
             found.append(f"{item.request_id}: {status}, but it ran")
+        if Reason.CRASHES_UPSTREAMS.encode() in item.reply[2]:
+            # No content crashes a searcher here.
+            found.append(f"{item.request_id}: an innocent content is refused")
         if 200 <= status < 300:
             check = _check_scattered if item.path[1:4] == "all" else _check_one
             error = check(known, item)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,15 +11,17 @@
 import subprocess  # noqa: E402
 import sys  # noqa: E402
 
+from kumquatspur.core.records import Address  # noqa: E402
 from soak.clients import Client  # noqa: E402
 from soak.faults import FAULTS, World  # noqa: E402
 from soak.promises import broken_promises  # noqa: E402
-from soak.proxy import Proxy  # noqa: E402
 from standins.platform_deployment import (  # noqa: E402
+    LOCAL,
     PlatformDeployment,
     ask,
     wait_until,
 )
+from standins.relay import Relay  # noqa: E402
 
 BUILD = pathlib.Path("build/soak")
 ZONES = ("z1", "z2", "z3")
@@ -34,15 +36,15 @@
 
 
 def build_world(folder: pathlib.Path, rng: random.Random) -> World:
-    """Starts the deployment with a proxy on each link that is harmed."""
+    """Starts the deployment with a relay on each link that is harmed."""
     deployment = PlatformDeployment(folder, ZONES, HOSTS_PER_ZONE)
     searcher_links = {}
     for name, searcher in deployment.searchers.items():
-        link = searcher_links[name] = Proxy(searcher.address)
-        address = f"{link.address.host}:{link.address.port}"
+        link = searcher_links[name] = Relay(searcher.address.port)
+        address = f"{LOCAL}:{link.port}"
         searcher.register(deployment.store, address=address)
     store_links = {
-        name: Proxy(deployment.store.address) for name in deployment.hosts
+        name: Relay(deployment.store.address.port) for name in deployment.hosts
     }
     return World(deployment, searcher_links, store_links, rng)
 
@@ -82,7 +84,9 @@
     deployment = world.deployment
     clients, faults, wrong = [], [], []
     try:
-        deployment.start(lambda name: world.store_links[name].address)
+        deployment.start(
+            lambda name: Address(LOCAL, world.store_links[name].port)
+        )
         for host in deployment.hosts.values():
             for number in range(CLIENTS_PER_HOST):
                 clients.append(Client(host, f"{host.name}-{number}", seed))
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,7 +1,9 @@
-"""HTTP plumbing that the stand-ins share."""
+"""HTTP and socket plumbing that the stand-ins share."""
 
 import contextlib
 import json
+import socket
+import struct
 
 import eventlet
 import eventlet.wsgi
@@ -24,6 +26,16 @@
     return [data]
 
 
+def reset(sock) -> None:
+    """Closes a socket so that its peer gets a reset."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        sock.shutdown(socket.SHUT_RD)
+    sock.close()
+
+
 def serve(port: int, application, pool=None):
     """Serves a WSGI application on loopback.
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -33,6 +33,7 @@
 WAIT_S = 15.0
 STOP_WAIT_S = 10.0
 CALL_TIMEOUT_S = 3.0
+DEADLINE_MS = 500
 SHARD_WORK_S = 0.005
 SINGLE_WORK_S = 0.02
 GRACE_S = 3
@@ -217,7 +218,7 @@
             self.add_searcher(SINGLE, zone, (), SINGLE_WORK_S)
         self.version = 0
         self._marked = 0
-        self._marker_stands = False
+        self._marked_version = 0
         self.configure()
         names = [
             (f"{zone}-{number}", zone)
@@ -245,9 +246,7 @@
     def configure(self, routes=None) -> None:
         """Writes the next version of the configuration."""
         self.version += 1
-        routes = routes or self.routes()
-        self._marker_stands = len(routes) > len(self.routes())
-        document = config(self.version, routes)
+        document = config(self.version, routes or self.routes())
         self.store.put_json("op/config", document)
 
     def mark_version(self) -> None:
@@ -255,13 +254,14 @@
         self._marked += 1
         marker = forwarded_route("mark", f"/mark{self._marked}/", SINGLE)
         self.configure([*self.routes(), marker])
+        self._marked_version = self.version
 
     def marker_paths(self) -> list[tuple[str, int]]:
         """Returns paths and the status that each gets by the last version."""
         if not self._marked:
             return []
         paths = [(f"/mark{self._marked - 1}/x", 404)]
-        if self._marker_stands:
+        if self._marked_version == self.version:
             paths.append((f"/mark{self._marked}/x", 200))
         return paths
 
@@ -293,33 +293,45 @@
         self.store.close()
 
 
-def ask(host: Host, path: str, request_id: str, method="GET", body=b""):
+def connect(host: Host) -> http.client.HTTPConnection:
+    """Returns a connection of a client to an entry host."""
+    return http.client.HTTPConnection(
+        LOCAL, host.ports[0], timeout=CALL_TIMEOUT_S
+    )
+
+
+def request_fields(request_id: str, deadline_ms: int = DEADLINE_MS) -> dict:
+    """Returns the headers of a request."""
+    return {
+        "Host": "shop.example",
+        "Kumquatspur-Attempt-Id": request_id,
+        "Kumquatspur-Deadline-Ms": str(deadline_ms),
+    }
+
+
+def read_reply(connection: http.client.HTTPConnection):
+    """Returns status, headers in lower case and body of a response."""
+    response = connection.getresponse()
+    found = {name.lower(): value for name, value in response.getheaders()}
+    return response.status, found, response.read()
+
+
+def ask(host: Host, path: str, request_id: str):
     """Sends one request to an entry host.
 
     Args:
         host: The host.
         path: The request's path.
         request_id: Its identifier.
-        method: HTTP method.
-        body: The request's body.
 
     Returns:
         Status, headers in lower case and body; None if the connection ended
         without a response.
     """
-    connection = http.client.HTTPConnection(
-        LOCAL, host.ports[0], timeout=CALL_TIMEOUT_S
-    )
-    fields = {
-        "Host": "shop.example",
-        "Kumquatspur-Attempt-Id": request_id,
-        "Kumquatspur-Deadline-Ms": "500",
-    }
+    connection = connect(host)
     try:
-        connection.request(method, path, body or None, fields)
-        response = connection.getresponse()
-        found = {name.lower(): value for name, value in response.getheaders()}
-        return response.status, found, response.read()
+        connection.request("GET", path, None, request_fields(request_id))
+        return read_reply(connection)
     except (OSError, http.client.HTTPException):
         return None
     finally:
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -1,8 +1,6 @@
 """Stand-in of a searcher on the platform."""
 
 import collections
-import socket as plain_socket
-import struct
 import urllib.parse
 
 import eventlet
@@ -10,6 +8,7 @@
 
 from kumquatspur.core.records import Address
 from kumquatspur.wire.http_messages import RequestReader
+from standins.faults import reset
 
 READ_BYTES = 65536
 LIMIT = 1_000_000
@@ -69,7 +68,7 @@
         """Ends it like a crash."""
         self.listener.close()
         for sock in list(self.connections):
-            _reset(sock)
+            reset(sock)
         for thread in self.threads:
             if thread is not eventlet.getcurrent():
                 thread.kill()
@@ -151,30 +150,17 @@
             lines.append(f"Content-Length: {len(body)}")
         reply = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         if behaviour == "lost":
-            _reset(sock)
+            reset(sock)
             return False
         if behaviour in ("truncated", "reset_body"):
             sock.sendall(reply[: -len(body) // 2])
             eventlet.sleep(0.02)
-            _reset(sock)
+            reset(sock)
             return False
         sock.sendall(reply * (2 if behaviour == "extra" else 1))
         return behaviour != "no_length"
 
 
-def _reset(sock) -> None:
-    try:
-        sock.setsockopt(
-            plain_socket.SOL_SOCKET,
-            plain_socket.SO_LINGER,
-            struct.pack("ii", 1, 0),
-        )
-        sock.close()
-    except OSError:
-        # It was closed before.
-        pass
-
-
 def scattered_route(name, prefix, services, **changes) -> dict:
     """Returns a route over shards as the operator writes it."""
     shards = {
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,6 +7,8 @@
     cut      reset the open connections, then refuse new ones
     silent   swallow bytes on the connections open now; new ones work
     stall    swallow bytes on all connections, also on new ones
+    one_way  the same with the target's bytes only
+    delay    forward bytes after a pause
     refuse   keep the open connections, refuse new ones
 """
 
@@ -16,13 +18,11 @@
 
 import argparse  # noqa: E402
 import socket  # noqa: E402
-import struct  # noqa: E402
 
-from standins.faults import read_json, send_json, serve  # noqa: E402
+from standins.faults import read_json, reset, send_json, serve  # noqa: E402
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
-RESET = struct.pack("ii", 1, 0)
 
 
 class Relay:
@@ -32,17 +32,19 @@
         target: The port that it forwards to.
         port: The port that it listens on.
         mode: The mode in force.
+        delay_s: How long bytes wait in mode delay, in seconds.
         accepted: Number of connections accepted.
         attempts: Number of connections opened to it, also refused ones.
-        links: The open connections, as pairs of sockets.
+        links: The green threads by open connection, a pair of sockets.
     """
 
     def __init__(self, target: int, port: int = 0):
         self.target = target
         self.mode = "pass"
+        self.delay_s = 0.0
         self.accepted = 0
         self.attempts = 0
-        self.links = set()
+        self.links = {}
         self.silent = set()
         self.listener = eventlet.listen((HOST, port), reuse_port=False)
         self.port = self.listener.getsockname()[1]
@@ -58,12 +60,15 @@
 
     def set_mode(self, mode: str) -> None:
         """Sets the mode."""
+        if self.mode == "one_way":
+            # What is between the two ends has lost track of them.
+            self.silent |= self.links.keys()
         self.mode = "pass" if mode == "silent" else mode
         if mode in ("silent", "stall"):
-            self.silent |= self.links
+            self.silent |= self.links.keys()
         if mode == "cut":
             for link in list(self.links):
-                self._close(link, reset=True)
+                self._close(link, broken=True)
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -79,7 +84,7 @@
                 return
             self.attempts += 1
             if self.mode in ("cut", "refuse"):
-                _reset(client)
+                reset(client)
                 continue
             self.accepted += 1
             eventlet.spawn_n(self._open, client)
@@ -88,31 +93,42 @@
         try:
             server = socket.create_connection((HOST, self.target))
         except OSError:
-            _reset(client)
+            reset(client)
             return
         link = (client, server)
-        self.links.add(link)
         if self.mode == "stall":
             self.silent.add(link)
-        eventlet.spawn_n(self._forward, link, client, server)
-        eventlet.spawn_n(self._forward, link, server, client)
+        self.links[link] = (
+            eventlet.spawn(self._forward, link, client, server, False),
+            eventlet.spawn(self._forward, link, server, client, True),
+        )
 
-    def _forward(self, link, source, sink) -> None:
+    def _forward(self, link, source, sink, back: bool) -> None:
         try:
             while data := source.recv(READ_BYTES):
-                if link not in self.silent:
+                if self.mode == "delay":
+                    eventlet.sleep(self.delay_s)
+                if not self._is_silent(link, back):
                     sink.sendall(data)
         except (OSError, EOFError):
             pass
-        if link not in self.silent:
+        if not self._is_silent(link, back):
             self._close(link)
 
-    def _close(self, link, reset: bool = False) -> None:
-        self.links.discard(link)
+    def _is_silent(self, link, back: bool) -> bool:
+        return link in self.silent or (back and self.mode == "one_way")
+
+    def _close(self, link, broken: bool = False) -> None:
+        threads = self.links.pop(link, ())
         self.silent.discard(link)
+        for thread in threads:
+            # A thread that went on waiting for a closed socket would wait for
+            # whatever gets its descriptor next.
+            if thread is not eventlet.getcurrent():
+                thread.kill()
         for end in link:
-            if reset:
-                _reset(end)
+            if broken:
+                reset(end)
                 continue
             try:
                 end.shutdown(socket.SHUT_RDWR)
@@ -121,15 +137,6 @@
             end.close()
 
 
-def _reset(end) -> None:
-    try:
-        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        end.shutdown(socket.SHUT_RD)
-    except OSError:
-        pass
-    end.close()
-
-
 def main():
     """Relays until it is killed."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
