--- /dev/null
+++ b/kumquatspur/border/bounded_http.py
@@ -0,0 +1,99 @@
+"""HTTP connection pools that limit the size of an answer.
+
+A server in trouble may send bytes without end: header lines, interim answers or
+a body. All bytes of one answer are counted as they are read from the socket.
+"""
+
+import http.client
+import io
+
+import eventlet
+import urllib3
+
+# Answers of the metadata store have at most about 1 MB a page, and views of
+# other hosts are compressed.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# A socket that always has bytes would otherwise keep all other green threads
+# from running.
+BYTES_PER_TURN = 256 * 1024
+
+
+class AnswerTooLongError(OSError):
+    """An answer exceeds `MAX_ANSWER_BYTES`."""
+
+
+class _BoundedReader(io.RawIOBase):
+    """Reads one answer from a socket.
+
+    Attributes:
+        raw: The unbuffered file of the socket.
+        count: Bytes read so far.
+    """
+
+    def __init__(self, raw):
+        super().__init__()
+        self.raw = raw
+        self.count = 0
+
+    def readable(self) -> bool:
+        """Returns True."""
+        return True
+
+    def readinto(self, buffer) -> int | None:
+        """Reads into a buffer.
+
+        Returns:
+            The number of bytes read.
+
+        Raises:
+            AnswerTooLongError: The answer exceeds the limit.
+        """
+        size = self.raw.readinto(buffer)
+        before = self.count
+        self.count += size or 0
+        if self.count > MAX_ANSWER_BYTES:
+            raise AnswerTooLongError(
+                f"answer has over {MAX_ANSWER_BYTES} bytes"
+            )
+        if before // BYTES_PER_TURN != self.count // BYTES_PER_TURN:
+            eventlet.sleep(0)
+        return size
+
+    def close(self) -> None:
+        """Closes the file of the socket."""
+        self.raw.close()
+        super().close()
+
+
+class _BoundedResponse(http.client.HTTPResponse):
+    """A response of limited size."""
+
+    def __init__(self, sock, *arguments, **options):
+        super().__init__(sock, *arguments, **options)
+        self.fp.close()
+        self.fp = io.BufferedReader(
+            _BoundedReader(sock.makefile("rb", buffering=0))
+        )
+
+
+class _BoundedConnection(urllib3.connection.HTTPConnection):
+    """A connection whose responses are of limited size."""
+
+    response_class = _BoundedResponse
+
+
+class BoundedConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool of connections to one server, with responses of limited size."""
+
+    ConnectionCls = _BoundedConnection
+
+
+def bounded_pool_manager(**options) -> urllib3.PoolManager:
+    """Returns a manager of pools with responses of limited size.
+
+    Args:
+        **options: Arguments of `urllib3.PoolManager`.
+    """
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": BoundedConnectionPool}
+    return manager
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -86,6 +86,20 @@
     age_s: float = pydantic.Field(ge=0)
 
 
+class LeavingSearcher(_Model):
+    """A searcher that said in an answer that it leaves.
+
+    Attributes:
+        searcher: The searcher's identifier.
+        started_unix_ms: Unix time of its start in milliseconds; 0 if unknown.
+        age_s: Time since the answer.
+    """
+
+    searcher: str
+    started_unix_ms: int = pydantic.Field(ge=0)
+    age_s: float = pydantic.Field(ge=0)
+
+
 class StoreItem(_Model):
     """An item of the platform's metadata store.
 
@@ -107,7 +121,13 @@
         revision: Revision of the sender's view of the store; 0 if it has
             none.
         age_s: Time since the sender's view was current.
+        era: Era of the store that the view is from; -1 if unknown.
+        config_version: Version of the configuration in force; -1 if none is,
+            None from a host that does not tell it.
+        config: The sender's configuration, if the receiver has an older one
+            from a view that is not older; None otherwise.
         slow: Searchers that are slower than usual.
+        leaving: Searchers that said in answers that they leave.
         hosts: Hosts in the sender's peer table.
         incidents: Recent crashes of searchers, with the requests suspected of
             causing them.
@@ -121,6 +141,10 @@
 
     revision: int = pydantic.Field(ge=0)
     age_s: float = pydantic.Field(ge=0)
+    era: int = pydantic.Field(default=-1, ge=-1)
+    config_version: int | None = None
+    config: StoreItem | None = None
+    leaving: tuple[LeavingSearcher, ...] = ()
     slow: tuple[SlowSearcher, ...] = ()
     hosts: tuple[KnownHost, ...] = ()
     incidents: tuple[CrashIncident, ...] = ()
--- a/kumquatspur/core/reason.py
+++ b/kumquatspur/core/reason.py
@@ -27,6 +27,8 @@
         CRASHES_UPSTREAMS: The content is suspected of crashing searchers.
         CLAIM_UNSETTLED: It is unknown whether the idempotency key was claimed.
         ALREADY_CLAIMED: Another query has claimed the idempotency key.
+        SEARCHERS_PAUSED: All searchers of a needed shard asked this host to
+            send nothing for a while.
     """
 
     NO_REPLICA = "no_replica"
@@ -47,3 +49,4 @@
     CRASHES_UPSTREAMS = "crashes_upstreams"
     CLAIM_UNSETTLED = "claim_unsettled"
     ALREADY_CLAIMED = "already_claimed"
+    SEARCHERS_PAUSED = "searchers_paused"
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -133,6 +133,8 @@
         state: Whether the searcher accepts new work.
         warmup_left_s: Remaining warm-up time, in which the searcher is slow.
         started_unix_ms: Unix time of the start in milliseconds; 0 if unknown.
+        sequence: Number that grows with each entry that the searcher writes
+            after one start.
     """
 
     searcher_id: str
@@ -143,6 +145,11 @@
     state: SearcherState
     warmup_left_s: float
     started_unix_ms: int = 0
+    sequence: int = 0
+
+    def order(self) -> tuple[int, int]:
+        """Returns a key that orders the entries of one searcher by age."""
+        return (self.started_unix_ms, self.sequence)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +242,9 @@
             the request.
         has_content_encoding: Whether the body has a content encoding.
         load: The reported load; None if none was reported.
+        leaving: Whether the searcher declares that it will stop.
+        pause_s: Time in which the searcher wants no requests from this host;
+            None if it rejected nothing or named no time.
     """
 
     status: int
@@ -245,3 +255,5 @@
     not_executed: bool
     has_content_encoding: bool
     load: LoadReport | None
+    leaving: bool = False
+    pause_s: float | None = None
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -209,6 +209,7 @@
             state=SearcherState(document.state),
             warmup_left_s=document.warmup_left_ms / 1000.0,
             started_unix_ms=document.born,
+            sequence=document.sequence,
         ),
         [],
     )
--- a/kumquatspur/platform/headers.py
+++ b/kumquatspur/platform/headers.py
@@ -1,5 +1,7 @@
 """Encodes and decodes the platform's HTTP headers."""
 
+import re
+
 from kumquatspur.core.routing import ClientReply, LoadReport, SearcherReply
 
 REQUEST_ID = b"kumquatspur-attempt-id"
@@ -10,6 +12,8 @@
 NOT_EXECUTED = b"kumquatspur-not-executed"
 PART_SIGNATURES = b"kumquatspur-part-seals"
 MISSING_PARTS = b"kumquatspur-missing-parts"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 READY_PATH = "/readiness"
 
@@ -18,9 +22,16 @@
 # Reply headers that only entry hosts set, on merged answers. They are removed
 # from searchers' replies, where they could be forged.
 OWN_REPLY_HEADERS = frozenset({PART_SIGNATURES, MISSING_PARTS})
+# Reply headers by which a searcher addresses this host. A client would take
+# them for statements of the entry host.
+HOST_REPLY_HEADERS = frozenset({LEAVING, RETRY_AFTER})
+_REMOVED_REPLY_HEADERS = OWN_REPLY_HEADERS | HOST_REPLY_HEADERS
 
 _MIN_LOAD_FIELDS = 3
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
+_LEAVING_VALUE = b"1"
+_SECONDS_PATTERN = re.compile(rb"\d{1,20}(\.\d{1,20})?")
 
 
 def decode_load(value: bytes) -> LoadReport | None:
@@ -46,6 +57,22 @@
     return LoadReport(figures[0], figures[1], figures[2], work_time_ratio)
 
 
+def decode_pause_s(value: bytes) -> float | None:
+    """Decodes the time in which a searcher wants no requests from this host.
+
+    Args:
+        value: The header's value.
+
+    Returns:
+        The time in seconds; None for a date, a negative number or other text,
+        which state no usable time.
+    """
+    value = value.strip()
+    if _SECONDS_PATTERN.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
 def decode_time_left_s(value: bytes) -> float | None:
     """Decodes the time until the client gives up.
 
@@ -77,9 +104,13 @@
     """
     by_name = dict(headers)
     load = by_name.get(LOAD)
+    retry_after = by_name.get(RETRY_AFTER)
+    pause_s = None
+    if status == SERVICE_UNAVAILABLE and retry_after is not None:
+        pause_s = decode_pause_s(retry_after)
     return SearcherReply(
         status=status,
-        headers=tuple(h for h in headers if h[0] not in OWN_REPLY_HEADERS),
+        headers=tuple(h for h in headers if h[0] not in _REMOVED_REPLY_HEADERS),
         body=body,
         request_id=by_name.get(REQUEST_ID, b"").decode("latin-1"),
         signature=by_name.get(SIGNATURE, b"").decode("latin-1"),
@@ -90,6 +121,8 @@
         has_content_encoding=by_name.get(b"content-encoding", b"identity")
         != b"identity",
         load=decode_load(load) if load is not None else None,
+        leaving=by_name.get(LEAVING, b"").strip() == _LEAVING_VALUE,
+        pause_s=pause_s,
     )
 
 
--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -7,12 +7,15 @@
 
 import urllib3
 
+from kumquatspur.border.bounded_http import BoundedConnectionPool
 from kumquatspur.core.records import Address
+from kumquatspur.policy.store_position import UNKNOWN_ERA
 
 # Both timeouts are short, so that a host detects that the store is unreachable
 # well before it would stop using searchers whose entries seem to have expired.
 READ_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+ERA_HEADER = "Store-Era"
 
 
 class PlatformStoreError(Exception):
@@ -59,10 +62,12 @@
         revision: The store's revision.
         changes: All keys with their values, or the changes since an earlier
             revision.
+        era: Era of the store; `UNKNOWN_ERA` if it names none.
     """
 
     revision: int
     changes: tuple[StoreChange, ...]
+    era: int = UNKNOWN_ERA
 
 
 class PlatformStore:
@@ -74,7 +79,7 @@
 
     def __init__(self, address: Address):
         self.calls = 0
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = BoundedConnectionPool(
             address.host, address.port, maxsize=2
         )
 
@@ -95,11 +100,16 @@
             PlatformStoreError: The store returned no usable answer.
         """
         changes = []
-        revision = None
+        revision = era = None
         path = f"/kv-range?prefix={quote(prefix, safe='')}"
         after = ""
         while True:
-            reply = self._call("GET", path + after)
+            reply, page_era = self._call("GET", path + after)
+            if era not in (None, page_era):
+                raise PlatformStoreError(
+                    f"era changed from {era} to {page_era} between pages"
+                )
+            era = page_era
             try:
                 page = [_decode_change(item) for item in reply["items"]]
                 if changes and page and page[-1].key <= changes[-1].key:
@@ -116,7 +126,7 @@
                     f"malformed reply to {path + after}: {error}"
                 ) from error
             if not more:
-                return StoreView(revision, tuple(changes))
+                return StoreView(revision, tuple(changes), era)
             after = f"&after={quote(changes[-1].key, safe='')}"
 
     def wait_for_changes(
@@ -136,7 +146,7 @@
             HistoryUnavailableError: The store no longer has the changes.
             PlatformStoreError: The store returned no usable answer.
         """
-        reply = self._call(
+        reply, era = self._call(
             "GET",
             f"/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
             f"&wait-ms={int(wait_s * 1000)}",
@@ -146,13 +156,15 @@
             return StoreView(
                 _parse_revision(reply["current-rev"]),
                 tuple(_decode_change(item) for item in reply["events"]),
+                era,
             )
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformStoreError(
                 f"malformed reply to a watch of {prefix}: {error}"
             ) from error
 
-    def _call(self, method, path, timeout_s=READ_TIMEOUT_S) -> dict:
+    def _call(self, method, path, timeout_s=READ_TIMEOUT_S) -> tuple[dict, int]:
+        """Returns the reply's JSON object and the store's era."""
         self.calls += 1
         try:
             response = self._pool.urlopen(
@@ -183,7 +195,7 @@
             ) from error
         if not isinstance(reply, dict):
             raise PlatformStoreError(f"reply to {path} is not a JSON object")
-        return reply
+        return reply, _decode_era(response.headers.get(ERA_HEADER))
 
 
 def _decode_change(item: dict) -> StoreChange:
@@ -196,6 +208,12 @@
     return StoreChange(item["key"], _parse_revision(item["revision"]), value)
 
 
+def _decode_era(value: str | None) -> int:
+    if value is None or not value.strip().isdecimal():
+        return UNKNOWN_ERA
+    return int(value)
+
+
 def _parse_revision(value) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"revision is {value!r}, not an integer")
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -4,6 +4,11 @@
 service is ready. If an entry expired while the store was unavailable, it is
 kept for a grace period after the store is back, because a searcher that is
 still running writes it again.
+
+Load pattern: a searcher says in its answers that it leaves before its entry in
+the store says so, and old entries of it arrive later. The store may also be
+restored from a copy some seconds old, which has searchers that have left since,
+and lacks those that have come since.
 """
 
 import dataclasses
@@ -19,6 +24,31 @@
 # If no searcher is ready, a draining or removed one still gets new work for
 # this share of its drain time, so that the work reaches it before it stops.
 DRAIN_SHARE = 0.5
+# After the store was restored from a copy, searchers write the entries that it
+# lacks again within this number of heartbeats.
+RESTORE_HEARTBEATS = 3.0
+# How long it is remembered that a searcher left or that its entry was removed.
+# A restored copy of the store is only some seconds old.
+DEPARTURE_MEMORY_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A searcher that left, or whose entry was removed.
+
+    Attributes:
+        started_unix_ms: Unix time of its start in milliseconds; 0 if unknown.
+        sequence: Sequence number of its last known entry.
+        at: When it left.
+    """
+
+    started_unix_ms: int
+    sequence: int
+    at: float
+
+    def order(self) -> tuple[int, int]:
+        """Returns a key like that of `SearcherEntry.order`."""
+        return (self.started_unix_ms, self.sequence)
 
 
 @dataclasses.dataclass
@@ -40,6 +70,8 @@
         unconfirmed: For each searcher whose entry was removed within the grace
             period, the time of the removal. The searcher still gets work.
         last_contact_at: When the state was last known to be current.
+        leaving: Searchers that said in an answer that they leave.
+        departed: Searchers whose entry was removed a short time ago.
     """
 
     drain_s: float
@@ -55,6 +87,8 @@
     grace_until: float = -1.0
     unconfirmed: dict[str, float] = dataclasses.field(default_factory=dict)
     last_contact_at: float = -1.0
+    leaving: dict[str, Departure] = dataclasses.field(default_factory=dict)
+    departed: dict[str, Departure] = dataclasses.field(default_factory=dict)
 
     def record_store_contact(self, asked_at: float, now: float) -> None:
         """Records that the state is current, and detects the end of an outage.
@@ -73,8 +107,20 @@
         self.last_contact_at = now
 
     def put(self, entry: SearcherEntry, now: float) -> None:
-        """Applies an entry that was written to the store."""
+        """Applies an entry that was written to the store.
+
+        An entry of a searcher that has said that it leaves counts as draining,
+        unless it is from a later start.
+        """
         searcher_id = entry.searcher_id
+        self.departed.pop(searcher_id, None)
+        departure = self.leaving.get(searcher_id)
+        if departure is not None:
+            if entry.started_unix_ms > departure.started_unix_ms:
+                del self.leaving[searcher_id]
+                self._forget_retired(searcher_id)
+            else:
+                entry = dataclasses.replace(entry, state=SearcherState.DRAINING)
         previous = self.by_id.get(searcher_id)
         if previous is not None and previous.service != entry.service:
             self._remove_from_lists(previous)
@@ -99,6 +145,9 @@
             self.unconfirmed.setdefault(searcher_id, now)
             return
         self.by_id.pop(searcher_id)
+        self.departed[searcher_id] = Departure(
+            entry.started_unix_ms, entry.sequence, now
+        )
         self._retire(entry, self.unconfirmed.pop(searcher_id, now))
 
     def replace(
@@ -120,6 +169,85 @@
         for searcher_id in [key for key in self.by_id if key not in known]:
             self.remove(searcher_id, now)
 
+    def replace_restored(
+        self, entries: Iterable[SearcherEntry], known: set[str], now: float
+    ) -> None:
+        """Applies the list of entries of a store that was restored from a copy.
+
+        Entries that are older than the known ones change nothing, and a
+        searcher that has left stays out. Searchers without an entry are kept
+        for the time in which they write it again.
+
+        Args:
+            entries: The entries that could be parsed.
+            known: All searchers with an entry, whether or not it could be
+                parsed.
+            now: Monotonic time in seconds.
+        """
+        self.grace_until = max(
+            self.grace_until, now + RESTORE_HEARTBEATS * self.heartbeat_s
+        )
+        current = [entry for entry in entries if not self._is_outdated(entry)]
+        self.replace(current, known, now)
+
+    def _is_outdated(self, entry: SearcherEntry) -> bool:
+        """Returns whether a later state of the searcher is known."""
+        departure = self.departed.get(entry.searcher_id)
+        if departure is not None:
+            return entry.order() <= departure.order()
+        previous = self.by_id.get(entry.searcher_id)
+        if previous is None or entry.order() > previous.order():
+            return False
+        drained = previous.state is SearcherState.DRAINING
+        return entry.order() < previous.order() or drained
+
+    def record_leaving(
+        self, searcher_id: str, started_unix_ms: int, at: float
+    ) -> bool:
+        """Records that a searcher said in an answer that it leaves.
+
+        Args:
+            searcher_id: The searcher.
+            started_unix_ms: Unix time of its start in milliseconds; 0 if
+                unknown.
+            at: When the answer arrived, in monotonic time.
+
+        Returns:
+            Whether it was not known yet.
+        """
+        entry = self.by_id.get(searcher_id)
+        if entry is not None and entry.started_unix_ms > started_unix_ms:
+            return False
+        known = self.leaving.get(searcher_id)
+        if known is not None and known.started_unix_ms >= started_unix_ms:
+            return False
+        sequence = entry.sequence if entry is not None else 0
+        self.leaving[searcher_id] = Departure(started_unix_ms, sequence, at)
+        if entry is not None:
+            entry = dataclasses.replace(entry, state=SearcherState.DRAINING)
+            self.by_id[searcher_id] = entry
+            self._retire(entry, at)
+        return True
+
+    def recently_left(self, now: float, max_age_s: float, count: int):
+        """Returns the latest searchers that said that they leave.
+
+        Args:
+            now: Monotonic time in seconds.
+            max_age_s: Greatest time since they said so, in seconds.
+            count: Greatest number of searchers.
+
+        Returns:
+            Pairs of searcher and departure, the latest first.
+        """
+        recent = [
+            item
+            for item in self.leaving.items()
+            if now - item[1].at < max_age_s
+        ]
+        recent.sort(key=lambda item: -item[1].at)
+        return recent[:count]
+
     def expire(self, now: float) -> list[str]:
         """Removes expired entries and searchers whose drain time has passed.
 
@@ -140,6 +268,11 @@
                 self.retired_at.pop(searcher_id)
                 for retired in self.retired.values():
                     retired.pop(searcher_id, None)
+        for remembered in (self.leaving, self.departed):
+            for searcher_id, departure in list(remembered.items()):
+                old = now - departure.at > DEPARTURE_MEMORY_S
+                if old and searcher_id not in self.by_id:
+                    del remembered[searcher_id]
         return expired
 
     def usable(self, service: str, now: float) -> list[SearcherEntry]:
@@ -167,6 +300,12 @@
         self.by_service.get(entry.service, {}).pop(entry.searcher_id, None)
         self.retired.setdefault(entry.service, {})[entry.searcher_id] = entry
 
+    def _forget_retired(self, searcher_id: str) -> None:
+        """Forgets that an earlier start of a searcher was retired."""
+        self.retired_at.pop(searcher_id, None)
+        for retired in self.retired.values():
+            retired.pop(searcher_id, None)
+
     def _remove_from_lists(self, entry: SearcherEntry) -> None:
         for listed in (self.by_service, self.retired):
             listed.get(entry.service, {}).pop(entry.searcher_id, None)
--- a/kumquatspur/policy/searcher_directory_test.py
+++ b/kumquatspur/policy/searcher_directory_test.py
@@ -4,7 +4,9 @@
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import SearcherEntry, SearcherState
 from kumquatspur.policy.searcher_directory import (
+    DEPARTURE_MEMORY_S,
     EXPIRY_GRACE_S,
+    RESTORE_HEARTBEATS,
     SearcherDirectory,
 )
 
@@ -96,6 +98,72 @@
         self.directory.expire(1.1 + DRAIN_S)
         self.assertNotIn("a", self.directory.retired_at)
 
+    def started(self, searcher_id, born, sequence, state=SearcherState.READY):
+        return dataclasses.replace(
+            entry(searcher_id, state), started_unix_ms=born, sequence=sequence
+        )
+
+    def test_searcher_that_said_it_leaves_stays_out(self):
+        self.directory.put(self.started("a", 5, 1), 0.0)
+        self.assertTrue(self.directory.record_leaving("a", 5, 1.0))
+        self.assertFalse(self.directory.record_leaving("a", 5, 1.5))
+        self.directory.put(self.started("a", 5, 2), 2.0)
+        self.assertEqual(self.usable(2.0), ["b"])
+        everything = [self.started("a", 5, 3), entry("b")]
+        self.directory.replace(everything, {"a", "b"}, 3.0)
+        self.assertEqual(self.usable(3.0), ["b"])
+
+    def test_new_start_of_a_searcher_that_left_is_used(self):
+        self.directory.put(self.started("a", 5, 9), 0.0)
+        self.directory.record_leaving("a", 5, 1.0)
+        self.directory.put(self.started("a", 6, 1), 2.0)
+        self.assertEqual(self.usable(2.0), ["a", "b"])
+        self.assertFalse(self.directory.record_leaving("a", 5, 1.0))
+        self.assertEqual(self.usable(2.0), ["a", "b"])
+
+    def test_leaving_is_remembered_before_the_entry_is_known(self):
+        self.directory.record_leaving("c", 5, 1.0)
+        self.directory.put(self.started("c", 5, 1), 2.0)
+        self.assertEqual(self.usable(2.0), ["a", "b"])
+
+    def test_leaving_searcher_is_forgotten_after_its_entry_is_gone(self):
+        self.directory.record_store_contact(1.0, 1.0)
+        self.directory.record_leaving("a", 0, 1.0)
+        self.directory.expire(1.0 + 2 * DEPARTURE_MEMORY_S)
+        self.assertIn("a", self.directory.leaving)
+        self.directory.remove("a", 1.0)
+        self.directory.expire(1.0 + 2 * DEPARTURE_MEMORY_S)
+        self.assertEqual(self.directory.leaving, {})
+        self.assertEqual(self.directory.departed, {})
+
+    def restore(self, *entries, at=5.0):
+        known = {item.searcher_id for item in entries}
+        self.directory.replace_restored(entries, known, at)
+
+    def test_gone_searcher_stays_gone_after_a_restore(self):
+        self.directory.record_store_contact(1.0, 1.0)
+        self.directory.put(self.started("a", 5, 3), 1.0)
+        self.directory.remove("a", 2.0)
+        self.restore(self.started("a", 5, 2), entry("b"))
+        self.assertEqual(self.usable(5.0), ["b"])
+        self.restore(self.started("a", 5, 4), entry("b"))
+        self.assertEqual(self.usable(5.0), ["a", "b"])
+
+    def test_draining_searcher_stays_draining_after_a_restore(self):
+        draining = self.started("a", 5, 3, SearcherState.DRAINING)
+        self.directory.put(draining, 1.0)
+        self.restore(self.started("a", 5, 2), entry("b"))
+        self.assertEqual(self.usable(5.0), ["b"])
+        self.restore(self.started("a", 5, 3), entry("b"))
+        self.assertEqual(self.usable(5.0), ["b"])
+
+    def test_entry_that_a_restored_copy_lacks_is_kept_for_a_while(self):
+        self.restore(entry("b"))
+        self.assertEqual(self.usable(5.0), ["a", "b"])
+        later = 5.0 + RESTORE_HEARTBEATS * HEARTBEAT_S
+        self.assertEqual(self.directory.expire(later), ["a"])
+        self.assertEqual(self.usable(later), ["b"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -48,7 +48,7 @@
 
     def __init__(self, state: EntryState):
         self.state = state
-        self.pool = TargetPool()
+        self.pool = TargetPool(state.settings.machine.memory_mb)
 
     def try_delegate(
         self, request: ClientRequest, route: Route
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -47,7 +47,7 @@
     def __init__(self, settings: EntrySettings, path: str):
         self.settings = settings
         self.state = new_state(settings, DecisionLog(settings.name))
-        self.pool = TargetPool()
+        self.pool = TargetPool(settings.machine.memory_mb)
         self.mirror = StoreMirror(self.state)
         self.exchange = PeerExchange(self.state, self.mirror)
         crash_detector = CrashDetector(self.state, self.exchange.exchange_now)
@@ -94,6 +94,10 @@
             now = monotonic_s()
             for searcher_id in self.state.directory.expire(now):
                 self.state.log.write("searcher_lapsed", searcher=searcher_id)
+            for searcher_id in self.state.pauses.expire(now):
+                self.state.log.write(
+                    "searcher_pause_ended", searcher=searcher_id
+                )
             if now - pruned_at >= PRUNE_INTERVAL_S:
                 pruned_at = now
                 self.pool.prune(now, self.state.directory.by_id)
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -5,7 +5,7 @@
 import random as random_numbers
 
 from kumquatspur.border.entry_settings import EntrySettings
-from kumquatspur.core.routing import RoutingConfig
+from kumquatspur.core.routing import RoutingConfig, SearcherEntry
 from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.delegation import Delegate
 from kumquatspur.policy.extra_attempts import ExtraAttempts
@@ -15,6 +15,7 @@
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
 from kumquatspur.policy.searcher_directory import SearcherDirectory
+from kumquatspur.policy.searcher_pauses import SearcherPauses
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.searcher_pool import monotonic_s
 
@@ -35,6 +36,7 @@
         suspects: Contents that may crash searchers.
         table: Routes in force; None before a configuration is known.
         loads: Load and failures of each searcher, by identifier.
+        pauses: Searchers that want no requests from this host for a while.
         zone_health: Tracks which zones are unreachable.
         latencies: Recent latencies of attempts by route.
         counters: Counts since the start, by name.
@@ -56,6 +58,7 @@
     suspects: CrashSuspects = dataclasses.field(default_factory=CrashSuspects)
     table: RouteTable | None = None
     loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
+    pauses: SearcherPauses = dataclasses.field(default_factory=SearcherPauses)
     zone_health: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
@@ -87,6 +90,12 @@
             window = self.latencies[route] = LatencyWindow()
         return window
 
+    def usable_searchers(self, service: str, now: float) -> list[SearcherEntry]:
+        """Returns the searchers of a service that may get a request now."""
+        return self.pauses.without_paused(
+            self.directory.usable(service, now), now
+        )
+
     def record_answer(self, route: str, seconds: float) -> None:
         """Adds the latency of an answer to the histogram of its route."""
         histogram = self.histograms.get(route)
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -25,6 +25,7 @@
     hedge_delay_s,
 )
 from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
+from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, servable_at
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.delegator import (
     Delegator,
@@ -153,6 +154,7 @@
         route: Route | None,
         status: int,
         reason: Reason,
+        wait_s: float = 0.0,
     ) -> ClientReply:
         """Returns the answer to a request that was sent to no searcher.
 
@@ -161,7 +163,10 @@
             route: Its route; None if there is none.
             status: HTTP status.
             reason: Reason of the refusal.
+            wait_s: Time until the request can be served, in seconds; 0 if it is
+                not known.
         """
+        retry_after_s = self.retry_after_s(wait_s)
         self.state.counters[f"refused_{reason}"] += 1
         self.state.log.write(
             "refused",
@@ -172,12 +177,20 @@
             status=status,
             reason=reason,
             silent_zones=self.state.zone_health.suspected_zones(monotonic_s()),
+            retry_after_s=round(retry_after_s, 3),
         )
-        return error_reply(status, reason, self.retry_after_s())
+        return error_reply(status, reason, retry_after_s)
 
-    def retry_after_s(self) -> float:
-        """Returns a random delay, which spreads retries of refused clients."""
-        return self.state.random.uniform(*RETRY_AFTER_RANGE_S)
+    def retry_after_s(self, wait_s: float = 0.0) -> float:
+        """Returns when a refused client should retry.
+
+        A random delay spreads the retries.
+
+        Args:
+            wait_s: Time until the request can be served, in seconds; 0 if it is
+                not known.
+        """
+        return wait_s + self.state.random.uniform(*RETRY_AFTER_RANGE_S)
 
 
 def error_reply(
@@ -239,15 +252,13 @@
         servable_count = sum(
             bool(
                 state.zone_health.reachable(
-                    state.directory.usable(shard, now), now
+                    state.usable_searchers(shard, now), now
                 )
             )
             for shard in self.plan.shards
         )
         if servable_count < self.plan.needed:
-            return self.forwarder.refuse(
-                self.request, self.route, 503, Reason.NO_REPLICA
-            )
+            return self._refuse_unservable(now)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
         finished = False
@@ -265,6 +276,34 @@
         self._log(outcome, reply)
         return reply
 
+    def _refuse_unservable(self, now: float) -> ClientReply:
+        """Rejects a request for which too few shards have a searcher."""
+        wait_s = self._pause_left_s(now)
+        reason = Reason.SEARCHERS_PAUSED if wait_s else Reason.NO_REPLICA
+        return self.forwarder.refuse(
+            self.request, self.route, 503, reason, wait_s
+        )
+
+    def _pause_left_s(self, now: float) -> float:
+        """Returns when enough shards take work again, in seconds from now.
+
+        It is 0 if they do so now, or if too few of them have a searcher.
+        """
+        state = self.state
+        resume_at = servable_at(
+            (
+                state.pauses.resume_at(
+                    state.zone_health.reachable(
+                        state.directory.usable(shard, now), now
+                    ),
+                    now,
+                )
+                for shard in self.plan.shards
+            ),
+            self.plan.needed,
+        )
+        return 0.0 if resume_at is None else resume_at - now
+
     def _wait(self) -> PlanOutcome:
         while True:
             now = monotonic_s()
@@ -285,7 +324,7 @@
         progress = self.plan.shards[shard]
         entries = [
             entry
-            for entry in self.state.directory.usable(shard, now)
+            for entry in self.state.usable_searchers(shard, now)
             if entry.searcher_id not in progress.tried
         ]
         context = ChoiceContext(
@@ -378,6 +417,7 @@
         if result.status == headers.MISDIRECTED_REQUEST:
             load.record_unreachable(now)
             return
+        self._observe_wishes(entry, result, now)
         if result.status >= 500 or result.not_executed:
             load.record_error(now)
         if 200 <= result.status < 300:
@@ -388,6 +428,37 @@
                 self.request, self.route.name
             )
 
+    def _observe_wishes(
+        self, entry: SearcherEntry, result: SearcherReply, now: float
+    ) -> None:
+        """Records that a searcher is leaving, or wants a pause."""
+        state = self.state
+        if result.leaving and state.directory.record_leaving(
+            entry.searcher_id, entry.started_unix_ms, now
+        ):
+            state.counters["searchers_leaving"] += 1
+            state.log.write(
+                "searcher_leaving",
+                True,
+                searcher=entry.searcher_id,
+                service=entry.service,
+                source="answer",
+                left=len(state.directory.usable(entry.service, now)),
+            )
+        if result.pause_s is None:
+            return
+        grown_s = state.pauses.record(entry.searcher_id, result.pause_s, now)
+        if grown_s:
+            state.counters["searcher_pauses"] += 1
+            state.log.write(
+                "searcher_pause",
+                searcher=entry.searcher_id,
+                service=entry.service,
+                asked_s=result.pause_s,
+                limit_s=MAX_PAUSE_S,
+                grown_s=round(grown_s, 3),
+            )
+
     def _observe_abandoned(self, attempt: Attempt, load) -> None:
         """Records the latency so far of an attempt that was given up."""
         now = monotonic_s()
@@ -450,8 +521,9 @@
     def _failure(self) -> ClientReply:
         verdict = verdicts.combine(self.plan.verdicts())
         if verdict is Verdict.NOT_RUN:
+            wait_s = self._pause_left_s(monotonic_s())
             return error_reply(
-                503, Reason.OVERLOADED, self.forwarder.retry_after_s()
+                503, Reason.OVERLOADED, self.forwarder.retry_after_s(wait_s)
             )
         # A forwarded request gets the error response of its searcher, unless
         # the status of that response would say that nothing ran.
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -5,6 +5,11 @@
 import httptools
 
 from kumquatspur.core.routing import ClientRequest
+from kumquatspur.policy.response_limits import (
+    MAX_BODY_BYTES,
+    MAX_FRAMING_RATIO,
+    MAX_HEAD_BYTES,
+)
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -245,10 +250,17 @@
         has_extra_bytes: Whether bytes followed the response of the last
             request.
         until_close: Whether the body ends when the connection closes.
+        body_limit: Maximum size of a body, in bytes; infinite if the response
+            has no body whatever its headers say.
+        received_bytes: Bytes received so far.
+        total_body_bytes: Bytes of all bodies so far.
     """
 
-    def __init__(self):
+    def __init__(self, body_limit: float = MAX_BODY_BYTES):
         super().__init__()
+        self.body_limit = body_limit
+        self.received_bytes = 0
+        self.total_body_bytes = 0
         self.has_extra_bytes = False
         self.until_close = False
         self.parser = httptools.HttpResponseParser(self)
@@ -263,6 +275,16 @@
         framed = b"content-length" in names or b"transfer-encoding" in names
         bodyless = message.status in _BODYLESS_STATUSES or message.status < 200
         self.until_close = not framed and not bodyless
+        length = message.header(b"content-length") or b""
+        if length.isdigit() and int(length) > self.body_limit:
+            raise MessageError(
+                f"body has {int(length)} bytes, limit {self.body_limit}"
+            )
+
+    def on_body(self, chunk):
+        """Appends a chunk of the body."""
+        super().on_body(chunk)
+        self.total_body_bytes += len(chunk)
 
     def on_message_complete(self):
         """Marks the response as complete, unless it is an interim one."""
@@ -281,8 +303,9 @@
             The responses completed by these bytes.
 
         Raises:
-            MessageError: The bytes are not a response.
+            MessageError: The bytes are not a response, or exceed a limit.
         """
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (
@@ -290,13 +313,40 @@
             httptools.HttpParserUpgrade,
         ) as error:
             if not self.finished:
+                cause = error.__context__
+                if isinstance(cause, MessageError):
+                    raise cause from None
                 raise MessageError(str(error)) from error
             self.has_extra_bytes = True
         found, self.finished = self.finished, []
         if found and self.message is not None:
             self.has_extra_bytes = True
+        if not found:
+            self._check_limits(len(data))
         return found
 
+    def _check_limits(self, latest: int) -> None:
+        """Checks the limits while no response is complete.
+
+        The parser reports a header only at its end, so all bytes outside of
+        bodies are counted.
+
+        Args:
+            latest: Number of bytes received last, which may be of a body that
+                the parser has not reported yet.
+        """
+        if self.total_body_bytes > self.body_limit:
+            raise MessageError(
+                f"body has over {self.total_body_bytes} bytes,"
+                f" limit {self.body_limit}"
+            )
+        framing = self.received_bytes - self.total_body_bytes - latest
+        limit = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self.total_body_bytes
+        if framing > limit:
+            raise MessageError(
+                f"{framing} bytes outside of the body, limit {limit}"
+            )
+
     def end(self) -> RawMessage | None:
         """Handles the orderly close of the connection.
 
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -12,10 +12,12 @@
 import urllib3
 
 from kumquatspur.border import exchange_codec
+from kumquatspur.border.bounded_http import bounded_pool_manager
 from kumquatspur.border.exchange_codec import (
     CrashIncident,
     Exchange,
     KnownHost,
+    LeavingSearcher,
     SlowSearcher,
     StoreItem,
 )
@@ -25,6 +27,11 @@
 from kumquatspur.policy.crash_suspects import INCIDENT_TTL_S, Incident
 from kumquatspur.policy.peer_table import Peer
 from kumquatspur.policy.searcher_choice import slow_searchers
+from kumquatspur.policy.store_position import (
+    StorePosition,
+    is_newer,
+    is_same_era,
+)
 from kumquatspur.wire.entry_state import ASSUMED_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.searcher_pool import monotonic_s
@@ -49,6 +56,9 @@
 FOLLOW_WAIT_S = 1.2
 # How long a watcher is not followed after a failure.
 WATCHER_BACKOFF_S = 3.0
+# Searchers that said that they leave are told to other hosts for this time.
+MAX_LEAVING_AGE_S = 30.0
+MAX_LEAVING_REPORTED = 64
 _CALL_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
 
 
@@ -65,7 +75,7 @@
     def __init__(self, state: EntryState, mirror: StoreMirror):
         self.state = state
         self.mirror = mirror
-        self._pool = urllib3.PoolManager(
+        self._pool = bounded_pool_manager(
             num_pools=16, maxsize=MAX_CONNECTIONS_PER_PEER, retries=False
         )
         self._wake = eventlet.semaphore.Semaphore(0)
@@ -118,8 +128,15 @@
                 f"view is {message.age_s:.1f} s old, limit {STALE_VIEW_S} s",
             )
             return False
+        own = self.mirror.position()
+        if own.era > message.era and not is_same_era(own.era, message.era):
+            self._back_off_from(
+                peer,
+                f"view is of era {message.era}, the copy of era {own.era}",
+            )
+            return False
         self._record_followed(peer.name)
-        self._apply_slow_searchers(message)
+        self._apply_searcher_states(message)
         self._apply_view(message)
         return True
 
@@ -205,26 +222,30 @@
             exchange.age_s > STALE_VIEW_S
             and exchange.age_s > self._contact_age_s()
         )
-        behind = exchange.revision < (self.mirror.revision or 0)
+        behind = is_newer(self.mirror.position(), _position(exchange))
         # A host whose copy was confirmed in the last second still has a working
         # watch, which brings the changes.
         update = {}
         if stale or (behind and exchange.age_s > 1.0):
             update = self._view_for(exchange)
+        update["config"] = self._config_for(exchange)
         return self._exchange_message().model_copy(update=update)
 
     def _view_for(self, exchange: Exchange) -> dict:
         """Returns the message fields that update another host's view."""
-        known = 0 if exchange.whole else exchange.revision
+        same_era = is_same_era(exchange.era, self.mirror.era)
+        known = exchange.revision if same_era and not exchange.whole else 0
         changed, kept = self.mirror.view_for(known)
         return {"items": _encode_items(changed), "kept": tuple(kept)}
 
     def _answer_follower(self, exchange: Exchange) -> Exchange:
         """Waits for changes after a follower's revision, and returns them."""
-        self._apply_slow_searchers(exchange)
-        if (self.mirror.revision or 0) <= exchange.revision:
+        self._apply_searcher_states(exchange)
+        if not is_newer(self.mirror.position(), _position(exchange)):
             self.mirror.changed.wait(timeout=FOLLOW_WAIT_S)
-        changes = self.mirror.changes_after(exchange.revision)
+        changes = None
+        if is_same_era(exchange.era, self.mirror.era):
+            changes = self.mirror.changes_after(exchange.revision)
         if changes is None or exchange.whole:
             return self._exchange_header().model_copy(
                 update=self._view_for(exchange)
@@ -236,7 +257,12 @@
     def _exchange_header(self) -> Exchange:
         own, relay = self.state.settings.peer, self.state.settings.relay
         capacity = self.state.peers.own_capacity
-        slow = slow_searchers(self.state.loads, monotonic_s())
+        now = monotonic_s()
+        table = self.state.table
+        slow = slow_searchers(self.state.loads, now)
+        leaving = self.state.directory.recently_left(
+            now, MAX_LEAVING_AGE_S, MAX_LEAVING_REPORTED
+        )
         return Exchange(
             name=self.state.settings.name,
             zone=self.state.settings.zone,
@@ -246,14 +272,44 @@
             link_mbps=capacity.link_mbps,
             cores=capacity.cores,
             revision=self.mirror.revision or 0,
+            era=self.mirror.era,
+            config_version=table.config.version if table else -1,
             age_s=self._contact_age_s(),
             whole=self._needs_full_view,
             slow=tuple(
                 SlowSearcher(searcher=name, slowness=slowness, age_s=age_s)
                 for name, slowness, age_s in slow
             ),
+            leaving=tuple(
+                LeavingSearcher(
+                    searcher=name,
+                    started_unix_ms=departure.started_unix_ms,
+                    age_s=max(0.0, now - departure.at),
+                )
+                for name, departure in leaving
+            ),
         )
 
+    def _config_for(self, exchange: Exchange) -> StoreItem | None:
+        """Returns the configuration in force, if the peer cannot know it.
+
+        After a restore of the store, a host that starts reads an older
+        configuration than the one that is in force elsewhere.
+        """
+        item, table = self.mirror.config_item, self.state.table
+        theirs = exchange.config_version
+        if item is None or theirs is None or theirs >= table.config.version:
+            return None
+        in_view = self.mirror.items.get(item.key)
+        if (
+            in_view is not None
+            and in_view.value == item.value
+            and is_newer(self.mirror.position(), _position(exchange))
+        ):
+            # The peer gets the configuration with the newer view.
+            return None
+        return StoreItem(key=item.key, revision=item.revision, value=item.value)
+
     def _exchange_message(self) -> Exchange:
         now = monotonic_s()
         update = {
@@ -297,7 +353,10 @@
         peers.merge_peer(_decode_peer(message, now))
         for host in message.hosts:
             peers.merge_peer(_decode_peer(host, now - host.age_s))
-        self._apply_slow_searchers(message)
+        self._apply_searcher_states(message)
+        if message.config is not None:
+            (item,) = _decode_items((message.config,))
+            self.mirror.apply_config_item(item, f"peer {message.name}")
         self.state.suspects.add(
             Incident(
                 incident.incident_id,
@@ -313,8 +372,21 @@
         if message.items is not None and message.age_s < self._contact_age_s():
             self._apply_view(message)
 
-    def _apply_slow_searchers(self, message: Exchange) -> None:
+    def _apply_searcher_states(self, message: Exchange) -> None:
+        """Applies what another host has observed of searchers."""
         now = monotonic_s()
+        directory = self.state.directory
+        for item in message.leaving:
+            if directory.record_leaving(
+                item.searcher, item.started_unix_ms, now - item.age_s
+            ):
+                self.state.log.write(
+                    "searcher_leaving",
+                    True,
+                    searcher=item.searcher,
+                    source=f"peer {message.name}",
+                    age_s=round(item.age_s, 3),
+                )
         for item in message.slow:
             if item.searcher in self.state.directory.by_id:
                 self.state.load(item.searcher).apply_reported_slowness(
@@ -323,19 +395,25 @@
 
     def _apply_view(self, message: Exchange) -> None:
         """Applies another host's view of the store, or its changes."""
-        known = self.mirror.revision or 0
-        if message.revision < known:
+        own, theirs = self.mirror.position(), _position(message)
+        if is_newer(own, theirs):
             return
+        same_era = is_same_era(own.era, theirs.era)
         at = monotonic_s() - message.age_s
         source = f"peer {message.name}"
-        if message.changes is not None:
-            view = StoreView(message.revision, _decode_items(message.changes))
+        if message.changes is not None and same_era:
+            view = StoreView(
+                message.revision, _decode_items(message.changes), message.era
+            )
             self.mirror.apply(view, at, at, source)
-        elif message.revision == known:
+        elif same_era and message.revision == own.revision:
             self.state.directory.record_store_contact(at, at)
         elif message.items is not None:
             view = self.mirror.merge_view(
-                message.revision, _decode_items(message.items), message.kept
+                message.revision,
+                _decode_items(message.items),
+                message.kept,
+                message.era,
             )
             self._needs_full_view = view is None
             if view is None:
@@ -368,6 +446,11 @@
         )
 
 
+def _position(message: Exchange) -> StorePosition:
+    """Returns the state of the store that the sender's view shows."""
+    return StorePosition(message.era, message.revision)
+
+
 def _decode_peer(host: Exchange | KnownHost, last_received_at: float) -> Peer:
     return Peer(
         host.name,
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -14,6 +14,7 @@
 
 from kumquatspur.core.records import Address
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.response_limits import max_body_bytes
 from kumquatspur.wire.http_messages import (
     MessageError,
     RawMessage,
@@ -122,11 +123,15 @@
     Attributes:
         by_target: Idle connections and the number of open ones, by target.
         opened: Connections opened since the start.
+        memory_mb: Memory limit of the process, in MB.
+        in_flight: Number of calls in flight.
     """
 
-    def __init__(self):
+    def __init__(self, memory_mb: float):
         self.by_target = {}
         self.opened = 0
+        self.memory_mb = memory_mb
+        self.in_flight = 0
 
     def call(
         self,
@@ -159,12 +164,20 @@
         connections = self.by_target.setdefault(target_id, _TargetConnections())
         connection = self._acquire(connections, address, deadline, max_idle_s)
         reusable = False
+        self.in_flight += 1
+        body_limit = (
+            math.inf
+            if bodyless
+            else max_body_bytes(self.memory_mb, self.in_flight)
+        )
+        reader = ResponseReader(body_limit)
         try:
             message, reusable = _send_and_receive(
-                connection, request, accepts, deadline, bodyless
+                connection, reader, request, accepts, deadline, bodyless
             )
             return message
         finally:
+            self.in_flight -= 1
             # Also when the calling green thread is killed.
             if reusable:
                 connections.idle.append(connection)
@@ -238,14 +251,13 @@
     return Connection(sock, monotonic_s())
 
 
-def _send_and_receive(connection, request, accepts, deadline, bodyless):
+def _send_and_receive(connection, reader, request, accepts, deadline, bodyless):
     """Sends a request and reads its response.
 
     Returns:
         The response, and whether the connection can be reused.
     """
     sock = connection.socket
-    reader = ResponseReader()
     skipped = 0
     received = False
     try:
--- a/kumquatspur/wire/searcher_pool_test.py
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -15,6 +15,7 @@
 )
 from standins.http_helpers import reset_connection
 
+MEMORY_MB = 200.0
 REQUEST = b"GET /a/ HTTP/1.1\r\nhost: a\r\nid: 1\r\n\r\n"
 
 
@@ -78,7 +79,7 @@
 
 class SearcherPoolTest(unittest.TestCase):
     def setUp(self):
-        self.pool = TargetPool()
+        self.pool = TargetPool(MEMORY_MB)
 
     def call(self, searcher):
         self.addCleanup(searcher.listener.close)
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -8,6 +8,12 @@
 from kumquatspur.core.routing import SearcherEntry
 from kumquatspur.platform import documents
 from kumquatspur.platform.store import StoreChange, StoreView
+from kumquatspur.policy.store_position import (
+    UNKNOWN_ERA,
+    StorePosition,
+    is_newer,
+    is_same_era,
+)
 from kumquatspur.wire.entry_state import EntryState
 
 RECENT_CHANGES = 400
@@ -19,6 +25,9 @@
     Attributes:
         state: The state of this host.
         revision: Revision of the copy; None before the first read.
+        era: Era of the store that the copy is from; `UNKNOWN_ERA` if unknown.
+        config_item: The item of the configuration in force; None if there is
+            none. After a restore of the store, its item may be older.
         items: The configuration and the searchers' entries, by key.
         recent_changes: The last changes, for the followers of this host.
         recent_from_revision: `recent_changes` has all changes after this
@@ -29,6 +38,8 @@
     def __init__(self, state: EntryState):
         self.state = state
         self.revision = None
+        self.era = UNKNOWN_ERA
+        self.config_item = None
         self.items = {}
         self.recent_changes = collections.deque(maxlen=RECENT_CHANGES)
         self.recent_from_revision = 0
@@ -39,6 +50,9 @@
     ) -> None:
         """Replaces the copy by a full read of the store.
 
+        A read that is older than the copy only renews its age. A read of a
+        later era is from a store that was restored from a copy.
+
         Args:
             view: All items of the store, in its list of changes.
             requested_at: When the call that read them began, on the monotonic
@@ -47,7 +61,12 @@
                 now if a peer sent them.
             source: Their origin, for the log: "store", or a peer.
         """
+        if self.is_behind(view):
+            self.state.directory.record_store_contact(requested_at, as_of)
+            return
+        restored = self.is_restored(view)
         self._record_contact(view, requested_at, as_of)
+        self.revision = view.revision
         self.recent_changes.clear()
         self.recent_from_revision = self.revision
         wanted = [item for item in view.changes if _is_mirrored(item.key)]
@@ -60,7 +79,21 @@
                 entries.append(self._decode_searcher(item))
         found = [entry for entry in entries if entry is not None]
         known = {entry.searcher_id for entry in found}
-        self.state.directory.replace(found, known, as_of)
+        directory = self.state.directory
+        if restored:
+            directory.replace_restored(found, known, as_of)
+            self.state.counters["store_restored"] += 1
+            self.state.log.write(
+                "store_restored",
+                True,
+                source=source,
+                era=view.era,
+                revision=view.revision,
+                unconfirmed=len(directory.unconfirmed),
+                config=self.state.table and self.state.table.config.version,
+            )
+        else:
+            directory.replace(found, known, as_of)
         self.state.log.write(
             "store_read",
             True,
@@ -70,6 +103,28 @@
         )
         self._notify_followers()
 
+    def is_restored(self, view: StoreView) -> bool:
+        """Returns whether a full read shows a store restored from a copy."""
+        if self.revision is None:
+            return False
+        if not is_same_era(view.era, self.era):
+            return view.era > self.era
+        # A store that names no era is restored if its revision went back.
+        return view.era == UNKNOWN_ERA and view.revision < self.revision
+
+    def is_behind(self, view: StoreView) -> bool:
+        """Returns whether a full read is older than the copy.
+
+        Another host may have brought a newer view while the store was read.
+        """
+        if self.revision is None or UNKNOWN_ERA in (view.era, self.era):
+            return False
+        return is_newer(self.position(), StorePosition(view.era, view.revision))
+
+    def position(self) -> StorePosition:
+        """Returns the state of the store that the copy shows."""
+        return StorePosition(self.era, self.revision or 0)
+
     def apply(
         self, view: StoreView, requested_at: float, as_of: float, source: str
     ) -> None:
@@ -102,7 +157,11 @@
             self._notify_followers()
 
     def changes_after(self, revision: int) -> list[StoreChange] | None:
-        """Returns the changes after a revision; None if some are not kept."""
+        """Returns the changes after a revision; None if some are not kept.
+
+        Args:
+            revision: A revision of this copy's era.
+        """
         if revision < self.recent_from_revision:
             return None
         return [
@@ -124,7 +183,11 @@
         return changed, kept
 
     def merge_view(
-        self, revision: int, changed: Iterable[StoreChange], kept: Iterable[str]
+        self,
+        revision: int,
+        changed: Iterable[StoreChange],
+        kept: Iterable[str],
+        era: int = UNKNOWN_ERA,
     ) -> StoreView | None:
         """Merges another host's changed items with unchanged items of this one.
 
@@ -132,6 +195,7 @@
             revision: Revision of the other host's copy.
             changed: Items that are new or changed.
             kept: Keys of the unchanged items.
+            era: Era of the other host's copy.
 
         Returns:
             The merged view; None if an unchanged item is missing here.
@@ -139,7 +203,7 @@
         known = [self.items.get(key) for key in kept]
         if None in known:
             return None
-        return StoreView(revision, (*known, *changed))
+        return StoreView(revision, (*known, *changed), era)
 
     def _notify_followers(self) -> None:
         changed, self.changed = self.changed, eventlet.event.Event()
@@ -150,6 +214,17 @@
     ) -> None:
         self.state.directory.record_store_contact(requested_at, as_of)
         self.revision = max(self.revision or 0, view.revision)
+        if view.era != UNKNOWN_ERA:
+            self.era = view.era
+
+    def apply_config_item(self, item: StoreChange, source: str) -> None:
+        """Applies a configuration that another host has in force.
+
+        Args:
+            item: The item with the configuration.
+            source: The other host, for the log.
+        """
+        self._apply_config(item, source)
 
     def _apply_config(self, change: StoreChange, source: str) -> None:
         if change.value is None:
@@ -164,7 +239,8 @@
                 errors=[f"{e.source}: {e.message}" for e in errors[:5]],
             )
             return
-        self.state.apply_config(config, source)
+        if self.state.apply_config(config, source):
+            self.config_item = change
 
     def _apply_searcher(self, change: StoreChange, as_of: float) -> None:
         searcher_id = change.key.removeprefix(documents.SEARCHER_PREFIX)
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -9,6 +9,7 @@
     PlatformStore,
     PlatformStoreError,
 )
+from kumquatspur.policy.store_position import is_same_era
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import monotonic_s
 from kumquatspur.wire.store_mirror import StoreMirror
@@ -59,9 +60,15 @@
                 continue
             try:
                 self._step()
-            except HistoryUnavailableError:
+            except HistoryUnavailableError as error:
                 self._history_lost = True
-                self.state.log.write("store_history_lost", True)
+                self.state.log.write(
+                    "store_history_lost",
+                    True,
+                    error=str(error),
+                    revision=self.mirror.revision,
+                    era=self.mirror.era,
+                )
             except PlatformStoreError as error:
                 self._record_error(error)
                 eventlet.sleep(self.state.random.uniform(*RETRY_DELAY_RANGE_S))
@@ -84,6 +91,12 @@
         requested_at = monotonic_s()
         if revision is None or self._history_lost:
             view = self.store.read_all(ALL_KEYS)
+            if view.era < self.mirror.era and not is_same_era(
+                view.era, self.mirror.era
+            ):
+                raise PlatformStoreError(
+                    f"store is in era {view.era}, the copy in {self.mirror.era}"
+                )
             self.mirror.replace(view, requested_at, monotonic_s(), "store")
             self._history_lost = False
             self._record_contact()
@@ -92,6 +105,11 @@
         # whether the store is available again.
         wait_s = WATCH_WAIT_S if self.state.store_ok else 0.0
         view = self.store.wait_for_changes(ALL_KEYS, revision, wait_s)
+        if not is_same_era(view.era, self.mirror.era):
+            # The revisions of the changes belong to another history.
+            raise HistoryUnavailableError(
+                f"store is in era {view.era}, the copy in {self.mirror.era}"
+            )
         self.mirror.apply(view, requested_at, monotonic_s(), "store")
         self._record_contact()
         if view.changes:
--- a/standins/platform_fuzz_test.py
+++ b/standins/platform_fuzz_test.py
@@ -14,6 +14,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.platform import documents, headers
 from kumquatspur.platform.store import PlatformStore, PlatformStoreError
+from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, SearcherPauses
 from kumquatspur.wire.delegator import decode_delegated_request
 from kumquatspur.wire.front_server import decode_request
 from kumquatspur.wire.http_messages import (
@@ -256,9 +257,10 @@
         self.assertEqual(reader.feed(message[:cut]), [])
         self.assertIsNone(reader.end())
 
-    def read_store(self, reply):
+    def read_store(self, reply, era="3"):
         store = PlatformStore(Address("127.0.0.1", 1))
-        response = mock.Mock(status=200, data=reply)
+        fields = {"Store-Era": era}
+        response = mock.Mock(status=200, data=reply, headers=fields)
         with mock.patch.object(store, "_pool") as pool:
             pool.urlopen.return_value = response
             for call in (
@@ -269,6 +271,7 @@
                     view = call()
                 except PlatformStoreError:
                     continue
+                self.assertGreaterEqual(view.era, -1)
                 for change in view.changes:
                     self.assertIsInstance(change.key, str)
                     self.assertIsInstance(change.revision, int)
@@ -278,6 +281,28 @@
     def test_malformed_store_reply(self, reply):
         self.read_store(json.dumps(reply).encode())
 
+    @fuzz
+    @given(st.text(max_size=12) | st.integers(-(10**30), 10**30).map(str))
+    def test_malformed_store_era(self, era):
+        self.read_store(json.dumps(STORE_REPLY).encode(), era)
+
+    @fuzz
+    @given(
+        st.binary(max_size=30) | st.from_regex(rb"[-+0-9.e]{1,24}"),
+        st.binary(max_size=5),
+        st.sampled_from([200, 429, 503]),
+    )
+    def test_wishes_of_searchers(self, pause, leaving, status):
+        fields = ((b"retry-after", pause), (b"server-leaving", leaving))
+        reply = headers.decode_reply(status, fields, b"")
+        self.assertEqual(reply.headers, ())
+        if reply.pause_s is not None:
+            self.assertEqual(status, 503)
+            self.assertTrue(0 <= reply.pause_s < math.inf)
+            pauses = SearcherPauses()
+            pauses.record("i", reply.pause_s, 10.0)
+            self.assertFalse(pauses.is_paused("i", 10.0 + MAX_PAUSE_S))
+
     def test_deeply_nested_store_reply(self):
         self.read_store(b"[" * 100_000)
 
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -1,6 +1,7 @@
 """Stand-in for a searcher on the platform."""
 
 import collections
+import time
 import urllib.parse
 
 import eventlet
@@ -12,6 +13,25 @@
 
 READ_BYTES = 65536
 MAX_MESSAGE_BYTES = 1_000_000
+ENDLESS_WRITE_BYTES = 65536
+LATE_COPY_DELAY_S = 0.05
+_OK_LINE = b"HTTP/1.1 200 OK\r\n"
+# Start and repeated bytes of responses that never end.
+ENDLESS = {
+    "endless_header_lines": (_OK_LINE, b"X-Filler: some text\r\n"),
+    "endless_header": (_OK_LINE + b"X-Filler: ", b"some text "),
+    "endless_body": (_OK_LINE + b"\r\n", b"some text "),
+    "endless_chunk_extension": (
+        _OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n5;extension=",
+        b"text",
+    ),
+    "endless_interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "endless_other_responses": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext",
+    ),
+    "endless_noise": (b"", b"text"),
+}
 
 
 class PlatformSearcher:
@@ -28,8 +48,12 @@
         arrivals: Number of requests received.
         deadlines: The deadline header of each request run, in ms.
         script: Behaviours of the next requests: "ok", "shed", "lost",
-            "truncated", "reset_body", "extra", "other_id", "error", "hang",
-            "encoded", "unsigned", "crash" or "no_length".
+            "truncated", "reset_body", "extra", "late_copy", "other_id",
+            "error", "hang", "encoded", "unsigned", "crash", "no_length",
+            "pause" or a key of `ENDLESS`.
+        leaving: Whether its answers say that it leaves.
+        pause_value: Value of the header with which "pause" asks for a pause.
+        arrived_at: When each request arrived, in monotonic time.
     """
 
     def __init__(self, searcher_id, service, zone="z", records=(), work_s=0.0):
@@ -40,6 +64,9 @@
         self.work_s = work_s
         self.runs = collections.Counter()
         self.arrivals = 0
+        self.leaving = False
+        self.pause_value = "1"
+        self.arrived_at = []
         self.deadlines = []
         self.script = collections.deque()
         self.listener = eventlet.listen(("127.0.0.1", 0))
@@ -101,6 +128,7 @@
     def _handle_request(self, sock, message) -> bool:
         """Answers a request; returns whether to keep the connection."""
         self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         expected = message.header(b"kumquatspur-expected-instance")
         if expected and expected.decode() != self.searcher_id:
             sock.sendall(
@@ -109,13 +137,24 @@
             return True
         behaviour = self.script.popleft() if self.script else "ok"
         request_id = message.header(b"kumquatspur-attempt-id").decode()
-        if behaviour == "shed":
-            sock.sendall(
-                b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n"
-                b"Kumquatspur-Not-Executed: 1\r\n"
-                + f"Kumquatspur-Attempt-Id: {request_id}\r\n\r\n".encode()
-            )
+        if behaviour in ("shed", "pause"):
+            lines = [
+                "HTTP/1.1 503 Full",
+                "content-length: 0",
+                "Kumquatspur-Not-Executed: 1",
+                f"Kumquatspur-Attempt-Id: {request_id}",
+            ]
+            if behaviour == "pause":
+                lines.append(f"Retry-After: {self.pause_value}")
+            if self.leaving:
+                lines.append("Server-Leaving: 1")
+            sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
             return True
+        if behaviour in ENDLESS:
+            start, unit = ENDLESS[behaviour]
+            sock.sendall(start)
+            while True:
+                sock.sendall(unit * (ENDLESS_WRITE_BYTES // len(unit)))
         self.runs[request_id] += 1
         deadline = message.header(b"kumquatspur-deadline-ms")
         self.deadlines.append(int(deadline))
@@ -144,6 +183,8 @@
             "Kumquatspur-Server-Load: 1,0,2",
             "Keep-Alive: timeout=5",
         ]
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         if behaviour != "unsigned":
             seal = f"{self.searcher_id}.{request_id}"
             lines.append(f"Kumquatspur-Server-Seal: {seal}")
@@ -161,6 +202,9 @@
             reset_connection(sock)
             return False
         sock.sendall(reply * (2 if behaviour == "extra" else 1))
+        if behaviour == "late_copy":
+            eventlet.sleep(LATE_COPY_DELAY_S)
+            sock.sendall(reply)
         return behaviour != "no_length"
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -25,6 +25,8 @@
         calls: Number of calls by path.
         refuse_with: HTTP status with which all calls are refused; 0 for none.
         unresponsive: Whether calls wait without an answer.
+        era: Number of the store's era, sent with all answers; None to send
+            none.
     """
 
     def __init__(self):
@@ -35,6 +37,7 @@
         self.calls = collections.Counter()
         self.refuse_with = 0
         self.unresponsive = False
+        self.era = 1
         self._events = collections.deque(maxlen=MAX_HISTORY_EVENTS)
         self._history_start = 0
         self._thread = eventlet.spawn(
@@ -65,6 +68,22 @@
         self.items.pop(key, None)
         self._events.append((self.revision, key, None))
 
+    def copy(self) -> tuple[int, dict]:
+        """Returns a copy of the content, for `restore`."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copy: tuple[int, dict]) -> None:
+        """Replaces the content by an earlier copy, as in a drill.
+
+        Revisions go back and are handed out again.
+        """
+        self.revision, items = copy
+        self.items = dict(items)
+        self._events.clear()
+        self._history_start = self.revision
+        if self.era is not None:
+            self.era += 1
+
     def drop_history(self) -> None:
         """Discards the change history; watches from before get status 410."""
         self._history_start = self.revision
@@ -83,9 +102,10 @@
             status, body = 200, self._range(query)
         elif path == "/kv-watch":
             status, body = self._watch(query)
-        start_response(
-            f"{status} Status", [("Content-Type", "application/json")]
-        )
+        fields = [("Content-Type", "application/json")]
+        if self.era is not None:
+            fields.append(("Store-Era", str(self.era)))
+        start_response(f"{status} Status", fields)
         return [json.dumps(body).encode()]
 
     def _range(self, query) -> dict:
@@ -105,7 +125,7 @@
         after, prefix = int(query["after"]), query["prefix"]
         left_s = int(query["wait-ms"]) / 1000.0
         while True:
-            if after < self._history_start:
+            if after < self._history_start or after > self.revision:
                 return 410, {"error": "history is gone"}
             changes = [
                 event
