--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -34,6 +34,8 @@
 # grace period; idle connections are closed IDLE_CLOSE_MARGIN_S before that end.
 IDLE_CLOSE_MARGIN_S = 1.5
 EXIT_MARGIN_S = 0.4
+# Requests are answered this long before the exit, in time to be sent.
+ANSWER_MARGIN_S = 0.1
 
 
 class EntryHost:
@@ -42,6 +44,7 @@
     Attributes:
         settings: The settings.
         state: The state of this host.
+        front: The server for clients; None before the start.
     """
 
     def __init__(self, settings: EntrySettings, path: str):
@@ -57,6 +60,7 @@
         )
         self._path = pathlib.Path(path)
         self._text = ""
+        self.front = None
         self._stop_at = None
         self._reload = False
 
@@ -75,7 +79,7 @@
         self._text = self._read_settings_text()
         HttpServer(self.settings.ready, self._ready_page)
         self._serve_metrics()
-        front = FrontServer(
+        front = self.front = FrontServer(
             self.state, self.settings.front, self.forwarder.serve
         )
         if self.settings.relay is not None:
@@ -121,20 +125,29 @@
         if self._stop_at is None:
             return False
         now = monotonic_s()
+        grace = self.settings.bounds.grace_s
         if not self.state.stopping:
             self.state.stopping = True
+            self.state.answer_by = (
+                self._stop_at + grace - EXIT_MARGIN_S - ANSWER_MARGIN_S
+            )
             self.state.log.write(
                 "stopping", True, in_flight=self.state.in_flight
             )
-        grace = self.settings.bounds.grace_s
         age = now - self._stop_at
         if age < READINESS_DELAY_S:
             return False
         if age >= grace - IDLE_CLOSE_MARGIN_S:
+            front.stop_accepting()
             front.close_idle()
         if age >= grace - EXIT_MARGIN_S:
             return True
-        return not front.connections and not self.state.in_flight
+        if front.connections or self.state.in_flight:
+            return False
+        if front.accepting:
+            front.stop_accepting()
+            return False
+        return True
 
     def _read_settings_text(self) -> str:
         try:
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import random as random_numbers
 
 from kumquatspur.border.entry_settings import EntrySettings
@@ -43,6 +44,8 @@
         histograms: Latency histograms in microseconds by route.
         store_ok: Whether the last call to the store succeeded.
         stopping: Whether a stop was requested.
+        answer_by: When the last requests must be answered because the process
+            exits; infinite unless it is stopping.
         in_flight: Number of client requests in flight.
         scattered_shards: Number of shards of the scattered requests in
             flight.
@@ -69,6 +72,7 @@
     histograms: dict = dataclasses.field(default_factory=dict)
     store_ok: bool = False
     stopping: bool = False
+    answer_by: float = math.inf
     in_flight: int = 0
     scattered_shards: int = 0
     delegates: dict[str, Delegate] = dataclasses.field(default_factory=dict)
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -52,6 +52,8 @@
 # request uses only a connection that was in use a moment ago.
 NON_REPEATABLE_MAX_IDLE_S = 0.3
 DEFAULT_TIME_LEFT_S = 60.0
+# A request in flight notices within this time that the host stops.
+MAX_WAIT_S = 1.0
 RETRY_AFTER_RANGE_S = (0.05, 0.2)
 _NOT_RUN_STATUSES = frozenset({429, 503, 408, 421})
 
@@ -236,6 +238,7 @@
             self.deadline,
             hedge_delay_s(route.target_latency_s, late_latency_s),
         )
+        self.late_latency_s = late_latency_s or self.plan.hedge_delay_s
         typical = self.window.quantile(TYPICAL_QUANTILE)
         self.typical_s = typical or (
             route.target_latency_s * DEFAULT_TYPICAL_SHARE
@@ -249,6 +252,10 @@
         """Returns the answer."""
         now = monotonic_s()
         state = self.state
+        if state.answer_by - now < self.late_latency_s:
+            return self.forwarder.refuse(
+                self.request, self.route, 503, Reason.LEAVING
+            )
         servable_count = sum(
             bool(
                 state.zone_health.reachable(
@@ -307,12 +314,15 @@
     def _wait(self) -> PlanOutcome:
         while True:
             now = monotonic_s()
+            # A stop may begin while the request is in flight.
+            self.plan.deadline = min(self.plan.deadline, self.state.answer_by)
             for shard, kind in self.plan.due_attempts(now):
                 self._start(shard, kind, now)
             outcome = self.plan.outcome(now)
             if outcome is not None:
                 return outcome
             wait = max(0.0005, self.plan.wake_at(now) - now)
+            wait = min(wait, MAX_WAIT_S)
             try:
                 self._handle_result(self.ended_attempts.get(timeout=wait))
                 while not self.ended_attempts.empty():
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -51,6 +51,7 @@
         state: The state of this host.
         serve: Returns the answer to a request.
         connections: The open connections.
+        accepting: Whether connections are accepted.
     """
 
     def __init__(
@@ -62,12 +63,30 @@
         self.state = state
         self.serve = serve
         self.connections = set()
+        self.accepting = True
         self._listener = eventlet.listen(
             (address.host, address.port),
             backlog=LISTEN_BACKLOG,
             reuse_port=False,
         )
-        eventlet.spawn_n(self._accept)
+        self._accept_thread = eventlet.spawn(self._accept)
+
+    def stop_accepting(self) -> None:
+        """Accepts the connections that are already open, then no more.
+
+        The kernel resets connections that wait to be accepted when the
+        listening socket closes, although clients may have sent requests.
+        """
+        if not self.accepting:
+            return
+        self.accepting = False
+        self._accept_thread.kill()
+        with contextlib.suppress(OSError):
+            while True:
+                # The plain socket does not block; it raises when none waits.
+                sock, _ = self._listener.fd.accept()
+                self._serve_connection(eventlet.greenio.GreenSocket(sock))
+        self._listener.close()
 
     def close_idle(self) -> None:
         """Closes the connections that have no request in flight."""
@@ -82,7 +101,12 @@
                 _log.warning("accept failed", extra={"error": str(error)})
                 eventlet.sleep(0.05)
                 continue
-            eventlet.spawn_n(_ClientConnection(self, sock).run)
+            self._serve_connection(sock)
+
+    def _serve_connection(self, sock) -> None:
+        connection = _ClientConnection(self, sock)
+        self.connections.add(connection)
+        eventlet.spawn_n(connection.run)
 
 
 class _ClientConnection:
@@ -111,7 +135,6 @@
 
     def run(self) -> None:
         """Reads requests until the connection ends."""
-        self.server.connections.add(self)
         try:
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.socket.settimeout(CHECK_INTERVAL_S)
