--- a/kumquatspur/controllers/configuration_test.py
+++ b/kumquatspur/controllers/configuration_test.py
@@ -140,6 +140,28 @@
         self.run_and_check(APPLY_S)
         self.assertEqual(set(self.revisions().values()), {2})
 
+    def test_restarted_host_never_applies_a_withdrawn_revision(self):
+        for store_down in (False, True):
+            with self.subTest(store_down=store_down):
+                self.start()
+                # The first revision has a file that the second one withdraws.
+                self.accept(a=catalogue(1), key="{}")
+                self.run_and_check(APPLY_S)
+                self.accept(a=catalogue(1))
+                self.run_and_check(APPLY_S)
+                self.driver.store.down = store_down
+                for name in (ZONE[0], self.watchers()[0]):
+                    self.driver.kill(name)
+                    self.run_and_check(0.5)
+                    self.driver.start(name)
+                    revisions = set()
+                    for _ in range(round(APPLY_S / 0.05)):
+                        self.run_and_check(0.05)
+                        revisions.update(self.revisions([name]).values())
+                    # 0 is the empty configuration of a host that just started.
+                    self.assertLessEqual(revisions, {0, 2})
+                    self.assertIn(2, revisions)
+
     def test_invalid_head_or_content_replaces_nothing(self):
         self.accept(a=catalogue(1))
         self.run_and_check(APPLY_S)
--- a/standins/platform_demo.py
+++ b/standins/platform_demo.py
@@ -1,7 +1,9 @@
 """Demonstration of entry hosts on the platform; run by `make demo-platform`.
 
 Six entry hosts in three availability zones serve requests while a host is
-killed, all searchers of a shard are removed and the store is unresponsive.
+killed, a searcher says that it leaves, another one asks for a pause, a third
+one sends bytes without end, all searchers of a shard are removed, the store is
+unresponsive, and it comes back from an older copy.
 """
 
 import eventlet
@@ -83,15 +85,30 @@
         victim.start()
         wait_until(victim.is_ready, READY_WAIT_S)
 
+        first, second, third = (
+            deployment.searchers[f"i-{SHARDS[1]}-{zone}"] for zone in ZONES
+        )
+        first.leaving = True
+        answered &= serve(deployment, "one searcher leaves")
+        first.leaving = False
+        first.register(deployment.store, born=1)
+        second.script.append("pause")
+        third.script.append("endless_header_lines")
+        answered &= serve(deployment, "one pauses and one sends without end")
+
         for zone in ZONES:
             name = f"i-{SHARDS[0]}-{zone}"
             deployment.searchers[name].close()
             deployment.store.remove(f"servers/{name}")
         answered &= serve(deployment, "one shard lost")
 
+        copy = deployment.store.copy()
+        deployment.replace_marker_route()
         deployment.store.unresponsive = True
         answered &= serve(deployment, "store silent")
+        deployment.store.restore(copy)
         deployment.store.unresponsive = False
+        answered &= serve(deployment, "store restored from a copy")
     finally:
         deployment.stop()
     print(f"\n$ kumquatspur report day {BUILD / 'logs'}")
