Keep a request's plan up to date instead of walking all shards

Cause: at each result RequestPlan walked all shards three times, and each result woke the request's green thread by a timer.

A walk in the test checks the counts on 300 random plans.

--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -7,12 +7,16 @@
 others are hedged sooner. A request that can no longer be answered fails at
 once.
 
+A result costs the same whatever the number of shards: the shards that need an
+attempt, the open shards and the hedge timers are kept up to date.
+
 The plan applies to routed requests, which the entry host sends to searchers
 directly. Queries by way of the searchers' owners use `hedging` and `retry`.
 """
 
 import dataclasses
 import enum
+import heapq
 import math
 
 from kumquatspur.core.routing import Route
@@ -117,6 +121,7 @@
         deadline: When the request is ended: `DEADLINE_MARGIN_S` before the
             deadline that was passed in.
         hedge_delay_s: Time between attempts for one shard.
+        open_count: Number of shards whose results may still arrive.
     """
 
     def __init__(
@@ -139,30 +144,64 @@
         self.late_until = started + target * LATE_ANSWER_MULTIPLE
         self.deadline = deadline - DEADLINE_MARGIN_S
         self.hedge_delay_s = hedge_delay_s
+        self.open_count = len(shards)
+        # Shards without an attempt in flight that need one, in order.
+        self._unasked = dict.fromkeys(shards)
+        # Pairs of `hedge_timer_start` and shard. An entry is outdated if the
+        # timer was started again or the shard must not be hedged any more.
+        self._hedge_timers = []
 
     def due_attempts(self, now: float) -> list[tuple[str, AttemptKind]]:
         """Returns the shards to ask now, with the kind of each attempt."""
         if self.deadline - now < MIN_ATTEMPT_S:
             return []
         found = []
+        for shard in self._unasked:
+            first = not self.shards[shard].tried
+            kind = AttemptKind.FIRST if first else AttemptKind.RETRY
+            found.append((shard, kind))
         hedge_before = now - self._hedge_delay_now()
-        for shard, progress in self.shards.items():
-            if progress.done or progress.closed:
-                continue
-            if not progress.in_flight:
-                first = not progress.tried
-                kind = AttemptKind.FIRST if first else AttemptKind.RETRY
-                found.append((shard, kind))
-            elif (
-                progress.may_hedge
-                and progress.hedge_timer_start <= hedge_before
-            ):
-                found.append((shard, AttemptKind.HEDGE))
+        due = []
+        while (timer := self._next_hedge_timer()) and timer[0] <= hedge_before:
+            due.append(heapq.heappop(self._hedge_timers))
+        for timer in due:
+            heapq.heappush(self._hedge_timers, timer)
+            found.append((timer[1], AttemptKind.HEDGE))
         return found
 
-    def _still_open(self) -> int:
-        """Returns how many further results may arrive."""
-        return sum(p.is_open() for p in self.shards.values())
+    def needs_attempt(self) -> bool:
+        """Returns whether a shard needs an attempt that is not a hedge."""
+        return bool(self._unasked)
+
+    def _next_hedge_timer(self) -> tuple[float, str] | None:
+        """Returns the timer that ends next, and removes outdated ones."""
+        timers = self._hedge_timers
+        while timers:
+            started, shard = timers[0]
+            progress = self.shards[shard]
+            if (
+                started == progress.hedge_timer_start
+                and progress.may_hedge
+                and progress.in_flight
+                and not progress.done
+                and not progress.closed
+            ):
+                return timers[0]
+            heapq.heappop(timers)
+        return None
+
+    def _start_hedge_timer(self, shard: str, now: float) -> None:
+        self.shards[shard].hedge_timer_start = now
+        heapq.heappush(self._hedge_timers, (now, shard))
+
+    def _update(self, shard: str, was_open: bool) -> None:
+        """Updates the counts after the progress of a shard has changed."""
+        progress = self.shards[shard]
+        self.open_count += progress.is_open() - was_open
+        if progress.done or progress.closed or progress.in_flight:
+            self._unasked.pop(shard, None)
+        else:
+            self._unasked[shard] = None
 
     def _hedge_delay_now(self) -> float:
         """Returns the current hedge delay in seconds.
@@ -171,7 +210,7 @@
         """
         if not self.route.shards:
             return self.hedge_delay_s
-        still_open = self._still_open()
+        still_open = self.open_count
         possible = self.answered + still_open
         complete = possible == len(self.shards)
         few_open = still_open <= URGENT_SHARDS_SHARE * len(self.shards)
@@ -182,13 +221,16 @@
     def record_start(self, shard: str, searcher_id: str, now: float) -> None:
         """Records the start of an attempt."""
         progress = self.shards[shard]
+        was_open = progress.is_open()
         progress.sent_attempts += 1
         progress.in_flight += 1
         progress.tried.add(searcher_id)
-        progress.hedge_timer_start = now
         progress.may_hedge = self.route.repeatable
         if progress.sent_attempts >= self.route.max_attempts:
             progress.closed = True
+        elif progress.may_hedge:
+            self._start_hedge_timer(shard, now)
+        self._update(shard, was_open)
 
     def record_unavailable(self, shard: str, kind: AttemptKind, now: float):
         """Records that there is no searcher or no budget for an attempt.
@@ -196,11 +238,13 @@
         A hedge is postponed by the hedge delay. For a first attempt or a retry,
         the shard is closed.
         """
-        progress = self.shards[shard]
         if kind is AttemptKind.HEDGE:
-            progress.hedge_timer_start = now
-        else:
-            progress.closed = True
+            self._start_hedge_timer(shard, now)
+            return
+        progress = self.shards[shard]
+        was_open = progress.is_open()
+        progress.closed = True
+        self._update(shard, was_open)
 
     def record_result(self, shard: str) -> bool:
         """Records that the result of a shard has arrived.
@@ -209,11 +253,13 @@
             False if the shard had already been answered.
         """
         progress = self.shards[shard]
+        was_open = progress.is_open()
         progress.in_flight -= 1
         if progress.done:
             return False
         progress.done = True
         self.answered += 1
+        self._update(shard, was_open)
         return True
 
     def record_failure(self, shard: str, verdict: Verdict, sent: bool) -> None:
@@ -228,6 +274,7 @@
             sent: Whether the request was sent to the searcher.
         """
         progress = self.shards[shard]
+        was_open = progress.is_open()
         progress.in_flight -= 1
         progress.verdicts.append(verdict)
         if not sent:
@@ -236,6 +283,11 @@
         ran = any(item is not Verdict.NOT_RUN for item in progress.verdicts)
         exhausted = progress.sent_attempts >= self.route.max_attempts
         progress.closed = exhausted or (ran and not self.route.repeatable)
+        if not (progress.closed or progress.done) and progress.in_flight:
+            # The limit allows an attempt again that the timer was not started
+            # for.
+            self._start_hedge_timer(shard, progress.hedge_timer_start)
+        self._update(shard, was_open)
 
     def outcome(self, now: float) -> PlanOutcome | None:
         """Returns the outcome of the request, or None while it continues."""
@@ -244,7 +296,7 @@
         enough = self.answered >= self.needed
         if now >= self.deadline:
             return PlanOutcome.ANSWER if enough else PlanOutcome.FAIL
-        still_open = self._still_open()
+        still_open = self.open_count
         if enough and not still_open:
             return PlanOutcome.ANSWER
         if self.answered + still_open < self.needed:
@@ -260,11 +312,9 @@
         times = [self.deadline]
         if self.answered >= self.needed:
             times += [t for t in (self.answer_at, self.late_until) if t > now]
-        delay = self._hedge_delay_now()
-        for progress in self.shards.values():
-            if progress.in_flight and not (progress.done or progress.closed):
-                if progress.may_hedge:
-                    times.append(progress.hedge_timer_start + delay)
+        timer = self._next_hedge_timer()
+        if timer is not None:
+            times.append(timer[0] + self._hedge_delay_now())
         return min(times)
 
     def verdicts(self) -> list[Verdict]:
--- a/kumquatspur/policy/request_plan_test.py
+++ b/kumquatspur/policy/request_plan_test.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from kumquatspur.core.routing import Route
@@ -168,6 +169,60 @@
         self.assertAlmostEqual(hedge_delay_s(0.1, None), 0.035)
         self.assertEqual(hedge_delay_s(0.1, 0.0001), 0.004)
 
+    def walk(self, plan, now):
+        """Returns due shards, open shards and hedge times by a plain walk."""
+        due, open_count, hedge_times = set(), 0, []
+        for shard, progress in plan.shards.items():
+            open_count += progress.is_open()
+            if progress.done or progress.closed:
+                continue
+            if not progress.in_flight:
+                due.add(shard)
+            elif progress.may_hedge:
+                at = progress.hedge_timer_start + plan._hedge_delay_now()
+                hedge_times.append(at)
+                if at <= now:
+                    due.add(shard)
+        return due, open_count, hedge_times
+
+    def test_counts_agree_with_a_walk_over_all_shards(self):
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                plan = self.new_plan(
+                    ratio=rng.choice((0.5, 0.8, 0.95)),
+                    attempts=rng.choice((1, 2, 3)),
+                    repeatable=rng.random() < 0.8,
+                )
+                self.run_at_random(plan, rng)
+
+    def run_at_random(self, plan, rng):
+        now, searchers = 0.0, 0
+        for _ in range(60):
+            # Binary fractions add up exactly, so that times can be compared.
+            now += rng.choice((0, 1, 2)) / 1024
+            due, open_count, hedge_times = self.walk(plan, now)
+            self.assertEqual(plan.open_count, open_count)
+            in_time = plan.deadline - now >= 0.003
+            found = plan.due_attempts(now)
+            self.assertEqual({s for s, _ in found}, due if in_time else set())
+            self.assertEqual(len(found), len({s for s, _ in found}))
+            if hedge_times:
+                self.assertLessEqual(plan.wake_at(now), min(hedge_times))
+            for shard, kind in found:
+                searchers += 1
+                if rng.random() < 0.8:
+                    plan.record_start(shard, f"i-{searchers}", now)
+                else:
+                    plan.record_unavailable(shard, kind, now)
+            busy = [s for s, p in plan.shards.items() if p.in_flight]
+            for shard in rng.sample(busy, min(2, len(busy))):
+                if rng.random() < 0.6:
+                    plan.record_result(shard)
+                else:
+                    verdict = rng.choice(list(Verdict))
+                    plan.record_failure(shard, verdict, rng.random() < 0.7)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -16,6 +16,8 @@
 # Slowness and error shares decay with this half-life, so that a searcher that
 # has recovered gets work again.
 SLOWNESS_HALF_LIFE_S = 3.0
+# After this time, nothing of a value is left that matters.
+DECAYED_AFTER_S = 10.0 * SLOWNESS_HALF_LIFE_S
 MAX_SLOWNESS = 20.0
 # Searchers with at least this slowness are reported to other hosts, up to this
 # time after the measurement.
@@ -150,6 +152,9 @@
 
 
 def _decay_factor(age: float) -> float:
+    # Most values are much older than the half-life.
+    if age > DECAYED_AFTER_S:
+        return 0.0
     return 0.5 ** (max(0.0, age) / SLOWNESS_HALF_LIFE_S)
 
 
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -4,7 +4,7 @@
 import math
 
 import eventlet
-import eventlet.queue
+import eventlet.semaphore
 
 from kumquatspur.core import verdict as verdicts
 from kumquatspur.core.reason import Reason
@@ -34,7 +34,7 @@
     reply_with_keep_alive,
 )
 from kumquatspur.wire.entry_state import EntryState, contact_age_s
-from kumquatspur.wire.http_messages import encode_request
+from kumquatspur.wire.http_messages import split_request
 from kumquatspur.wire.searcher_pool import CallError, TargetPool, monotonic_s
 
 # An attempt that takes longer than this quantile of the latency is hedged.
@@ -243,7 +243,9 @@
         self.typical_s = typical or (
             route.target_latency_s * DEFAULT_TYPICAL_SHARE
         )
-        self.ended_attempts = eventlet.queue.LightQueue()
+        self.request_parts = split_request(request)
+        self.wake = eventlet.semaphore.Semaphore(0)
+        self.finished = False
         self.attempts = []
         self.parts = {}
         self.failure = None
@@ -268,16 +270,16 @@
             return self._refuse_unservable(now)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
-        finished = False
         scattered = len(self.route.shards)
         self.state.scattered_shards += scattered
         try:
             outcome = self._wait()
-            finished = True
+            self.finished = True
         finally:
             self.state.scattered_shards -= scattered
-            self._stop_attempts(finished)
-            if not finished:
+            self._stop_attempts()
+            if not self.finished:
+                self.finished = True
                 self._log_client_disconnect()
         reply = self._reply(outcome)
         self._log(outcome, reply)
@@ -323,12 +325,7 @@
                 return outcome
             wait = max(0.0005, self.plan.wake_at(now) - now)
             wait = min(wait, MAX_WAIT_S)
-            try:
-                self._handle_result(self.ended_attempts.get(timeout=wait))
-                while not self.ended_attempts.empty():
-                    self._handle_result(self.ended_attempts.get_nowait())
-            except eventlet.queue.Empty:
-                continue
+            self.wake.acquire(timeout=wait)
 
     def _start(self, shard: str, kind: AttemptKind, now: float) -> None:
         progress = self.plan.shards[shard]
@@ -371,11 +368,14 @@
             message = self.forwarder.pool.call(
                 entry.searcher_id,
                 entry.address,
-                encode_request(
-                    self.request,
-                    headers.encode_searcher_headers(
-                        entry.searcher_id, self.deadline - monotonic_s()
-                    ),
+                b"".join(
+                    (
+                        self.request_parts[0],
+                        headers.encode_searcher_headers(
+                            entry.searcher_id, self.deadline - monotonic_s()
+                        ),
+                        self.request_parts[1],
+                    )
                 ),
                 self._matches_request,
                 self.deadline,
@@ -385,7 +385,12 @@
                 else NON_REPEATABLE_MAX_IDLE_S,
             )
             attempt.result = headers.decode_reply(
-                message.status, message.end_to_end_headers(), message.body()
+                message.status,
+                # A merged answer has none of the searchers' headers.
+                message.headers
+                if self.route.shards
+                else message.end_to_end_headers(),
+                message.body(),
             )
         except CallError as error:
             attempt.result = error
@@ -395,7 +400,8 @@
                 self._observe_abandoned(attempt, load)
         attempt.ended_at = monotonic_s()
         self._observe(attempt, load)
-        self.ended_attempts.put(attempt)
+        if not self.finished:
+            self._handle_result(attempt)
 
     def _matches_request(self, message) -> bool:
         value = message.header(headers.REQUEST_ID)
@@ -477,7 +483,22 @@
             load.record_latency(ratio, now)
 
     def _handle_result(self, attempt: Attempt) -> None:
-        """Updates the plan from the result of an attempt."""
+        """Updates the plan from the result of an attempt.
+
+        The request's green thread is woken only if it has something to do. Most
+        results of a scattered request change nothing else.
+        """
+        answered = self.plan.answered
+        self._record_result(attempt)
+        plan = self.plan
+        if (
+            plan.answered == answered
+            or plan.answered == plan.needed
+            or plan.outcome(attempt.ended_at) is not None
+        ):
+            self.wake.release()
+
+    def _record_result(self, attempt: Attempt) -> None:
         result, shard = attempt.result, attempt.shard
         if isinstance(result, CallError):
             if attempt.charged and not result.sent:
@@ -501,11 +522,11 @@
             return result.status == 200 and "," not in result.signature
         return result.status < 500
 
-    def _stop_attempts(self, finished: bool) -> None:
+    def _stop_attempts(self) -> None:
         for attempt in self.attempts:
             if attempt.result is not None:
                 continue
-            if finished:
+            if self.finished:
                 eventlet.spawn_after(
                     SURPLUS_ATTEMPT_TIMEOUT_S, attempt.thread.kill
                 )
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -94,16 +94,28 @@
         request: The client's request.
         extra_headers: Encoded header lines to add.
     """
+    before, after = split_request(request)
+    return b"".join((before, extra_headers, after))
+
+
+def split_request(request: ClientRequest) -> tuple[bytes, bytes]:
+    """Encodes a request that is sent to several searchers.
+
+    Args:
+        request: The client's request.
+
+    Returns:
+        The bytes before and after the header lines that differ.
+    """
     lines = [
         f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
     ]
     for name, value in request.headers:
         lines.append(b"%b: %b\r\n" % (name, value))
-    lines.append(extra_headers)
+    end = b"\r\n"
     if request.body or request.method not in ("GET", "HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(request.body))
-    lines += (b"\r\n", request.body)
-    return b"".join(lines)
+        end = b"content-length: %d\r\n\r\n" % len(request.body)
+    return b"".join(lines), end + request.body
 
 
 class _ParserCallbacks:
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -263,6 +263,8 @@
     try:
         sock.settimeout(max(deadline - monotonic_s(), 0.001))
         sock.sendall(request)
+        # The response is never there yet, so a first read would be in vain.
+        wait_until_readable(sock, deadline - monotonic_s())
         while True:
             time_left_s = deadline - monotonic_s()
             if time_left_s <= 0:
@@ -316,6 +318,24 @@
     return True
 
 
+def wait_until_readable(sock, timeout_s: float) -> None:
+    """Waits until a green socket has bytes or was closed.
+
+    Args:
+        sock: The green socket.
+        timeout_s: The longest time to wait, in seconds.
+
+    Raises:
+        TimeoutError: Nothing happened in time.
+    """
+    hubs.trampoline(
+        sock.fd,
+        read=True,
+        timeout=max(timeout_s, 0.001),
+        timeout_exc=TimeoutError,
+    )
+
+
 def receive(sock, timeout_s: float) -> bytes:
     """Returns bytes from a green socket, or b"" at an orderly close.
 
@@ -334,9 +354,7 @@
         try:
             return sock.fd.recv(READ_BYTES)
         except BlockingIOError:
-            hubs.trampoline(
-                sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
-            )
+            wait_until_readable(sock, timeout_s)
 
 
 def _mark_idle(
