Learn how long the way to the client takes, and answer that much sooner

The greatest time left of requests on connections in use is the whole deadline; what is missing from it was spent before, and the low quantile of first requests is a round trip. 3 ms remain for sending. While nothing is known, 2 ms + 4% as the way and 3 ms as before.

--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -186,6 +186,9 @@
         time_left_s: Time until the client gives up; None if not sent.
         received_at: When the request was read, in seconds of the monotonic
             clock.
+        is_first: Whether it is the first request on its connection.
+        lead_s: How much of the target latency passes outside of the hosts; None
+            if it is not known. Set on delegated requests.
     """
 
     method: str
@@ -197,6 +200,8 @@
     request_id: str
     time_left_s: float | None
     received_at: float
+    is_first: bool = False
+    lead_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -22,11 +22,12 @@
 from kumquatspur.core.routing import Route
 from kumquatspur.core.verdict import Verdict
 
-# Time reserved to send the answer to the client: a fixed part for network and
-# processing, and a share of the target latency for the time that the request
-# took to arrive.
-ANSWER_MARGIN_S = 0.005
-ANSWER_MARGIN_SHARE = 0.04
+# Time reserved to merge and send the answer.
+ANSWER_MARGIN_S = 0.003
+# Time assumed to pass on the way from and to the client, as a share of the
+# target latency and a fixed part, while it is not known.
+DEFAULT_LEAD_S = 0.002
+DEFAULT_LEAD_SHARE = 0.04
 # An answer that has missed the target latency waits for missing shards until
 # this multiple of it.
 LATE_ANSWER_MULTIPLE = 1.6
@@ -116,7 +117,8 @@
         needed: Minimum number of results for an answer.
         answered: Number of results that have arrived.
         answer_at: When an incomplete answer must be sent to be in time.
-        target_at: When the target latency has passed.
+        target_at: When an answer must leave this host to reach the client
+            within the target latency.
         late_until: Until when a late answer waits for missing results.
         deadline: When the request is ended: `DEADLINE_MARGIN_S` before the
             deadline that was passed in.
@@ -131,16 +133,18 @@
         started: float,
         deadline: float,
         hedge_delay_s: float,
+        lead_s: float | None = None,
     ):
         target = route.target_latency_s
+        if lead_s is None:
+            lead_s = DEFAULT_LEAD_S + DEFAULT_LEAD_SHARE * target
         self.route = route
         self.shards = {shard: ShardProgress() for shard in shards}
         min_results = route.min_shard_ratio * len(shards) - RATIO_TOLERANCE
         self.needed = max(1, math.ceil(min_results)) if route.shards else 1
         self.answered = 0
-        self.target_at = started + target
-        margin = ANSWER_MARGIN_S + ANSWER_MARGIN_SHARE * target
-        self.answer_at = self.target_at - margin
+        self.target_at = started + target - lead_s
+        self.answer_at = self.target_at - ANSWER_MARGIN_S
         self.late_until = started + target * LATE_ANSWER_MULTIPLE
         self.deadline = deadline - DEADLINE_MARGIN_S
         self.hedge_delay_s = hedge_delay_s
--- a/kumquatspur/policy/request_plan_test.py
+++ b/kumquatspur/policy/request_plan_test.py
@@ -89,6 +89,24 @@
         self.assertIs(plan.outcome(plan.answer_at), PlanOutcome.ANSWER)
         self.assertLess(plan.answer_at, TARGET_S)
 
+    def test_answer_leaves_in_time_for_its_way_to_the_client(self):
+        plan = RequestPlan(
+            route(), SHARDS, 0.0, TIMEOUT_S, HEDGE_S, lead_s=0.02
+        )
+        self.assertAlmostEqual(plan.target_at, TARGET_S - 0.02)
+        self.assertLess(plan.answer_at, plan.target_at)
+
+    def test_answer_that_is_late_anyway_waits_for_all_shards(self):
+        """A retry whose earlier attempt has used up the target latency."""
+        plan = RequestPlan(
+            route(), SHARDS, 0.0, TIMEOUT_S, HEDGE_S, lead_s=2 * TARGET_S
+        )
+        self.start_all(plan)
+        for shard in SHARDS[1:]:
+            plan.record_result(shard)
+        self.assertIsNone(plan.outcome(0.01))
+        self.assertIs(plan.outcome(plan.late_until), PlanOutcome.ANSWER)
+
     def test_answer_waits_until_enough_shards_have_arrived(self):
         plan = self.new_plan()
         self.start_all(plan)
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -7,6 +7,7 @@
 
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.routing import RoutingConfig, SearcherEntry
+from kumquatspur.policy.client_timing import ClientTiming
 from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.delegation import Delegate
 from kumquatspur.policy.extra_attempts import ExtraAttempts
@@ -40,6 +41,7 @@
         pauses: Searchers that want no requests from this host for a while.
         zone_health: Tracks which zones are unreachable.
         latencies: Recent latencies of attempts by route.
+        client_timing: Time that passes between clients and this host.
         counters: Counts since the start, by name.
         histograms: Latency histograms in microseconds by route.
         store_ok: Whether the last call to the store succeeded.
@@ -66,6 +68,9 @@
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
     )
+    client_timing: ClientTiming = dataclasses.field(
+        default_factory=ClientTiming
+    )
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -121,6 +121,13 @@
             return self.refuse(request, None, 404, Reason.UNKNOWN_SERVICE)
         if self.crash_detector.is_refused(request, route.name):
             return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
+        lead_s = self.state.client_timing.lead_s(
+            route.name,
+            request.time_left_s,
+            request.is_first,
+            request.received_at,
+        )
+        request = dataclasses.replace(request, lead_s=lead_s)
         shards = route.shards
         if shards:
             reply = self.delegator.try_delegate(request, route)
@@ -237,6 +244,7 @@
             request.received_at,
             self.deadline,
             hedge_delay_s(route.target_latency_s, late_latency_s),
+            request.lead_s,
         )
         self.late_latency_s = late_latency_s or self.plan.hedge_delay_s
         typical = self.window.quantile(TYPICAL_QUANTILE)
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -115,6 +115,7 @@
     Attributes:
         pending: Requests read but not yet started.
         worker: Green thread that answers a request; None if idle.
+        is_first: Whether no request was answered on it yet.
         last_active_at: When the last answer was sent, a request began to
             arrive, or bytes of a body arrived; whichever is latest.
     """
@@ -127,6 +128,7 @@
         self.worker = None
         self.last_active_at = monotonic_s()
         self.closed = False
+        self.is_first = True
         table = self.state.table
         self.limits = table.config.limits if table else ClientLimits()
         self.reader = RequestReader(
@@ -235,7 +237,8 @@
             self.socket.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, message: RawMessage) -> ClientReply:
-        request = decode_request(message)
+        request = decode_request(message, self.is_first)
+        self.is_first = False
         if request is None:
             return error_reply(400, "request identifier or host is missing")
         try:
@@ -268,11 +271,14 @@
             self.socket.close()
 
 
-def decode_request(message: RawMessage) -> ClientRequest | None:
+def decode_request(
+    message: RawMessage, is_first: bool = False
+) -> ClientRequest | None:
     """Converts a message to a request; None if a required header is missing.
 
     Args:
         message: The message as read from the connection.
+        is_first: Whether it is the first request on its connection.
     """
     found = dict(reversed(message.headers))
     request_id = found.get(headers.REQUEST_ID)
@@ -301,4 +307,5 @@
             headers.decode_time_left_s(time_left) if time_left else None
         ),
         received_at=monotonic_s(),
+        is_first=is_first,
     )
