Reject requests for lost shards at once, and probe what is cut off

A suspicion of a zone ended by itself after 1.5 s, and each time all requests there waited in vain until two were silent again; a delegate in a cut-off zone had to fail by itself.

Change: a shard all of whose searchers are in backoff or pause counts as lost; too few shards left is a 503 at once, with the time until they are tried again. A lost shard and a suspected zone are probed with a connection every 0.4 s; failed probes extend the suspicion of the zone, any reaction ends it. Delegates count for that suspicion and are not chosen in suspected zones.

--- a/kumquatspur/policy/delegation.py
+++ b/kumquatspur/policy/delegation.py
@@ -110,6 +110,8 @@
         same_zone: Whether it is in this host's zone.
         last_received_at: When any host last received a message from it.
         delegate: What this host has observed of it.
+        zone_suspect: Whether its zone is probably cut off from this host.
+        zone: Its availability zone.
     """
 
     name: str
@@ -118,6 +120,8 @@
     same_zone: bool
     last_received_at: float
     delegate: Delegate
+    zone_suspect: bool = False
+    zone: str = ""
 
 
 def busy_s(attempts: int, capacity: HostCapacity) -> float:
@@ -168,6 +172,7 @@
         delegate_s += JITTER_S * random()
         if (
             delegate_s >= best_s
+            or candidate.zone_suspect
             or now - candidate.last_received_at > MAX_PEER_AGE_S
         ):
             continue
--- a/kumquatspur/policy/delegation_test.py
+++ b/kumquatspur/policy/delegation_test.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 import unittest
 
@@ -59,6 +60,13 @@
         self.assertEqual(chosen, {"near"})
         self.assertEqual(self.choose(far), "far")
 
+    def test_host_in_a_cut_off_zone_gets_no_requests(self):
+        """The zone of the fast hosts is cut off; each would have to fail."""
+        near = self.candidate("near")
+        suspect = dataclasses.replace(near, zone_suspect=True)
+        self.assertIsNone(self.choose(suspect))
+        self.assertEqual(self.choose(near), "near")
+
     def test_unreachable_host_is_used_again_after_the_backoff(self):
         failed = self.candidate("failed")
         self.delegates["failed"].record_failure(False, 10.0)
--- a/kumquatspur/policy/route_table.py
+++ b/kumquatspur/policy/route_table.py
@@ -19,14 +19,21 @@
         by_host: For each host name in requests, its routes by path prefix.
         positions: For each route, the position in [0, 1) of its last choice of
             a service.
+        services: All services of the routes.
     """
 
     config: RoutingConfig
     by_host: dict[str, dict[str, Route]] = dataclasses.field(init=False)
     positions: dict[str, float] = dataclasses.field(default_factory=dict)
+    services: frozenset[str] = dataclasses.field(init=False)
 
     def __post_init__(self):
         self.by_host = {}
+        self.services = frozenset(
+            service
+            for route in self.config.routes
+            for service in route.services()
+        )
         for route in self.config.routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
 
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -54,6 +54,9 @@
 # this time.
 ZONE_SUSPECT_S = 1.5
 ZONE_SUSPECT_SEARCHERS = 2
+# Interval at which a suspected zone is probed, so that its return is noticed
+# without risking clients' requests.
+ZONE_PROBE_INTERVAL_S = 0.4
 # Range of the random tie-breaking term, relative to the typical latency.
 JITTER_COST = 0.1
 
@@ -145,6 +148,10 @@
         self.failures += 1
         self.backoff_until = now + BACKOFF_S[step]
 
+    def end_backoff(self) -> None:
+        """Ends the backoff after the searcher accepted a connection."""
+        self.backoff_until = 0.0
+
     def _update_error_share(self, value: float, now: float) -> None:
         share = self.current_error_share(now)
         self.error_share = share + ERROR_WEIGHT * (value - share)
@@ -189,14 +196,21 @@
 class ZoneHealth:
     """Detects zones in which several searchers are unresponsive at once.
 
+    Load pattern: a zone is cut off for seconds. A suspicion that merely expires
+    sends requests there again and again, and all of them wait in vain until the
+    zone is suspected once more. So a suspected zone is probed, and each failed
+    probe extends the suspicion.
+
     Attributes:
         unresponsive_at: For each zone and searcher, when it was last
             unresponsive.
+        probed_at: For each suspected zone, when it was last probed.
     """
 
     unresponsive_at: dict[str, dict[str, float]] = dataclasses.field(
         default_factory=dict
     )
+    probed_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def record_unresponsive(
         self, zone: str, searcher_id: str, now: float
@@ -207,6 +221,28 @@
     def record_response(self, zone: str) -> None:
         """Records a response from a zone, which ends any suspicion of it."""
         self.unresponsive_at.pop(zone, None)
+        self.probed_at.pop(zone, None)
+
+    def zones_to_probe(self, now: float) -> list[str]:
+        """Returns the suspected zones that are due for a probe.
+
+        They are not due again before `ZONE_PROBE_INTERVAL_S` has passed.
+        """
+        due = [
+            zone
+            for zone in self.suspected_zones(now)
+            if now - self.probed_at.get(zone, -1.0) >= ZONE_PROBE_INTERVAL_S
+        ]
+        self.probed_at.update(dict.fromkeys(due, now))
+        return due
+
+    def record_failed_probe(self, zone: str, now: float) -> None:
+        """Extends the suspicion of a zone after a probe without any reaction.
+
+        A probe that ends after a response from the zone changes nothing.
+        """
+        for searcher_id in self.unresponsive_at.get(zone, ()):
+            self.unresponsive_at[zone][searcher_id] = now
 
     def is_suspect(self, zone: str, now: float) -> bool:
         """Returns whether a zone is probably cut off."""
@@ -229,8 +265,7 @@
 
         Load pattern: a zone is cut off, and some shards have searchers in this
         zone only. Requests that need these shards would wait until they time
-        out. Without requests to the zone, no response can end the suspicion, so
-        it expires after `ZONE_SUSPECT_S`.
+        out. Only a response, also one to a probe, ends the suspicion early.
 
         Args:
             entries: The searchers.
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -5,6 +5,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import LoadReport, SearcherEntry, SearcherState
 from kumquatspur.policy.searcher_choice import (
+    ZONE_PROBE_INTERVAL_S,
     ZONE_SUSPECT_S,
     ChoiceContext,
     SearcherLoad,
@@ -95,6 +96,28 @@
         self.zones.record_response("b")
         self.assertFalse(self.zones.is_suspect("b", 1.2))
 
+    def test_zone_that_is_cut_off_for_seconds_stays_suspected(self):
+        for name in ("x", "y"):
+            self.zones.record_unresponsive("b", name, 1.0)
+        probes = 0
+        for step in range(60):
+            now = 1.0 + step / 10
+            self.assertTrue(self.zones.is_suspect("b", now))
+            for zone in self.zones.zones_to_probe(now):
+                probes += 1
+                self.zones.record_failed_probe(zone, now)
+        self.assertLessEqual(probes, 6.0 / ZONE_PROBE_INTERVAL_S + 1)
+        self.zones.record_response("b")
+        self.assertFalse(self.zones.is_suspect("b", 7.0))
+        self.assertEqual(self.zones.zones_to_probe(7.0), [])
+
+    def test_failed_probe_after_a_response_changes_nothing(self):
+        for name in ("x", "y"):
+            self.zones.record_unresponsive("b", name, 1.0)
+        self.zones.record_response("b")
+        self.zones.record_failed_probe("b", 1.1)
+        self.assertFalse(self.zones.is_suspect("b", 1.1))
+
     def test_searchers_in_a_cut_off_zone_are_not_reachable(self):
         """All searchers in b are unresponsive; c answers."""
         entries = [entry("x", "b"), entry("y", "b")]
--- a/kumquatspur/policy/searcher_pauses.py
+++ b/kumquatspur/policy/searcher_pauses.py
@@ -56,22 +56,9 @@
             return list(entries)
         return [e for e in entries if not self.is_paused(e.searcher_id, now)]
 
-    def resume_at(
-        self, entries: Iterable[SearcherEntry], now: float
-    ) -> float | None:
-        """Returns when the first of some searchers takes work again.
-
-        Args:
-            entries: The searchers.
-            now: Monotonic time in seconds.
-
-        Returns:
-            Monotonic time, not before `now`; None if there are no searchers.
-        """
-        return min(
-            (max(now, self.ends.get(e.searcher_id, 0.0)) for e in entries),
-            default=None,
-        )
+    def resume_at(self, searcher_id: str, now: float) -> float:
+        """Returns when a searcher takes work again; `now` if it does so now."""
+        return max(now, self.ends.get(searcher_id, 0.0))
 
     def expire(self, now: float) -> list[str]:
         """Removes the pauses that have ended and returns their searchers."""
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -29,9 +29,10 @@
 CONFIG_VERSION_HEADER = b"x-kumquatspur-config"
 AGE_HEADER = b"x-kumquatspur-age-us"
 TIME_LEFT_HEADER = b"x-kumquatspur-time-left-us"
+LEAD_HEADER = b"x-kumquatspur-lead-us"
 DECLINED_HEADER = b"x-kumquatspur-declined"
 _DELEGATION_HEADERS = frozenset(
-    {CONFIG_VERSION_HEADER, AGE_HEADER, TIME_LEFT_HEADER}
+    {CONFIG_VERSION_HEADER, AGE_HEADER, TIME_LEFT_HEADER, LEAD_HEADER}
 )
 DECLINED_STATUS = 421
 # Time after the deadline in which the other host's answer may still arrive.
@@ -83,6 +84,10 @@
             message = self._call(chosen, request, route, deadline)
         except CallError as error:
             delegate.record_failure(error.unresponsive, monotonic_s())
+            if error.unresponsive:
+                state.zone_health.record_unresponsive(
+                    chosen.zone, chosen.name, monotonic_s()
+                )
             self._log(request, route, chosen, str(error), lost=error.sent)
             if not error.sent:
                 return None
@@ -176,6 +181,7 @@
     def _candidates(self, own: HostCapacity) -> Iterator[Candidate]:
         own_zone = self.state.settings.zone
         delegates = self.state.delegates
+        suspected = self.state.zone_health.suspected_zones(monotonic_s())
         for peer in self.state.peers.peers.values():
             # A host with the same capacity is never faster, and in most fleets
             # all hosts have the same.
@@ -187,6 +193,8 @@
                     peer.zone == own_zone,
                     peer.last_received_at,
                     delegates.setdefault(peer.name, Delegate()),
+                    peer.zone in suspected,
+                    peer.zone,
                 )
 
     def _log(self, request, route, chosen, outcome, lost=False) -> None:
@@ -225,6 +233,9 @@
     if request.time_left_s is not None:
         left_us = int(request.time_left_s * 1e6)
         lines += b"%b: %d\r\n" % (TIME_LEFT_HEADER, left_us)
+    if request.lead_s is not None:
+        lead_us = int(request.lead_s * 1e6)
+        lines += b"%b: %d\r\n" % (LEAD_HEADER, lead_us)
     return lines
 
 
@@ -241,12 +252,14 @@
     """
     found = dict(request.headers)
     left_us = found.get(TIME_LEFT_HEADER, b"")
+    lead_us = found.get(LEAD_HEADER, b"")
     client_request = dataclasses.replace(
         request,
         headers=tuple(
             h for h in request.headers if h[0] not in _DELEGATION_HEADERS
         ),
         time_left_s=int(left_us) / 1e6 if left_us.isdigit() else None,
+        lead_s=int(lead_us) / 1e6 if lead_us.isdigit() else None,
         received_at=request.received_at
         - int(found.get(AGE_HEADER, b"0")) / 1e6,
     )
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -105,6 +105,33 @@
             self.directory.usable(service, now), now
         )
 
+    def resume_at(self, service: str, now: float) -> float | None:
+        """Returns when a service can execute a request again.
+
+        A service cannot while all its searchers that can be reached pause or
+        are in backoff, because a request to it would fail.
+
+        Args:
+            service: The service.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Monotonic time, `now` if it can now; None if no searcher can be
+            reached.
+        """
+        earliest = None
+        for entry in self.zone_health.reachable(
+            self.directory.usable(service, now), now
+        ):
+            backoff_until = self.load(entry.searcher_id).backoff_until
+            at = max(
+                self.pauses.resume_at(entry.searcher_id, now), backoff_until
+            )
+            if at <= now:
+                return now
+            earliest = at if earliest is None else min(earliest, at)
+        return earliest
+
     def record_answer(self, route: str, seconds: float) -> None:
         """Adds the latency of an answer to the histogram of its route."""
         histogram = self.histograms.get(route)
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -266,16 +266,11 @@
             return self.forwarder.refuse(
                 self.request, self.route, 503, Reason.LEAVING
             )
-        servable_count = sum(
-            bool(
-                state.zone_health.reachable(
-                    state.usable_searchers(shard, now), now
-                )
-            )
-            for shard in self.plan.shards
-        )
-        if servable_count < self.plan.needed:
-            return self._refuse_unservable(now)
+        resume_times = [
+            state.resume_at(shard, now) for shard in self.plan.shards
+        ]
+        if resume_times.count(now) < self.plan.needed:
+            return self._refuse_unservable(resume_times, now)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
         scattered = len(self.route.shards)
@@ -293,12 +288,32 @@
         self._log(outcome, reply)
         return reply
 
-    def _refuse_unservable(self, now: float) -> ClientReply:
-        """Rejects a request for which too few shards have a searcher."""
-        wait_s = self._pause_left_s(now)
-        reason = Reason.SEARCHERS_PAUSED if wait_s else Reason.NO_REPLICA
+    def _refuse_unservable(
+        self, resume_times: list[float | None], now: float
+    ) -> ClientReply:
+        """Rejects a request for which too few shards have a searcher.
+
+        Args:
+            resume_times: For each shard, when it can be searched again; None if
+                it has no searcher that can be reached.
+            now: The current time of the monotonic clock, in seconds.
+        """
+        pauses = self.state.pauses
+        usable = self.state.directory.usable
+        paused = any(
+            pauses.is_paused(entry.searcher_id, now)
+            for shard, at in zip(self.plan.shards, resume_times, strict=True)
+            if at != now
+            for entry in usable(shard, now)
+        )
+        reason = Reason.SEARCHERS_PAUSED if paused else Reason.NO_REPLICA
+        at = servable_at(resume_times, self.plan.needed)
         return self.forwarder.refuse(
-            self.request, self.route, 503, reason, wait_s
+            self.request,
+            self.route,
+            503,
+            reason,
+            0.0 if at is None else at - now,
         )
 
     def _pause_left_s(self, now: float) -> float:
@@ -306,20 +321,11 @@
 
         It is 0 if they do so now, or if too few of them have a searcher.
         """
-        state = self.state
-        resume_at = servable_at(
-            (
-                state.pauses.resume_at(
-                    state.zone_health.reachable(
-                        state.directory.usable(shard, now), now
-                    ),
-                    now,
-                )
-                for shard in self.plan.shards
-            ),
+        at = servable_at(
+            (self.state.resume_at(shard, now) for shard in self.plan.shards),
             self.plan.needed,
         )
-        return 0.0 if resume_at is None else resume_at - now
+        return 0.0 if at is None else at - now
 
     def _wait(self) -> PlanOutcome:
         while True:
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -307,8 +307,26 @@
         ) from error
 
 
-def is_listening(address: Address) -> bool:
+def accepts_connections(address: Address) -> bool:
     """Returns whether a connection to an address can be opened."""
+    try:
+        _connect(address, CONNECT_TIMEOUT_S).close()
+    except CallError:
+        return False
+    return True
+
+
+def responds(address: Address) -> bool:
+    """Returns whether an address reacts to a connection attempt in any way."""
+    try:
+        _connect(address, CONNECT_TIMEOUT_S).close()
+    except CallError as error:
+        return not error.unresponsive
+    return True
+
+
+def is_listening(address: Address) -> bool:
+    """Returns whether a process may listen on an address."""
     try:
         _connect(address, CONNECT_TIMEOUT_S).close()
     except CallError as error:
--- a/standins/searcher_signals_test.py
+++ b/standins/searcher_signals_test.py
@@ -188,6 +188,32 @@
         statuses = self.ask_often("/all/x", 4)
         self.assertEqual(statuses, [200] * 4)
 
+    def test_request_for_lost_searchers_is_rejected_at_once(self):
+        """All searchers of a service have crashed and come back later."""
+        self.wait_ready()
+        for copy in "ab":
+            self.searchers[f"i-single-{copy}"].close()
+        first = self.ask("/one/x", request_id="lost1")
+        self.assertIn(first[0], (502, 503))
+        start = time.monotonic()
+        sent = self.host.pool.opened
+        status, fields, body = self.ask("/one/x", request_id="lost2")
+        self.assertEqual((status, body), (503, b"no_replica\n"))
+        self.assertLess(time.monotonic() - start, 0.1)
+        self.assertEqual(self.host.pool.opened, sent)
+        self.assertGreater(float(fields["retry-after"]), 0.0)
+
+    def test_return_of_lost_searchers_is_noticed(self):
+        self.wait_ready()
+        loads = [self.host.state.load(f"i-single-{copy}") for copy in "ab"]
+        for load in loads:
+            for _ in range(5):
+                load.record_unreachable(monotonic_s())
+        self.assertEqual(self.ask_often("/one/x", 1), [503])
+        start = time.monotonic()
+        wait_until(lambda: self.ask_often("/one/x", 1) == [200])
+        self.assertLess(time.monotonic() - start, 2.0)
+
     def test_late_copy_of_a_response_answers_no_other_request(self):
         self.wait_ready()
         for copy in "ab":
