Mend two faults noted before: evicted crash incidents, hosts lost after long

- CrashSuspects.add raised KeyError when a full table evicted the content of a new incident that coincides with another crash; in the exchange of hosts that ended the thread, and the host lost all its peers.
An error there no longer ends it.
- PeerTable.sharers kept the time at which a total was first seen.
Both tests fail without the change (KeyError; 2.0 for 9 sharers). _is_known was unused.

--- a/kumquatspur/policy/crash_suspects.py
+++ b/kumquatspur/policy/crash_suspects.py
@@ -98,10 +98,6 @@
         for incident in new:
             self._discount_coinciding(incident)
 
-    def _is_known(self, incident: Incident) -> bool:
-        known = self.incidents.get(incident.fingerprint, ())
-        return incident.incident_id in known
-
     def _find_common_content(self, incident: Incident) -> None:
         """Marks an incident as alone if its content explains two crashes.
 
@@ -143,9 +139,11 @@
             < COINCIDENCE_WINDOW_S
         ]
         for other in coinciding:
-            incident = self.incidents[incident.fingerprint][
-                incident.incident_id
-            ]
+            known = self.incidents.get(incident.fingerprint, {})
+            if incident.incident_id not in known:
+                # The table was full, and its content was evicted.
+                return
+            incident = known[incident.incident_id]
             for first, second in ((incident, other), (other, incident)):
                 if first.alone and not self._was_in_flight(
                     first.fingerprint, second
--- a/kumquatspur/policy/crash_suspects_test.py
+++ b/kumquatspur/policy/crash_suspects_test.py
@@ -2,6 +2,7 @@
 
 from kumquatspur.policy.crash_suspects import (
     INCIDENT_TTL_S,
+    MAX_CONTENTS,
     ContentState,
     CrashSuspects,
     Incident,
@@ -77,6 +78,18 @@
         suspects.clear("x", ["a", "b"])
         self.assertEqual(suspects.state_of("x", 1.0), ContentState.CLEAR)
 
+    def test_full_table_with_coinciding_crashes(self):
+        """Many searchers crash at once under many contents."""
+        suspects = CrashSuspects()
+        contents = [f"c{number}" for number in range(MAX_CONTENTS)]
+        for content in contents:
+            # Two incidents each, so that the newest contents are evicted.
+            suspects.add(crash("a", [content], 1.0))
+            suspects.add(crash("b", [content], 2.0))
+        suspects.add(crash("c", ["new"], 2.1))
+        self.assertLessEqual(len(suspects.incidents), MAX_CONTENTS)
+        self.assertNotIn("new", suspects.incidents)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -59,7 +59,8 @@
         own_capacity: Link rate and cores of this host's machine.
         peers: Peers by name.
         capacity_totals: Total link rate of all known hosts as a multiple of
-            this host's. Each change is a pair of its time and the new total.
+            this host's. Each one is a pair of the time at which it was last
+            observed and the total.
     """
 
     own_name: str
@@ -173,8 +174,9 @@
             for item in self.capacity_totals
             if now - item[0] < CAPACITY_WINDOW_S
         ]
-        if not self.capacity_totals or self.capacity_totals[-1][1] != total:
-            self.capacity_totals.append((now, total))
+        if self.capacity_totals and self.capacity_totals[-1][1] == total:
+            self.capacity_totals.pop()
+        self.capacity_totals.append((now, total))
         return max(known for _, known in self.capacity_totals)
 
 
--- a/kumquatspur/policy/peer_table_test.py
+++ b/kumquatspur/policy/peer_table_test.py
@@ -154,6 +154,19 @@
         late = 2.0 + CAPACITY_WINDOW_S
         self.assertEqual(self.table.sharers(late, 16), 2)
 
+    def test_hosts_lost_after_a_long_time_still_count_for_the_budget(self):
+        for number in range(8):
+            self.merge_peer(f"p{number}", address(number), 1e6)
+        lost_at = 0.9 * CAPACITY_WINDOW_S
+        self.assertEqual(self.table.sharers(0.0, 16), 9)
+        self.assertEqual(self.table.sharers(lost_at, 16), 9)
+        for number in range(7):
+            del self.table.peers[f"p{number}"]
+        soon = lost_at + 0.5 * CAPACITY_WINDOW_S
+        self.assertEqual(self.table.sharers(soon, 16), 9)
+        late = lost_at + 1.1 * CAPACITY_WINDOW_S
+        self.assertEqual(self.table.sharers(late, 16), 2)
+
     def test_host_without_peers_assumes_many_others(self):
         self.assertEqual(self.table.sharers(1.0, 16), 16)
 
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -6,6 +6,7 @@
 other host.
 """
 
+import logging
 from collections.abc import Iterable
 
 import eventlet
@@ -38,6 +39,8 @@
 from kumquatspur.wire.store_mirror import StoreMirror
 from kumquatspur.wire.store_watch import WATCH_WAIT_S
 
+_log = logging.getLogger(__name__)
+
 EXCHANGE_INTERVAL_S = 1.0
 # Used while this host has no current view of the store, or no peers.
 URGENT_EXCHANGE_INTERVAL_S = 0.3
@@ -163,8 +166,14 @@
             )
             jitter = self.state.random.uniform(0.8, 1.2)
             self._wake.acquire(timeout=interval * jitter)
-            self._exchange_once()
-            self._update_peers_and_budget()
+            try:
+                self._exchange_once()
+                self._update_peers_and_budget()
+            except Exception as error:
+                # Without exchanges, this host would lose all its peers.
+                _log.exception("exchange failed")
+                self.state.counters["internal_errors"] += 1
+                self.state.log.write("internal_error", True, error=repr(error))
 
     def _exchange_once(self) -> None:
         own = self.state.settings.peer
