--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,12 @@
 
 import eventlet
 
-from standins.platform_deployment import HostProcess, PlatformDeployment
+from standins.platform_deployment import (
+    LOOPBACK,
+    HostProcess,
+    PlatformDeployment,
+)
+from standins.platform_searcher import ENDLESS
 from standins.relay import Relay
 
 RELAY_FAULT_MODES = ("delay", "cut", "one_way", "stall")
@@ -173,6 +178,60 @@
         eventlet.sleep(environment.rng.uniform(0.05, 0.5))
 
 
+def leave_by_answer(environment: Environment, for_s: float) -> None:
+    """Makes a searcher say in its answers that it leaves, then restarts it."""
+    name = environment.rng.choice(sorted(environment.deployment.searchers))
+    searcher = environment.deployment.searchers[name]
+    searcher.leaving = True
+    eventlet.sleep(for_s)
+    searcher.leaving = False
+    searcher.starts += 1
+    _register(environment, name)
+
+
+def ask_for_pauses(environment: Environment, for_s: float) -> None:
+    """Makes some searchers reject requests and ask for a pause."""
+    searchers = environment.deployment.searchers
+    for name in environment.rng.sample(sorted(searchers), 4):
+        seconds = environment.rng.uniform(0.1, for_s)
+        searchers[name].pause_value = f"{seconds:.2f}"
+        searchers[name].script.append("pause")
+    eventlet.sleep(for_s)
+
+
+def send_without_end(environment: Environment, for_s: float) -> None:
+    """Makes some searchers send bytes that never end."""
+    searchers = environment.deployment.searchers
+    for name in environment.rng.sample(sorted(searchers), 3):
+        kind = environment.rng.choice(sorted(ENDLESS))
+        searchers[name].script.append(kind)
+    eventlet.sleep(for_s)
+
+
+def restore_store(environment: Environment, for_s: float) -> None:
+    """Restores the store from a copy; its writers then write again."""
+    deployment = environment.deployment
+    copy = deployment.store.copy()
+    deployment.replace_marker_route()
+    eventlet.sleep(for_s)
+    deployment.store.restore(copy)
+    eventlet.sleep(environment.rng.uniform(0.0, 0.5))
+    for name in sorted(deployment.searchers):
+        _register(environment, name)
+    deployment.replace_marker_route()
+
+
+def _register(environment: Environment, name: str) -> None:
+    """Writes a searcher's entry with the address of its relay."""
+    searcher = environment.deployment.searchers[name]
+    port = environment.searcher_relays[name].port
+    searcher.register(
+        environment.deployment.store,
+        address=f"{LOOPBACK}:{port}",
+        born=searcher.starts,
+    )
+
+
 FAULTS = (
     harm_searchers,
     harm_store,
@@ -186,3 +245,12 @@
     reload_host,
     change_configuration,
 )
+# Statements of searchers and of the store. A seed draws one of them besides its
+# other faults, with its own source of randomness, so that these stay as they
+# were for seeds that are kept.
+STATEMENT_FAULTS = (
+    leave_by_answer,
+    ask_for_pauses,
+    send_without_end,
+    restore_store,
+)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 eventlet.monkey_patch()
 
 import argparse  # noqa: E402
+import dataclasses  # noqa: E402
 import pathlib  # noqa: E402
 import random  # noqa: E402
 import shutil  # noqa: E402
@@ -13,7 +14,11 @@
 
 from kumquatspur.core.records import Address  # noqa: E402
 from soak.clients import Client  # noqa: E402
-from soak.faults import FAULTS, Environment  # noqa: E402
+from soak.faults import (  # noqa: E402
+    FAULTS,
+    STATEMENT_FAULTS,
+    Environment,
+)
 from soak.invariants import find_violations  # noqa: E402
 from standins.platform_deployment import (  # noqa: E402
     LOOPBACK,
@@ -68,6 +73,33 @@
     return True
 
 
+def plan_faults(environment: Environment, seed: int) -> list[tuple]:
+    """Draws the faults of a seed.
+
+    Returns:
+        For each fault its time in seconds, the function and its arguments.
+    """
+    rng = environment.rng
+    drawn = sorted(
+        (rng.uniform(0.0, FAULT_WINDOW_S), index, rng.choice(FAULTS))
+        for index in range(FAULTS_PER_SEED)
+    )
+    plan = [
+        (at, fault, environment, rng.uniform(*FAULT_DURATION_S))
+        for at, _, fault in drawn
+    ]
+    own_rng = random.Random(f"{seed} statement")
+    plan.append(
+        (
+            own_rng.uniform(0.0, FAULT_WINDOW_S),
+            own_rng.choice(STATEMENT_FAULTS),
+            dataclasses.replace(environment, rng=own_rng),
+            own_rng.uniform(*FAULT_DURATION_S),
+        )
+    )
+    return plan
+
+
 def run_seed(seed: int) -> tuple[list[str], list[str]]:
     """Runs one seed.
 
@@ -90,17 +122,9 @@
         for host in deployment.hosts.values():
             for number in range(CLIENTS_PER_HOST):
                 clients.append(Client(host, f"{host.name}-{number}", seed))
-        plan = sorted(
-            (rng.uniform(0.0, FAULT_WINDOW_S), index, rng.choice(FAULTS))
-            for index in range(FAULTS_PER_SEED)
-        )
-        faults = [fault.__name__ for _, _, fault in plan]
-        threads = [
-            eventlet.spawn_after(
-                at, fault, environment, rng.uniform(*FAULT_DURATION_S)
-            )
-            for at, _, fault in plan
-        ]
+        plan = plan_faults(environment, seed)
+        faults = [fault.__name__ for _, fault, *_ in plan]
+        threads = [eventlet.spawn_after(*planned) for planned in plan]
         for thread in threads:
             thread.wait()
         try:
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -52,6 +52,7 @@
             "error", "hang", "encoded", "unsigned", "crash", "no_length",
             "pause" or a key of `ENDLESS`.
         leaving: Whether its answers say that it leaves.
+        starts: Number of restarts.
         pause_value: Value of the header with which "pause" asks for a pause.
         arrived_at: When each request arrived, in monotonic time.
     """
@@ -65,6 +66,7 @@
         self.runs = collections.Counter()
         self.arrivals = 0
         self.leaving = False
+        self.starts = 0
         self.pause_value = "1"
         self.arrived_at = []
         self.deadlines = []
