--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 10
 FIRST ?= $(shell date +%s)
 
-.PHONY: bench bench-full demo demo-platform slopes soak test lint format clean
+.PHONY: bench bench-full bench-plan demo demo-platform slopes soak test lint format clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -39,6 +39,9 @@
 bench: $(VENV)/installed
 	$(RUN) -m bench.run --seconds $(BENCH_SECONDS)
 
+bench-plan: $(VENV)/installed
+	$(RUN) -m bench.plan_cost
+
 bench-full: $(VENV)/installed
 	$(RUN) -m bench.run --full --shapes oslo,salish --seconds 2400
 
