--- a/kumquatspur/controllers/configuration_test.py
+++ b/kumquatspur/controllers/configuration_test.py
@@ -4,6 +4,7 @@
 from kumquatspur.border.config_files import content_hash
 from kumquatspur.border.config_head import Head, encode_head
 from kumquatspur.border.settings import Settings
+from kumquatspur.controllers import watcher
 from kumquatspur.core import events, messages
 from standins.node_driver import NodeDriver
 from standins.shapes import OSLO, daemon_settings
@@ -140,6 +141,12 @@
         self.run_and_check(APPLY_S)
         self.assertEqual(set(self.revisions().values()), {2})
 
+    def test_pause_after_failed_calls_starts_at_its_base(self):
+        self.assertEqual(watcher.backoff_s(0), 0.0)
+        self.assertEqual(watcher.backoff_s(1), watcher.BACKOFF_BASE_S)
+        self.assertEqual(watcher.backoff_s(2), 2 * watcher.BACKOFF_BASE_S)
+        self.assertEqual(watcher.backoff_s(99), watcher.MAX_BACKOFF_S)
+
     def test_restarted_host_never_applies_a_withdrawn_revision(self):
         for store_down in (False, True):
             with self.subTest(store_down=store_down):
--- a/kumquatspur/controllers/query_scatter.py
+++ b/kumquatspur/controllers/query_scatter.py
@@ -146,7 +146,10 @@
         limit=query.limit,
         snapshot=query_state.snapshot,
         remaining_ms=time_left_s(query_state, now) * 1000.0,
-        flush_after_ms=flush_delay_s(_window(node, query_state)) * 1000.0,
+        flush_after_ms=flush_delay_s(
+            _window(node, query_state), time_left_s(query_state, now)
+        )
+        * 1000.0,
         repeatable=query.repeatable,
         hedge=hedge,
         may_wait=may_wait,
--- a/kumquatspur/controllers/replication.py
+++ b/kumquatspur/controllers/replication.py
@@ -364,10 +364,14 @@
 ) -> tuple[str, ...] | None:
     """Returns the topics to request from a peer: () for all, None for none."""
     gossip = node.gossip
-    if now - gossip.requested_at >= REQUEST_INTERVAL_S:
-        if not gossip.synced:
-            gossip.requested_at = now
-            return ()
+    may_request = now - gossip.requested_at >= REQUEST_INTERVAL_S
+    if not gossip.synced:
+        # Any reply sets `synced`, so only all entries may be requested.
+        if not may_request:
+            return None
+        gossip.requested_at = now
+        return ()
+    if may_request:
         if gossip.mismatches.get(topic, 0) > MAX_DIGEST_MISMATCHES:
             gossip.requested_at = now
             gossip.mismatches.pop(topic)
--- a/kumquatspur/controllers/watcher.py
+++ b/kumquatspur/controllers/watcher.py
@@ -58,7 +58,8 @@
     """Returns the pause after consecutive failed calls, in seconds."""
     if not store_failures:
         return 0.0
-    return min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2 ** min(store_failures, 16))
+    doublings = min(store_failures - 1, 16)
+    return min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2**doublings)
 
 
 def run_watcher(node: NodeState, on_head, now: float) -> list:
--- a/kumquatspur/policy/hedging.py
+++ b/kumquatspur/policy/hedging.py
@@ -18,6 +18,8 @@
 # Largest hedge delay as a share of the time left, so that the hedge itself can
 # still be answered in time.
 MAX_DELAY_SHARE = 0.5
+# The same for results that are held back, so that they arrive before the hedge.
+MAX_FLUSH_SHARE = 0.25
 # Interval at which shards that are still late are checked again.
 RECHECK_S = 0.010
 
@@ -48,19 +50,21 @@
         return self._sorted[int(share * (len(self._sorted) - 1))]
 
 
-def flush_delay_s(window: LatencyWindow) -> float:
+def flush_delay_s(window: LatencyWindow, time_left_s: float) -> float:
     """Returns how long an owner may delay results to send them together.
 
-    This is the median of the latencies, normally well below the hedge delay, so
+    This is the median of the latencies, but always below the hedge delay, so
     that no shard is asked again while its result waits at the owner.
 
     Args:
         window: Latencies of recent attempts.
+        time_left_s: Seconds until the deadline.
 
     Returns:
         Seconds.
     """
-    return window.quantile(FLUSH_QUANTILE) or DEFAULT_FLUSH_S
+    delay = window.quantile(FLUSH_QUANTILE) or DEFAULT_FLUSH_S
+    return min(delay, time_left_s * MAX_FLUSH_SHARE)
 
 
 def hedge_delay_s(
--- a/kumquatspur/policy/hedging_test.py
+++ b/kumquatspur/policy/hedging_test.py
@@ -5,6 +5,7 @@
     MIN_DELAY_S,
     WINDOW_SAMPLES,
     LatencyWindow,
+    flush_delay_s,
     hedge_delay_s,
 )
 
@@ -25,6 +26,17 @@
                 delay = hedge_delay_s(window, 0.95, time_left_s)
                 self.assertAlmostEqual(delay, expected)
 
+    def test_results_are_held_back_for_less_than_the_hedge_delay(self):
+        for latency in (0.001, 0.02, 0.1, 0.3):
+            window = LatencyWindow()
+            for _ in range(WINDOW_SAMPLES):
+                window.add(latency)
+            for time_left_s in (0.02, 0.14, 1.0):
+                with self.subTest(latency=latency, time_left_s=time_left_s):
+                    held = flush_delay_s(window, time_left_s)
+                    hedge = hedge_delay_s(window, 0.95, time_left_s)
+                    self.assertLessEqual(held, hedge)
+
     def test_old_latencies_are_dropped(self):
         window = LatencyWindow()
         for latency in [9.0] * WINDOW_SAMPLES + [0.01] * WINDOW_SAMPLES:
--- a/kumquatspur/policy/merge.py
+++ b/kumquatspur/policy/merge.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from kumquatspur.core import verdict as verdicts
+from kumquatspur.core.reason import Reason
 from kumquatspur.core.records import (
     Answer,
     Hit,
@@ -40,7 +41,7 @@
     """Builds the answer from the final result of each shard.
 
     A result from another snapshot is never merged. Its shard is reported as
-    missing, with the result's reason, which is None if the attempt succeeded.
+    missing.
 
     Args:
         request_id: The query's identifier.
@@ -59,7 +60,11 @@
     ]
     covered_names = {result.shard for result in covered}
     missing = tuple(
-        MissingShard(result.shard, result.reason, result.verdict)
+        MissingShard(
+            result.shard,
+            result.reason or Reason.SNAPSHOT_ABANDONED,
+            result.verdict,
+        )
         for result in results
         if result.shard not in covered_names
     )
--- a/kumquatspur/policy/merge_test.py
+++ b/kumquatspur/policy/merge_test.py
@@ -33,6 +33,8 @@
         )
         self.assertEqual(answer.covered, ("a",))
         self.assertEqual({hit.shard for hit in answer.hits}, {"a"})
+        (missing,) = answer.missing
+        self.assertIs(missing.reason, Reason.SNAPSHOT_ABANDONED)
 
 
 if __name__ == "__main__":
