Read what has arrived before a connection counts as idle; split the forwarder

Cause: the connections that a stopping host accepts last were closed as idle in the same step, before their first read, though a request had arrived. The test now closes idle connections right after accepting; without the change it gets no answer.

--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -10,9 +10,9 @@
     read_entry_settings,
 )
 from kumquatspur.core.records import Address
-from kumquatspur.core.routing import SearcherEntry
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
+from kumquatspur.wire import probes
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.delegator import Delegator
@@ -21,28 +21,25 @@
 from kumquatspur.wire.front_server import FrontServer
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.peer_exchange import PeerExchange
-from kumquatspur.wire.searcher_pool import (
-    TargetPool,
-    accepts_connections,
-    monotonic_s,
-    responds,
-)
+from kumquatspur.wire.searcher_pool import TargetPool, monotonic_s
 from kumquatspur.wire.store_mirror import StoreMirror
 from kumquatspur.wire.store_watch import StoreWatch
 
 LOOP_INTERVAL_S = 0.1
 PRUNE_INTERVAL_S = 0.5
 SETTINGS_CHECK_INTERVAL_S = 1.0
-SHARD_PROBE_INTERVAL_S = 0.4
+SERVICE_PROBE_INTERVAL_S = 0.4
 # The platform checks readiness once a second and stops sending new clients
 # after two failed checks.
 READINESS_DELAY_S = 2.5
 # The process exits EXIT_MARGIN_S before the platform kills it at the end of the
-# grace period; idle connections are closed IDLE_CLOSE_MARGIN_S before that end.
+# grace period, or LAST_EXIT_MARGIN_S if requests are still in flight. Idle
+# connections are closed IDLE_CLOSE_MARGIN_S before that end.
 IDLE_CLOSE_MARGIN_S = 1.5
 EXIT_MARGIN_S = 0.4
+LAST_EXIT_MARGIN_S = 0.15
 # Requests are answered this long before the exit, in time to be sent.
-ANSWER_MARGIN_S = 0.1
+LAST_ANSWER_MARGIN_S = 0.3
 
 
 class EntryHost:
@@ -99,7 +96,7 @@
         watch = StoreWatch(self.state, store, self.mirror, self.exchange.follow)
         eventlet.spawn_n(watch.run)
         self.exchange.start()
-        pruned_at = checked_at = shards_probed_at = monotonic_s()
+        pruned_at = checked_at = services_probed_at = monotonic_s()
         while not self._advance_stop(front):
             eventlet.sleep(LOOP_INTERVAL_S)
             now = monotonic_s()
@@ -109,11 +106,10 @@
                 self.state.log.write(
                     "searcher_pause_ended", searcher=searcher_id
                 )
-            if now - shards_probed_at >= SHARD_PROBE_INTERVAL_S:
-                shards_probed_at = now
-                self._probe_lost_services(now)
-            for zone in self.state.zone_health.zones_to_probe(now):
-                eventlet.spawn_n(self._probe_zone, zone)
+            if now - services_probed_at >= SERVICE_PROBE_INTERVAL_S:
+                services_probed_at = now
+                probes.probe_lost_services(self.state, now)
+            probes.probe_suspected_zones(self.state, now)
             if now - pruned_at >= PRUNE_INTERVAL_S:
                 pruned_at = now
                 self.pool.prune(now, self.state.directory.by_id)
@@ -124,58 +120,6 @@
         self.state.log.write("stop", True, in_flight=self.state.in_flight)
         self.state.log.flush()
 
-    def _probe_lost_services(self, now: float) -> None:
-        """Tests a searcher of each service that has only lost searchers.
-
-        Their requests are rejected, so no request would notice the return.
-        """
-        state = self.state
-        if state.table is None:
-            return
-        for service in state.table.services:
-            at = state.resume_at(service, now)
-            if at is None or at <= now:
-                continue
-            entries = [
-                entry
-                for entry in state.usable_searchers(service, now)
-                if state.load(entry.searcher_id).backoff_until > now
-            ]
-            if entries:
-                eventlet.spawn_n(
-                    self._probe_searcher, state.random.choice(entries)
-                )
-
-    def _probe_searcher(self, entry: SearcherEntry) -> None:
-        reached = accepts_connections(entry.address)
-        if reached:
-            self.state.load(entry.searcher_id).end_backoff()
-        self.state.counters["searcher_probes"] += 1
-        self.state.log.write(
-            "searcher_probed",
-            searcher=entry.searcher_id,
-            service=entry.service,
-            reached=reached,
-        )
-
-    def _probe_zone(self, zone: str) -> None:
-        """Tests whether a searcher of a suspected zone can be reached."""
-        addresses = [
-            entry.address
-            for entry in self.state.directory.by_id.values()
-            if entry.zone == zone
-        ]
-        if not addresses:
-            return
-        reached = responds(self.state.random.choice(addresses))
-        health = self.state.zone_health
-        if reached:
-            health.record_response(zone)
-        else:
-            health.record_failed_probe(zone, monotonic_s())
-        self.state.counters["zone_probes"] += 1
-        self.state.log.write("zone_probed", zone=zone, reached=reached)
-
     def _serve_metrics(self) -> None:
         address = Address(self.settings.ready.host, self.settings.metrics_port)
         try:
@@ -193,7 +137,7 @@
         if not self.state.stopping:
             self.state.stopping = True
             self.state.answer_by = (
-                self._stop_at + grace - EXIT_MARGIN_S - ANSWER_MARGIN_S
+                self._stop_at + grace - EXIT_MARGIN_S - LAST_ANSWER_MARGIN_S
             )
             self.state.log.write(
                 "stopping", True, in_flight=self.state.in_flight
@@ -205,7 +149,8 @@
             front.stop_accepting()
             front.close_idle()
         if age >= grace - EXIT_MARGIN_S:
-            return True
+            is_last_moment = age >= grace - LAST_EXIT_MARGIN_S
+            return is_last_moment or not self.state.in_flight
         if front.connections or self.state.in_flight:
             return False
         if front.accepting:
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -12,7 +12,7 @@
 from kumquatspur.core.routing import ClientLimits, ClientReply, ClientRequest
 from kumquatspur.platform import headers
 from kumquatspur.wire.entry_state import EntryState
-from kumquatspur.wire.forwarder import error_reply
+from kumquatspur.wire.error_replies import error_reply
 from kumquatspur.wire.http_messages import (
     MessageError,
     RawMessage,
@@ -159,7 +159,14 @@
 
     def _is_idle(self) -> bool:
         is_between = self.reader.is_between_requests()
-        return self.worker is None and not self.pending and is_between
+        if self.worker is not None or self.pending or not is_between:
+            return False
+        try:
+            # Bytes that have arrived but were not read yet may be a request.
+            return not self.socket.fd.recv(1, socket.MSG_PEEK)
+        except OSError:
+            # Nothing has arrived, or the connection has failed.
+            return True
 
     def _read(self) -> None:
         while not self.closed:
--- /dev/null
+++ b/kumquatspur/wire/probes.py
@@ -0,0 +1,75 @@
+"""Tests with a connection whether what is cut off or lost is back.
+
+Requests for it are rejected or go elsewhere, so no request would notice. A
+probe sends nothing: it takes no slot of a searcher, and no client waits for it.
+"""
+
+import eventlet
+
+from kumquatspur.core.routing import SearcherEntry
+from kumquatspur.wire.entry_state import EntryState
+from kumquatspur.wire.searcher_pool import (
+    accepts_connections,
+    monotonic_s,
+    responds,
+)
+
+
+def probe_lost_services(state: EntryState, now: float) -> None:
+    """Probes a searcher of each service all of whose searchers are in backoff.
+
+    Args:
+        state: The state of this host.
+        now: The current time of the monotonic clock, in seconds.
+    """
+    if state.table is None:
+        return
+    for service in state.table.services:
+        at = state.resume_at(service, now)
+        if at is None or at <= now:
+            continue
+        entries = [
+            entry
+            for entry in state.usable_searchers(service, now)
+            if state.load(entry.searcher_id).backoff_until > now
+        ]
+        if entries:
+            entry = state.random.choice(entries)
+            eventlet.spawn_n(_probe_searcher, state, entry)
+
+
+def probe_suspected_zones(state: EntryState, now: float) -> None:
+    """Probes a searcher of each suspected zone that is due for a probe.
+
+    Args:
+        state: The state of this host.
+        now: The current time of the monotonic clock, in seconds.
+    """
+    for zone in state.zone_health.zones_to_probe(now):
+        entries = [e for e in state.directory.by_id.values() if e.zone == zone]
+        if entries:
+            entry = state.random.choice(entries)
+            eventlet.spawn_n(_probe_zone, state, entry)
+
+
+def _probe_searcher(state: EntryState, entry: SearcherEntry) -> None:
+    reached = accepts_connections(entry.address)
+    if reached:
+        state.load(entry.searcher_id).end_backoff()
+    state.counters["searcher_probes"] += 1
+    state.log.write(
+        "searcher_probed",
+        searcher=entry.searcher_id,
+        service=entry.service,
+        reached=reached,
+    )
+
+
+def _probe_zone(state: EntryState, entry: SearcherEntry) -> None:
+    reached = responds(entry.address)
+    if reached:
+        state.zone_health.record_response(entry.zone)
+    else:
+        state.zone_health.record_failed_probe(entry.zone, monotonic_s())
+    state.counters["zone_probes"] += 1
+    state.log.write("zone_probed", zone=entry.zone, reached=reached)
--- /dev/null
+++ b/kumquatspur/wire/request_run.py
@@ -0,0 +1,519 @@
+"""One client request: its attempts at searchers, and the answer from them."""
+
+import dataclasses
+import math
+
+import eventlet
+import eventlet.semaphore
+
+from kumquatspur.core import verdict as verdicts
+from kumquatspur.core.reason import Reason
+from kumquatspur.core.routing import (
+    ClientReply,
+    ClientRequest,
+    Route,
+    SearcherEntry,
+    SearcherReply,
+)
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.platform import headers
+from kumquatspur.policy.records_merge import greatest_records
+from kumquatspur.policy.request_plan import (
+    AttemptKind,
+    PlanOutcome,
+    RequestPlan,
+    hedge_delay_s,
+)
+from kumquatspur.policy.searcher_choice import ChoiceContext, choose_searcher
+from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, servable_at
+from kumquatspur.wire.entry_state import contact_age_s
+from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
+from kumquatspur.wire.http_messages import split_request
+from kumquatspur.wire.searcher_pool import CallError, monotonic_s
+
+# An attempt that takes longer than this quantile of the latency is hedged.
+HEDGE_QUANTILE = 0.9
+TYPICAL_QUANTILE = 0.5
+# Assumed typical latency, as a share of the target, until latencies are known.
+DEFAULT_TYPICAL_SHARE = 0.2
+# Share of the extra attempts that hedges leave for retries of failed attempts.
+HEDGE_RESERVE_SHARE = 0.15
+# How long an attempt may continue after the request was answered, so that its
+# connection can be kept.
+SURPLUS_ATTEMPT_TIMEOUT_S = 0.3
+# A searcher may have dropped an idle connection unnoticed. A request sent on it
+# is lost, and must not be sent again if its route is not repeatable. So such a
+# request uses only a connection that was in use a moment ago.
+NON_REPEATABLE_MAX_IDLE_S = 0.3
+DEFAULT_TIME_LEFT_S = 60.0
+MIN_WAIT_S = 0.0005
+# A request in flight notices within this time that the host stops.
+MAX_WAIT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt to get an answer from a searcher.
+
+    Attributes:
+        shard: The shard, or the service of a forwarded request.
+        entry: The searcher.
+        kind: First attempt, hedge or retry.
+        started_at: Start time, on the monotonic clock.
+        charged: Whether it was charged to the budget of extra attempts.
+        result: The response, or the error; None while in flight.
+        ended_at: When the result arrived, on the monotonic clock.
+        thread: The green thread that makes the call.
+    """
+
+    shard: str
+    entry: SearcherEntry
+    kind: AttemptKind
+    started_at: float
+    charged: bool = False
+    result: SearcherReply | CallError | None = None
+    ended_at: float = 0.0
+    thread: object = None
+
+
+class RequestRun:
+    """One request in flight.
+
+    Attributes:
+        forwarder: The `Forwarder` that serves it.
+        state: The state of this host.
+        request: The client's request.
+        route: Its route.
+        version: Version of the configuration that routed it.
+        plan: Schedule of its attempts.
+        attempts: All attempts so far.
+        parts: The accepted responses by shard.
+        failure: The last failure that a searcher answered with; None if none.
+        finished: Whether the outcome is decided or the client has left.
+    """
+
+    def __init__(
+        self,
+        forwarder,
+        request: ClientRequest,
+        route: Route,
+        shards: tuple[str, ...],
+    ):
+        self.forwarder = forwarder
+        self.state = forwarder.state
+        self.request = request
+        self.route = route
+        self.version = self.state.table.config.version
+        self.window = self.state.latency_window(route.name)
+        time_left = request.time_left_s or DEFAULT_TIME_LEFT_S
+        self.deadline = request.received_at + min(time_left, route.timeout_s)
+        late_latency_s = self.window.quantile(HEDGE_QUANTILE)
+        self.plan = RequestPlan(
+            route,
+            shards,
+            request.received_at,
+            self.deadline,
+            hedge_delay_s(route.target_latency_s, late_latency_s),
+            request.lead_s,
+        )
+        self.late_latency_s = late_latency_s or self.plan.hedge_delay_s
+        typical = self.window.quantile(TYPICAL_QUANTILE)
+        self.typical_s = typical or (
+            route.target_latency_s * DEFAULT_TYPICAL_SHARE
+        )
+        self.request_parts = split_request(request)
+        self.wake = eventlet.semaphore.Semaphore(0)
+        self.finished = False
+        self.attempts = []
+        self.parts = {}
+        self.failure = None
+
+    def run(self) -> ClientReply:
+        """Returns the answer."""
+        now = monotonic_s()
+        state = self.state
+        if state.answer_by - now < self.late_latency_s:
+            return self.forwarder.refuse(
+                self.request, self.route, 503, Reason.LEAVING
+            )
+        resume_times = [
+            state.resume_at(shard, now) for shard in self.plan.shards
+        ]
+        if resume_times.count(now) < self.plan.needed:
+            return self._refuse_unservable(resume_times, now)
+        for shard in self.plan.shards:
+            self.state.extra_attempts.record_request(shard, now)
+        scattered = len(self.route.shards)
+        self.state.scattered_shards += scattered
+        try:
+            outcome = self._wait()
+            self.finished = True
+        finally:
+            self.state.scattered_shards -= scattered
+            self._stop_attempts()
+            if not self.finished:
+                self.finished = True
+                self._log_client_disconnect()
+        reply = self._reply(outcome)
+        self._log(outcome, reply)
+        return reply
+
+    def _refuse_unservable(
+        self, resume_times: list[float | None], now: float
+    ) -> ClientReply:
+        """Rejects a request for which too few shards have a searcher.
+
+        Args:
+            resume_times: For each shard, when it can be searched again; None if
+                it has no searcher that can be reached.
+            now: The current time of the monotonic clock, in seconds.
+        """
+        pauses = self.state.pauses
+        usable = self.state.directory.usable
+        paused = any(
+            pauses.is_paused(entry.searcher_id, now)
+            for shard, at in zip(self.plan.shards, resume_times, strict=True)
+            if at != now
+            for entry in usable(shard, now)
+        )
+        reason = Reason.SEARCHERS_PAUSED if paused else Reason.NO_REPLICA
+        at = servable_at(resume_times, self.plan.needed)
+        return self.forwarder.refuse(
+            self.request,
+            self.route,
+            503,
+            reason,
+            0.0 if at is None else at - now,
+        )
+
+    def _pause_left_s(self, now: float) -> float:
+        """Returns when enough shards take work again, in seconds from now.
+
+        It is 0 if they do so now, or if too few of them have a searcher.
+        """
+        at = servable_at(
+            (self.state.resume_at(shard, now) for shard in self.plan.shards),
+            self.plan.needed,
+        )
+        return 0.0 if at is None else at - now
+
+    def _wait(self) -> PlanOutcome:
+        while True:
+            now = monotonic_s()
+            # A stop may begin while the request is in flight.
+            self.plan.deadline = min(self.plan.deadline, self.state.answer_by)
+            for shard, kind in self.plan.due_attempts(now):
+                self._start(shard, kind, now)
+            outcome = self.plan.outcome(now)
+            if outcome is not None:
+                return outcome
+            wait = max(MIN_WAIT_S, self.plan.wake_at(now) - now)
+            self.wake.acquire(timeout=min(wait, MAX_WAIT_S))
+
+    def _start(self, shard: str, kind: AttemptKind, now: float) -> None:
+        progress = self.plan.shards[shard]
+        entries = [
+            entry
+            for entry in self.state.usable_searchers(shard, now)
+            if entry.searcher_id not in progress.tried
+        ]
+        context = ChoiceContext(
+            self.state.settings.zone,
+            self.typical_s,
+            now,
+            self.state.random.random,
+        )
+        entry = choose_searcher(
+            entries, self.state.load, self.state.zone_health, context
+        )
+        # A retry after an attempt that was never sent is not an extra attempt.
+        extra = kind is not AttemptKind.FIRST and progress.sent_attempts > 0
+        if entry is None or (extra and not self._charge(shard, kind, now)):
+            self.plan.record_unavailable(shard, kind, now)
+            return
+        self.plan.record_start(shard, entry.searcher_id, now)
+        attempt = Attempt(shard, entry, kind, now, extra)
+        self.attempts.append(attempt)
+        attempt.thread = eventlet.spawn(self._call, attempt)
+
+    def _charge(self, shard: str, kind: AttemptKind, now: float) -> bool:
+        reserve = HEDGE_RESERVE_SHARE if kind is AttemptKind.HEDGE else 0.0
+        charged = self.state.extra_attempts.spend(shard, now, reserve)
+        self.state.counters[f"{kind}_{'sent' if charged else 'unpaid'}"] += 1
+        return charged
+
+    def _call(self, attempt: Attempt) -> None:
+        entry = attempt.entry
+        load = self.state.load(entry.searcher_id)
+        key = id(attempt)
+        load.in_flight[key] = attempt.started_at
+        try:
+            message = self.forwarder.pool.call(
+                entry.searcher_id,
+                entry.address,
+                b"".join(
+                    (
+                        self.request_parts[0],
+                        headers.encode_searcher_headers(
+                            entry.searcher_id, self.deadline - monotonic_s()
+                        ),
+                        self.request_parts[1],
+                    )
+                ),
+                self._matches_request,
+                self.deadline,
+                self.request.method == "HEAD",
+                math.inf
+                if self.route.repeatable
+                else NON_REPEATABLE_MAX_IDLE_S,
+            )
+            attempt.result = headers.decode_reply(
+                message.status,
+                # A merged answer has none of the searchers' headers.
+                message.headers
+                if self.route.shards
+                else message.end_to_end_headers(),
+                message.body(),
+            )
+        except CallError as error:
+            attempt.result = error
+        finally:
+            load.in_flight.pop(key, None)
+            if attempt.result is None:
+                self._observe_abandoned(attempt, load)
+        attempt.ended_at = monotonic_s()
+        self._observe(attempt, load)
+        if not self.finished:
+            self._handle_result(attempt)
+
+    def _matches_request(self, message) -> bool:
+        value = message.header(headers.REQUEST_ID)
+        if value is None:
+            # All requests on a connection name the same searcher, so a
+            # misdirected reply without identifier applies to this one too.
+            return message.status == headers.MISDIRECTED_REQUEST
+        return value.decode("latin-1") == self.request.request_id
+
+    def _observe(self, attempt: Attempt, load) -> None:
+        """Updates load, zone and crash state from the result of an attempt."""
+        entry, result, now = attempt.entry, attempt.result, attempt.ended_at
+        if isinstance(result, CallError):
+            reached = result.sent and not result.unresponsive
+            record = load.record_error if reached else load.record_unreachable
+            record(now)
+            if result.connection_lost:
+                self.forwarder.crash_detector.record_broken_connection(
+                    self.request, self.route.name, entry
+                )
+            if result.unresponsive:
+                self.state.zone_health.record_unresponsive(
+                    entry.zone, entry.searcher_id, now
+                )
+            return
+        self.state.zone_health.record_response(entry.zone)
+        if result.load is not None:
+            load.record_load(result.load, now)
+        if result.status == headers.MISDIRECTED_REQUEST:
+            load.record_unreachable(now)
+            return
+        self._observe_wishes(entry, result, now)
+        if result.status >= 500 or result.not_executed:
+            load.record_error(now)
+        if 200 <= result.status < 300:
+            seconds = now - attempt.started_at
+            self.window.add(seconds)
+            load.record_latency(seconds / self.typical_s, now)
+            self.forwarder.crash_detector.record_success(
+                self.request, self.route.name
+            )
+
+    def _observe_wishes(
+        self, entry: SearcherEntry, result: SearcherReply, now: float
+    ) -> None:
+        """Records that a searcher is leaving, or wants a pause."""
+        state = self.state
+        if result.leaving and state.directory.record_leaving(
+            entry.searcher_id, entry.started_unix_ms, now
+        ):
+            state.counters["searchers_leaving"] += 1
+            state.log.write(
+                "searcher_leaving",
+                True,
+                searcher=entry.searcher_id,
+                service=entry.service,
+                source="answer",
+                left=len(state.directory.usable(entry.service, now)),
+            )
+        if result.pause_s is None:
+            return
+        grown_s = state.pauses.record(entry.searcher_id, result.pause_s, now)
+        if grown_s:
+            state.counters["searcher_pauses"] += 1
+            state.log.write(
+                "searcher_pause",
+                searcher=entry.searcher_id,
+                service=entry.service,
+                asked_s=result.pause_s,
+                limit_s=MAX_PAUSE_S,
+                grown_s=round(grown_s, 3),
+            )
+
+    def _observe_abandoned(self, attempt: Attempt, load) -> None:
+        """Records the latency so far of an attempt that was given up."""
+        now = monotonic_s()
+        ratio = (now - attempt.started_at) / self.typical_s
+        if ratio > load.current_slowness(now):
+            load.record_latency(ratio, now)
+
+    def _handle_result(self, attempt: Attempt) -> None:
+        """Updates the plan from the result of an attempt.
+
+        The request's green thread is woken only if it has something to do. Most
+        results of a scattered request change nothing else.
+        """
+        answered = self.plan.answered
+        self._record_result(attempt)
+        plan = self.plan
+        if (
+            plan.answered == answered
+            or plan.answered == plan.needed
+            or plan.outcome(attempt.ended_at) is not None
+        ):
+            self.wake.release()
+
+    def _record_result(self, attempt: Attempt) -> None:
+        result, shard = attempt.result, attempt.shard
+        if isinstance(result, CallError):
+            if attempt.charged and not result.sent:
+                self.state.extra_attempts.refund(shard, attempt.ended_at)
+            self.plan.record_failure(shard, result.verdict, result.sent)
+            return
+        if result.not_executed:
+            self.plan.record_failure(shard, Verdict.NOT_RUN, True)
+            return
+        if self._is_answer(result):
+            if self.plan.record_result(shard):
+                self.parts[shard] = result
+            return
+        self.failure = result
+        self.plan.record_failure(shard, Verdict.RAN, True)
+
+    def _is_answer(self, result: SearcherReply) -> bool:
+        if not result.signature or result.has_content_encoding:
+            return False
+        if self.route.shards:
+            return result.status == 200 and "," not in result.signature
+        return result.status < 500
+
+    def _stop_attempts(self) -> None:
+        for attempt in self.attempts:
+            if attempt.result is not None:
+                continue
+            if self.finished:
+                eventlet.spawn_after(
+                    SURPLUS_ATTEMPT_TIMEOUT_S, attempt.thread.kill
+                )
+            else:
+                attempt.thread.kill()
+
+    def _reply(self, outcome: PlanOutcome) -> ClientReply:
+        if outcome is PlanOutcome.FAIL:
+            return self._failure()
+        if self.route.shards:
+            missing = len(self.plan.shards) - len(self.parts)
+            return headers.merged_reply(
+                [part.signature for part in self.parts.values()],
+                missing,
+                greatest_records(
+                    (part.body for part in self.parts.values()),
+                    self.route.result_limit,
+                ),
+            )
+        (part,) = self.parts.values()
+        return ClientReply(part.status, part.headers, part.body)
+
+    def _failure(self) -> ClientReply:
+        verdict = verdicts.combine(self.plan.verdicts())
+        if verdict is Verdict.NOT_RUN:
+            wait_s = self._pause_left_s(monotonic_s())
+            return error_reply(
+                503, Reason.OVERLOADED, self.forwarder.retry_after_s(wait_s)
+            )
+        # A forwarded request gets the error response of its searcher, unless
+        # the status of that response would say that nothing ran.
+        if (
+            self.failure is not None
+            and not self.route.shards
+            and self.failure.signature
+            and not self.failure.has_content_encoding
+            and self.failure.status not in NOT_RUN_STATUSES
+        ):
+            return ClientReply(
+                self.failure.status, self.failure.headers, self.failure.body
+            )
+        if monotonic_s() >= self.plan.deadline:
+            return error_reply(504, Reason.TIMED_OUT)
+        return error_reply(502, Reason.UPSTREAM_FAILED)
+
+    def _log_client_disconnect(self) -> None:
+        self.state.log.write(
+            "client_left",
+            request_id=self.request.request_id,
+            route=self.route.name,
+            config=self.version,
+            ms=round((monotonic_s() - self.request.received_at) * 1000, 1),
+            in_flight=sum(a.result is None for a in self.attempts),
+        )
+
+    def _log(self, outcome: PlanOutcome, reply: ClientReply) -> None:
+        now = monotonic_s()
+        elapsed = now - self.request.received_at
+        counters = self.state.counters
+        counters[f"answered_{reply.status}"] += 1
+        if outcome is PlanOutcome.ANSWER:
+            self.state.record_answer(self.route.name, elapsed)
+        self.state.log.write(
+            "answered",
+            request_id=self.request.request_id,
+            route=self.route.name,
+            config=self.version,
+            searchers_age_s=contact_age_s(self.state),
+            status=reply.status,
+            outcome=outcome,
+            ms=round(elapsed * 1000, 1),
+            target_ms=round(self.route.target_latency_s * 1000),
+            parts=f"{len(self.parts)}/{len(self.plan.shards)}",
+            missing=[s for s in self.plan.shards if s not in self.parts],
+            attempts=[
+                _describe(attempt, self.request.received_at)
+                for attempt in self.attempts
+                if not _is_first_success(attempt)
+            ],
+        )
+
+
+def _is_first_success(attempt: Attempt) -> bool:
+    if attempt.kind is not AttemptKind.FIRST:
+        return False
+    result = attempt.result
+    return isinstance(result, SearcherReply) and result.status == 200
+
+
+def _describe(attempt: Attempt, received_at: float) -> list:
+    result = attempt.result
+    outcome = "open"
+    if isinstance(result, CallError):
+        outcome = str(result)
+    elif result is not None:
+        outcome = result.status
+    took = (
+        attempt.ended_at - attempt.started_at if attempt.ended_at else math.nan
+    )
+    return [
+        attempt.kind,
+        attempt.entry.searcher_id,
+        attempt.entry.zone,
+        round((attempt.started_at - received_at) * 1000, 1),
+        None if math.isnan(took) else round(took * 1000, 1),
+        outcome,
+    ]
--- a/standins/planned_stop_test.py
+++ b/standins/planned_stop_test.py
@@ -114,6 +114,8 @@
         sock = self.connect()
         sock.sendall(self.request("/one/x"))
         front.stop_accepting()
+        # The request has arrived, but was not read yet.
+        front.close_idle()
         status, _, _ = self.exchange(sock, b"")
         self.assertEqual(status, 200)
         with self.assertRaises(OSError):
