planned_stop_test takes 504 for the answer that it is

Trace: 504 is a complete answer, given when the searcher is still at work at the time of the last answers or at the request's deadline of 0.5 s; the report that the test stands for is a request without an answer, and that is still refused. No other outcome was added.

--- a/standins/planned_stop_test.py
+++ b/standins/planned_stop_test.py
@@ -84,8 +84,10 @@
             client.wait()
         self.assertFalse(host.is_running())
         self.assertIn("refused", outcomes)
+        # 504 is an answer too: the searcher was still at work when the host had
+        # to answer, or at the deadline on a busy machine.
         self.assertLessEqual(
-            set(outcomes), {"200", "503", "refused", "not read"}
+            set(outcomes), {"200", "503", "504", "refused", "not read"}
         )
         self.assertLessEqual(outcomes.count("not read"), 2)
 
