New tests wait for conditions instead of fractions of a second

The tests of the last searcher, of pauses and of drills relied on steps that take less than 0.1 to 0.6 s in the test itself.

--- a/standins/store_drill_test.py
+++ b/standins/store_drill_test.py
@@ -12,12 +12,15 @@
 from standins.platform_searcher import forwarded_route
 
 REQUEST_INTERVAL_S = 0.02
+HEARTBEAT_S = 1.0
 
 
 class StoreDrillTest(PlatformPathCase):
     def setUp(self):
         super().setUp()
         self.wait_ready()
+        # Entries that a restored copy lacks are kept for three heartbeats.
+        self.host.state.directory.heartbeat_s = HEARTBEAT_S
         self.new_route = forwarded_route("new", "/new/", "single")
 
     def usable(self, service, host=None):
@@ -34,6 +37,7 @@
         peers = [self.start_host(f"h{n}", seeds=seeds) for n in range(count)]
         for peer in peers:
             self.wait_ready(peer)
+            peer.state.directory.heartbeat_s = HEARTBEAT_S
         hosts = [self.host, *peers]
         wait_until(
             lambda: all(len(h.state.peers.peers) == count for h in hosts)
