The test of an unreachable host announces the port by that host

The cause is the race traced for test_unresponsive_delegate_times_out: an exchange undoes the test's change of the peer's port. The assertions are unchanged.

--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -399,10 +399,11 @@
 
     def test_unreachable_host_is_backed_off(self):
         fast = self.start_fast_host()
-        fast.settings.__dict__["relay"] = None
-        peers = self.host.state.peers.peers
         port = free_ports(1)[0]
-        peers["fast"] = dataclasses.replace(peers["fast"], relay_port=port)
+        # The other host announces the port, so that no exchange undoes it.
+        fast.settings.__dict__["relay"] = Address("127.0.0.1", port)
+        peers = self.host.state.peers.peers
+        wait_until(lambda: peers["fast"].relay_port == port)
         self.host.exchange.exchange_now = lambda: None
         for number in range(2):
             status, _, _ = self.ask("/all/x", request_id=f"u{number}")
