--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -13,6 +13,7 @@
 
 from kumquatspur.core.records import Diagnostic
 from kumquatspur.policy.day_report import RequestLine, RequestOutcome
+from kumquatspur.policy.limit_report import AttemptsLine, LimitLine
 
 # Tools that collect the logs of several hosts prefix each line with the time
 # by their own clock and with the host. That time replaces the line's own time,
@@ -68,9 +69,27 @@
     count: int
 
 
+class _SearcherLimit(_LogEvent):
+    event: Literal["searcher_limit"]
+    searcher: str
+    per_s: float | None
+    attempts_before: int = 0
+
+
+class _LimitedAttempts(_LogEvent):
+    event: Literal["limited_attempts"]
+    attempts: dict[str, dict[str, int]]
+
+
 _Decision = pydantic.TypeAdapter(
     Annotated[
-        _Answered | _Refused | _ClientDisconnected | _Delegated | _LinesDropped,
+        _Answered
+        | _Refused
+        | _ClientDisconnected
+        | _Delegated
+        | _LinesDropped
+        | _SearcherLimit
+        | _LimitedAttempts,
         pydantic.Field(discriminator="event"),
     ]
 )
@@ -80,7 +99,15 @@
     503: RequestOutcome.REFUSED,
 }
 _EVENTS = frozenset(
-    {"answered", "refused", "client_left", "handed_over", "log_lines_dropped"}
+    {
+        "answered",
+        "refused",
+        "client_left",
+        "handed_over",
+        "log_lines_dropped",
+        "searcher_limit",
+        "limited_attempts",
+    }
 )
 
 
@@ -156,6 +183,8 @@
     Attributes:
         requests: The completed requests, as `RequestLine`.
         log_events: Time, host and event name of every line.
+        limits: The limits that hosts learnt, as `LimitLine`.
+        limited_attempts: The attempts at limited searchers, as `AttemptsLine`.
         lines_dropped: Number of lines that hosts dropped.
         unreadable: Number of lines with malformed JSON or with fields that
             are missing or invalid.
@@ -164,6 +193,8 @@
     def __init__(self):
         self.requests = []
         self.log_events = []
+        self.limits = []
+        self.limited_attempts = []
         self.lines_dropped = 0
         self.unreadable = 0
 
@@ -192,13 +223,39 @@
         except pydantic.ValidationError:
             self.unreadable += 1
             return
-        if isinstance(line, _LinesDropped):
-            self.lines_dropped += line.count
-            return
-        if isinstance(line, _Delegated) and not line.lost:
-            return
+        collectors = {
+            _LinesDropped: self._add_lines_dropped,
+            _Delegated: self._add_delegated,
+            _SearcherLimit: self._add_limit,
+            _LimitedAttempts: self._add_limited_attempts,
+        }
+        collectors.get(type(line), self._add_request)(line, at_s)
+
+    def _add_request(self, line: _Line, at_s: float) -> None:
         self.requests.append(_CONVERTERS[type(line)](line, at_s))
 
+    def _add_delegated(self, line: _Delegated, at_s: float) -> None:
+        if line.lost:
+            self._add_request(line, at_s)
+
+    def _add_lines_dropped(self, line: _LinesDropped, at_s: float) -> None:
+        self.lines_dropped += line.count
+
+    def _add_limit(self, line: _SearcherLimit, at_s: float) -> None:
+        self.limits.append(
+            LimitLine(
+                at_s, line.host, line.searcher, line.per_s, line.attempts_before
+            )
+        )
+
+    def _add_limited_attempts(
+        self, line: _LimitedAttempts, at_s: float
+    ) -> None:
+        for searcher, by_kind in line.attempts.items():
+            self.limited_attempts.append(
+                AttemptsLine(at_s, line.host, searcher, by_kind)
+            )
+
 
 def read_decision_logs(
     logs_path: str,
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -250,6 +250,8 @@
         leaving: Whether the searcher declares that it will stop.
         pause_s: Time in which the searcher wants no requests from this host;
             None if it rejected nothing or named no time.
+        limit_per_s: Requests per second that the searcher takes from all hosts
+            together; None if it names no limit.
     """
 
     status: int
@@ -262,3 +264,4 @@
     load: LoadReport | None
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
--- a/kumquatspur/platform/headers.py
+++ b/kumquatspur/platform/headers.py
@@ -14,6 +14,7 @@
 MISSING_PARTS = b"kumquatspur-missing-parts"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LIMIT = b"server-limit"
 
 READY_PATH = "/readiness"
 
@@ -24,14 +25,14 @@
 OWN_REPLY_HEADERS = frozenset({PART_SIGNATURES, MISSING_PARTS})
 # Reply headers by which a searcher addresses this host. A client would take
 # them for statements of the entry host.
-HOST_REPLY_HEADERS = frozenset({LEAVING, RETRY_AFTER})
+HOST_REPLY_HEADERS = frozenset({LEAVING, RETRY_AFTER, LIMIT})
 _REMOVED_REPLY_HEADERS = OWN_REPLY_HEADERS | HOST_REPLY_HEADERS
 
 _MIN_LOAD_FIELDS = 3
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 _LEAVING_VALUE = b"1"
-_SECONDS_PATTERN = re.compile(rb"\d{1,20}(\.\d{1,20})?")
+_DECIMAL_PATTERN = re.compile(rb"\d{1,20}(\.\d{1,20})?")
 
 
 def decode_load(value: bytes) -> LoadReport | None:
@@ -67,8 +68,25 @@
         The time in seconds; None for a date, a negative number or other text,
         which state no usable time.
     """
+    return _decode_decimal(value)
+
+
+def decode_limit_per_s(value: bytes) -> float | None:
+    """Decodes the requests that a searcher takes from all hosts together.
+
+    Args:
+        value: The header's value.
+
+    Returns:
+        The limit in requests per second; None for a negative number or text,
+        which state no usable limit.
+    """
+    return _decode_decimal(value)
+
+
+def _decode_decimal(value: bytes) -> float | None:
     value = value.strip()
-    if _SECONDS_PATTERN.fullmatch(value) is None:
+    if _DECIMAL_PATTERN.fullmatch(value) is None:
         return None
     return float(value)
 
@@ -105,6 +123,7 @@
     by_name = dict(headers)
     load = by_name.get(LOAD)
     retry_after = by_name.get(RETRY_AFTER)
+    limit = by_name.get(LIMIT)
     pause_s = None
     if status == SERVICE_UNAVAILABLE and retry_after is not None:
         pause_s = decode_pause_s(retry_after)
@@ -123,6 +142,7 @@
         load=decode_load(load) if load is not None else None,
         leaving=by_name.get(LEAVING, b"").strip() == _LEAVING_VALUE,
         pause_s=pause_s,
+        limit_per_s=decode_limit_per_s(limit) if limit is not None else None,
     )
 
 
--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -16,6 +16,7 @@
     config_commands,
     day_command,
     file_commands,
+    limits_command,
     query_commands,
 )
 from kumquatspur.scripts import status_commands as status
@@ -304,12 +305,30 @@
         return day_command.run_day(self)
 
 
+@cappa.command(name="limits")
+@dataclass
+class LimitsCommand:
+    """Reports what searchers with a limit got from all entry hosts together.
+
+    Example: kumquatspur report limits LOGS
+    """
+
+    folder: Annotated[
+        str, cappa.Arg(help="A folder of logs, one file a host, or one file.")
+    ]
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return limits_command.run_limits(self)
+
+
 @cappa.command(name="report")
 @dataclass
 class ReportCommand:
     """Prints reports."""
 
-    command: cappa.Subcommands[BurnCommand | DayCommand]
+    command: cappa.Subcommands[BurnCommand | DayCommand | LimitsCommand]
 
 
 @cappa.command(name="kumquatspur")
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -29,6 +29,7 @@
 PRUNE_INTERVAL_S = 0.5
 SETTINGS_CHECK_INTERVAL_S = 1.0
 SERVICE_PROBE_INTERVAL_S = 0.4
+LIMIT_REPORT_INTERVAL_S = 1.0
 # The platform checks readiness once a second and stops sending new clients
 # after two failed checks.
 READINESS_DELAY_S = 2.5
@@ -97,6 +98,7 @@
         eventlet.spawn_n(watch.run)
         self.exchange.start()
         pruned_at = checked_at = services_probed_at = monotonic_s()
+        limits_reported_at = pruned_at
         while not self._advance_stop(front):
             eventlet.sleep(LOOP_INTERVAL_S)
             now = monotonic_s()
@@ -110,9 +112,13 @@
                 services_probed_at = now
                 probes.probe_lost_services(self.state, now)
             probes.probe_suspected_zones(self.state, now)
+            if now - limits_reported_at >= LIMIT_REPORT_INTERVAL_S:
+                limits_reported_at = now
+                self._report_limits()
             if now - pruned_at >= PRUNE_INTERVAL_S:
                 pruned_at = now
                 self.pool.prune(now, self.state.directory.by_id)
+                self.state.limits.prune(self.state.directory.by_id)
                 self.delegator.prune(now)
             if self._reload or now - checked_at >= SETTINGS_CHECK_INTERVAL_S:
                 checked_at, self._reload = now, False
@@ -120,6 +126,12 @@
         self.state.log.write("stop", True, in_flight=self.state.in_flight)
         self.state.log.flush()
 
+    def _report_limits(self) -> None:
+        """Logs this host's attempts at searchers that name a limit."""
+        attempts = self.state.limits.end_interval()
+        if attempts:
+            self.state.log.write("limited_attempts", True, attempts=attempts)
+
     def _serve_metrics(self) -> None:
         address = Address(self.settings.ready.host, self.settings.metrics_port)
         try:
@@ -204,6 +216,7 @@
         lines += [
             f"kumquatspur_config_version {version}",
             f"kumquatspur_searchers {len(self.state.directory.by_id)}",
+            f"kumquatspur_limited_searchers {len(self.state.limits.stated)}",
             f"kumquatspur_searchers_age_seconds {contact_age_s(self.state)}",
             f"kumquatspur_store_up {int(self.state.store_ok)}",
             f"kumquatspur_connections_opened {self.pool.opened}",
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -17,6 +17,7 @@
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
 from kumquatspur.policy.searcher_directory import SearcherDirectory
+from kumquatspur.policy.searcher_limits import SearcherLimits
 from kumquatspur.policy.searcher_pauses import SearcherPauses
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.searcher_pool import monotonic_s
@@ -39,6 +40,7 @@
         table: Routes in force; None before a configuration is known.
         loads: Load and failures of each searcher, by identifier.
         pauses: Searchers that want no requests from this host for a while.
+        limits: Requests per second that searchers take from all hosts.
         zone_health: Tracks which zones are unreachable.
         latencies: Recent latencies of attempts by route.
         client_timing: Time that passes between clients and this host.
@@ -64,6 +66,7 @@
     table: RouteTable | None = None
     loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
     pauses: SearcherPauses = dataclasses.field(default_factory=SearcherPauses)
+    limits: SearcherLimits = dataclasses.field(default_factory=SearcherLimits)
     zone_health: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -234,6 +234,7 @@
         self.plan.record_start(shard, entry.searcher_id, now)
         attempt = Attempt(shard, entry, kind, now, extra)
         self.attempts.append(attempt)
+        self.state.limits.count_attempt(entry.searcher_id, kind)
         attempt.thread = eventlet.spawn(self._call, attempt)
 
     def _charge(self, shard: str, kind: AttemptKind, now: float) -> bool:
@@ -317,6 +318,7 @@
             load.record_unreachable(now)
             return
         self._observe_wishes(entry, result, now)
+        self._observe_limit(entry, result)
         if result.status >= 500 or result.not_executed:
             load.record_error(now)
         if 200 <= result.status < 300:
@@ -358,6 +360,21 @@
                 grown_s=round(grown_s, 3),
             )
 
+    def _observe_limit(self, entry: SearcherEntry, result: SearcherReply):
+        """Records the limit that a searcher names, or that it names none."""
+        limits = self.state.limits
+        if not limits.record(entry.searcher_id, result.limit_per_s):
+            return
+        self.state.counters["searcher_limits"] += 1
+        self.state.log.write(
+            "searcher_limit",
+            True,
+            searcher=entry.searcher_id,
+            service=entry.service,
+            per_s=result.limit_per_s,
+            attempts_before=limits.previous_attempts(entry.searcher_id),
+        )
+
     def _observe_abandoned(self, attempt: Attempt, load) -> None:
         """Records the latency so far of an attempt that was given up."""
         now = monotonic_s()
--- a/standins/platform_fuzz_test.py
+++ b/standins/platform_fuzz_test.py
@@ -291,11 +291,18 @@
         st.binary(max_size=30) | st.from_regex(rb"[-+0-9.e]{1,24}"),
         st.binary(max_size=5),
         st.sampled_from([200, 429, 503]),
+        st.binary(max_size=30) | st.from_regex(rb"[-+0-9.e]{1,24}"),
     )
-    def test_wishes_of_searchers(self, pause, leaving, status):
-        fields = ((b"retry-after", pause), (b"server-leaving", leaving))
+    def test_wishes_of_searchers(self, pause, leaving, status, limit):
+        fields = (
+            (b"retry-after", pause),
+            (b"server-leaving", leaving),
+            (b"server-limit", limit),
+        )
         reply = headers.decode_reply(status, fields, b"")
         self.assertEqual(reply.headers, ())
+        if reply.limit_per_s is not None:
+            self.assertTrue(0 <= reply.limit_per_s < math.inf)
         if reply.pause_s is not None:
             self.assertEqual(status, 503)
             self.assertTrue(0 <= reply.pause_s < math.inf)
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -54,6 +54,7 @@
         leaving: Whether its answers say that it leaves.
         starts: Number of restarts.
         pause_value: Value of the header with which "pause" asks for a pause.
+        limit_per_s: Limit that its answers name; None for none.
         arrived_at: When each request arrived, in monotonic time.
     """
 
@@ -68,6 +69,7 @@
         self.leaving = False
         self.starts = 0
         self.pause_value = "1"
+        self.limit_per_s = None
         self.arrived_at = []
         self.deadlines = []
         self.script = collections.deque()
@@ -148,8 +150,7 @@
             ]
             if behaviour == "pause":
                 lines.append(f"Retry-After: {self.pause_value}")
-            if self.leaving:
-                lines.append("Server-Leaving: 1")
+            lines += self._statements()
             sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
             return True
         if behaviour in ENDLESS:
@@ -168,6 +169,15 @@
         eventlet.sleep(self.work_s)
         return self._send_reply(sock, behaviour, request_id, message)
 
+    def _statements(self) -> list[str]:
+        """Returns the header lines with which it speaks of itself."""
+        lines = []
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
+        if self.limit_per_s is not None:
+            lines.append(f"Server-Limit: {self.limit_per_s}")
+        return lines
+
     def _send_reply(self, sock, behaviour, request_id, message) -> bool:
         body = b"".join(self.records)
         if message.method != b"GET":
@@ -185,8 +195,7 @@
             "Kumquatspur-Server-Load: 1,0,2",
             "Keep-Alive: timeout=5",
         ]
-        if self.leaving:
-            lines.append("Server-Leaving: 1")
+        lines += self._statements()
         if behaviour != "unsigned":
             seal = f"{self.searcher_id}.{request_id}"
             lines.append(f"Kumquatspur-Server-Seal: {seal}")
