--- /dev/null
+++ b/standins/searcher_limit_test.py
@@ -0,0 +1,102 @@
+"""Searchers that name a limit get no more requests from all hosts together."""
+
+import itertools
+import time
+import unittest
+
+import eventlet
+
+from kumquatspur.wire.searcher_pool import monotonic_s
+from standins.platform_deployment import wait_until
+from standins.platform_path_case import PlatformPathCase
+
+LIMIT_PER_S = 5.0
+# The users' rule: in no window of this length, later than `CONTACT_S` after the
+# limit was first named, more than the factor times the limit allows, plus some.
+WINDOW_S = 4.0
+CONTACT_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+CLIENT_PAUSE_S = 0.03
+LOAD_S = CONTACT_S + WINDOW_S + 1.0
+
+
+def most_in_window(times, start) -> int:
+    """Returns the most arrivals in a window that begins after a time."""
+    later = sorted(at for at in times if at >= start)
+    return max(
+        (
+            sum(at <= other < at + WINDOW_S for other in later[index:])
+            for index, at in enumerate(later)
+        ),
+        default=0,
+    )
+
+
+class SearcherLimitTest(PlatformPathCase):
+    def setUp(self):
+        super().setUp()
+        seeds = (self.host.settings.peer.port,)
+        self.hosts = [
+            self.host,
+            self.start_host("second", seeds=seeds),
+            self.start_host("third", seeds=seeds),
+        ]
+        for host in self.hosts:
+            self.wait_ready(host)
+        for host in self.hosts:
+            wait_until(lambda host=host: len(host.state.peers.peers) == 2)
+        self.numbers = itertools.count()
+        self.statuses = []
+
+    def send_load(self, host, path, until):
+        """Sends one request after the other to a host until a time."""
+        sock = self.connect(host)
+        while time.monotonic() < until:
+            request_id = f"l{next(self.numbers)}"
+            reply = self.exchange(sock, self.request(path, request_id))
+            self.statuses.append(reply[0])
+            eventlet.sleep(CLIENT_PAUSE_S)
+
+    def run_load(self, path, hosts):
+        until = time.monotonic() + LOAD_S
+        threads = [
+            eventlet.spawn(self.send_load, host, path, until) for host in hosts
+        ]
+        for thread in threads:
+            thread.wait()
+
+    def assert_limits_hold(self, names, start):
+        allowed = ALLOWED_FACTOR * LIMIT_PER_S * WINDOW_S + ALLOWED_EXTRA
+        for name in names:
+            arrived_at = self.searchers[name].arrived_at
+            found = most_in_window(arrived_at, start + CONTACT_S)
+            self.assertLessEqual(found, allowed, name)
+
+    def test_limit_of_searchers_holds_over_all_hosts(self):
+        names = ("i-single-a", "i-single-b")
+        for name in names:
+            self.searchers[name].limit_per_s = LIMIT_PER_S
+        start = time.monotonic()
+        self.run_load("/one/x", self.hosts)
+        self.assert_limits_hold(names, start)
+        # Requests over the limit are rejected, not held or lost.
+        self.assertLessEqual(set(self.statuses), {200, 503})
+
+    def test_limit_ends_with_the_statement(self):
+        self.searchers["i-single-a"].limit_per_s = LIMIT_PER_S
+        limits = self.host.state.limits
+        self.ask_until(lambda: "i-single-a" in limits.stated)
+        self.searchers["i-single-a"].limit_per_s = None
+        self.ask_until(lambda: "i-single-a" not in limits.stated)
+
+    def ask_until(self, condition):
+        end = monotonic_s() + WINDOW_S * 2
+        while not condition():
+            self.assertLess(monotonic_s(), end)
+            self.ask("/one/x", request_id=f"u{next(self.numbers)}")
+            eventlet.sleep(CLIENT_PAUSE_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
