--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -4,6 +4,7 @@
 with the time by the host's clock, the host and the event's name.
 """
 
+import dataclasses
 import json
 import pathlib
 import re
@@ -33,6 +34,7 @@
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
     time: float
+    host: str = ""
     route: str | None = None
 
 
@@ -232,7 +234,8 @@
         collectors.get(type(line), self._add_request)(line, at_s)
 
     def _add_request(self, line: _Line, at_s: float) -> None:
-        self.requests.append(_CONVERTERS[type(line)](line, at_s))
+        request = _CONVERTERS[type(line)](line, at_s)
+        self.requests.append(dataclasses.replace(request, host=line.host))
 
     def _add_delegated(self, line: _Delegated, at_s: float) -> None:
         if line.lost:
--- a/kumquatspur/policy/day_report.py
+++ b/kumquatspur/policy/day_report.py
@@ -55,6 +55,7 @@
         parts: Number of shards in the answer.
         shards: Number of shards requested; 0 if not logged.
         extra_attempts: Attempts beyond the first one for each shard.
+        host: The entry host that logged the end of the request; "" if unknown.
     """
 
     at_s: float
@@ -65,6 +66,7 @@
     parts: int = 0
     shards: int = 0
     extra_attempts: int = 0
+    host: str = ""
 
 
 @record
@@ -157,6 +159,7 @@
     Attributes:
         total: Statistics of all requests.
         routes: Statistics by route.
+        hosts: Statistics by entry host.
         intervals: Statistics by start of the interval in seconds, in order of
             time.
         lost_processes: Processes that ended without logging a stop.
@@ -166,6 +169,7 @@
 
     total: RequestStats
     routes: dict[str, RequestStats]
+    hosts: dict[str, RequestStats]
     intervals: dict[float, RequestStats]
     lost_processes: list[LostProcess] = dataclasses.field(default_factory=list)
     lines_dropped: int = 0
@@ -183,12 +187,23 @@
     """
     total = RequestStats()
     routes = collections.defaultdict(RequestStats)
+    hosts = collections.defaultdict(RequestStats)
     intervals = collections.defaultdict(RequestStats)
     for line in lines:
         start = line.at_s // INTERVAL_S * INTERVAL_S
-        for stats in (total, routes[line.route], intervals[start]):
+        for stats in (
+            total,
+            routes[line.route],
+            hosts[line.host],
+            intervals[start],
+        ):
             stats.add(line)
-    return DayReport(total, dict(sorted(routes.items())), _fill_gaps(intervals))
+    return DayReport(
+        total,
+        dict(sorted(routes.items())),
+        dict(sorted(hosts.items())),
+        _fill_gaps(intervals),
+    )
 
 
 def find_lost_processes(
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -205,12 +205,14 @@
         unresponsive_at: For each zone and searcher, when it was last
             unresponsive.
         probed_at: For each suspected zone, when it was last probed.
+        reported: The zones whose suspicion was last reported as begun.
     """
 
     unresponsive_at: dict[str, dict[str, float]] = dataclasses.field(
         default_factory=dict
     )
     probed_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    reported: frozenset[str] = frozenset()
 
     def record_unresponsive(
         self, zone: str, searcher_id: str, now: float
@@ -258,6 +260,20 @@
             z for z in self.unresponsive_at if self.is_suspect(z, now)
         )
 
+    def take_changes(self, now: float) -> dict[str, bool]:
+        """Returns the changes of suspicions since the last call.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            By zone, whether its suspicion has begun.
+        """
+        current = frozenset(self.suspected_zones(now))
+        changed = sorted(current ^ self.reported)
+        self.reported = current
+        return {zone: zone in current for zone in changed}
+
     def reachable(
         self, entries: Iterable[SearcherEntry], now: float
     ) -> list[SearcherEntry]:
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -188,6 +188,14 @@
             running.append((now + TYPICAL_S * 1.5, searcher_id, step))
         self.assertLessEqual(most, 4)
 
+    def test_changes_of_suspicions_are_reported_once(self):
+        for name in ("far", "far-2"):
+            self.zones.record_unresponsive("b", name, 1.0)
+        self.assertEqual(self.zones.take_changes(1.1), {"b": True})
+        self.assertEqual(self.zones.take_changes(1.2), {})
+        self.zones.record_response("b")
+        self.assertEqual(self.zones.take_changes(1.3), {"b": False})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatspur/scripts/day_command.py
+++ b/kumquatspur/scripts/day_command.py
@@ -15,6 +15,7 @@
 from kumquatspur.scripts.output import print_errors, print_json, write_page
 
 MAX_INTERVALS_SHOWN = 3
+MAX_HOSTS_SHOWN = 6
 
 
 def run_day(arguments) -> int:
@@ -62,6 +63,13 @@
         if stats.requests
     )[:MAX_INTERVALS_SHOWN]
     first_start = next(iter(report.intervals), 0.0)
+    hosts = sorted(
+        (stats.kept_share(), host)
+        for host, stats in report.hosts.items()
+        if stats.requests
+    )[:MAX_HOSTS_SHOWN]
+    kept_by_host = ", ".join(f"{host}: {kept:.1%}" for kept, host in hosts)
+    lines.append(f"least kept at hosts {kept_by_host}")
     intervals = ", ".join(
         f"{start - first_start:g} s: {kept:.0%}" for kept, start in worst
     )
@@ -100,6 +108,7 @@
     return {
         "total": _json_row(report.total),
         "routes": {n: _json_row(row) for n, row in report.routes.items()},
+        "hosts": {n: _json_row(row) for n, row in report.hosts.items()},
         "spans": intervals,
         "lost_processes": [
             dataclasses.asdict(process) for process in report.lost_processes
--- a/kumquatspur/scripts/day_command_test.py
+++ b/kumquatspur/scripts/day_command_test.py
@@ -117,6 +117,16 @@
         self.assertEqual(total.requests, 7)
         self.assertEqual(total.reasons["lost at another host"], 1)
 
+    def test_requests_are_counted_by_host(self):
+        line = refused(106.0, 503, "no_replica")
+        self.write("c.log", [json.dumps({"host": "cut", **line})])
+        report = build_day_report(self.read().requests)
+        self.assertEqual(sorted(report.hosts), ["cut", "h"])
+        self.assertEqual(report.hosts["cut"].kept_share(), 0.0)
+        text = "\n".join(as_text(report))
+        self.assertIn("least kept at hosts cut: 0.0%, h: ", text)
+        self.assertEqual(as_json(report)["hosts"]["cut"]["requests"], 1)
+
     def test_intervals_without_requests_are_included(self):
         report = build_day_report(self.read().requests)
         counts = {
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -119,6 +119,7 @@
                 services_probed_at = now
                 probes.probe_lost_services(self.state, now)
             probes.probe_suspected_zones(self.state, now)
+            self._report_zones(now)
             if now - limits_reported_at >= LIMIT_REPORT_INTERVAL_S:
                 limits_reported_at = now
                 self._report_limits()
@@ -141,6 +142,16 @@
         if attempts:
             self.state.log.write("limited_attempts", True, attempts=attempts)
 
+    def _report_zones(self, now: float) -> None:
+        """Logs which zones seem cut off from this host, when that changes."""
+        for zone, begun in self.state.zone_health.take_changes(now).items():
+            self.state.log.write(
+                "zone_suspected" if begun else "zone_reachable",
+                True,
+                zone=zone,
+                suspected=sorted(self.state.zone_health.reported),
+            )
+
     def _serve_metrics(self) -> None:
         address = Address(self.settings.ready.host, self.settings.metrics_port)
         try:
@@ -223,10 +234,12 @@
         table = self.state.table
         version = table.config.version if table else -1
         limited = len(self.state.limits.by_searcher)
+        suspected = len(self.state.zone_health.reported)
         lines += [
             f"kumquatspur_config_version {version}",
             f"kumquatspur_searchers {len(self.state.directory.by_id)}",
             f"kumquatspur_limited_searchers {limited}",
+            f"kumquatspur_suspected_zones {suspected}",
             f"kumquatspur_searchers_age_seconds {contact_age_s(self.state)}",
             f"kumquatspur_store_up {int(self.state.store_ok)}",
             f"kumquatspur_connections_opened {self.pool.opened}",
