--- /dev/null
+++ b/standins/host_without_searchers_test.py
@@ -0,0 +1,107 @@
+"""A host that reaches no searcher serves its callers through other hosts."""
+
+import itertools
+import time
+import unittest
+
+import eventlet
+
+from standins.platform_deployment import wait_until
+from standins.platform_path_case import WAIT_S, PlatformPathCase
+from standins.platform_searcher import make_config
+from standins.platform_store import StandInStore
+from standins.relay import Relay
+
+# The users' rule: later than this after the cut, first tries at a host without
+# searchers are served at least two thirds as often as those at other hosts.
+CONTACT_S = 4.0
+SERVED_SHARE = 2.0 / 3.0
+REQUESTS = 30
+# Half of the deadline of the tests' requests: a rejection is not held back.
+AT_ONCE_S = 0.25
+CLIENT_PAUSE_S = 0.02
+PATHS = ("/all/x", "/one/x", "/once/x")
+
+
+class HostWithoutSearchersTest(PlatformPathCase):
+    """One host reaches the searchers by relays, which can be cut."""
+
+    def setUp(self):
+        super().setUp()
+        self.numbers = itertools.count()
+        self.relays = []
+        self.cut_store = StandInStore()
+        self.addCleanup(self.cut_store.close)
+        for name, searcher in self.searchers.items():
+            relay = Relay(searcher.address.port)
+            self.addCleanup(relay.close)
+            self.relays.append(relay)
+            entry = searcher.store_entry(address=f"127.0.0.1:{relay.port}")
+            self.cut_store.put_json(f"servers/{name}", entry)
+        self.cut_store.put_json("op/config", make_config(1, self.routes))
+        seeds = (self.host.settings.peer.port,)
+        self.cut_host = self.start_host("cut", self.cut_store, seeds)
+        for host in (self.host, self.cut_host):
+            self.wait_ready(host)
+            wait_until(lambda host=host: host.state.peers.peers)
+
+    def cut(self, *modes):
+        for mode in modes:
+            for relay in self.relays:
+                relay.set_mode(mode)
+
+    def ask_host(self, host, path):
+        """Sends a request on a new connection; returns status and body."""
+        request_id = f"w{next(self.numbers)}"
+        reply = self.exchange(
+            self.connect(host), self.request(path, request_id)
+        )
+        return reply and (reply[0], reply[2], request_id)
+
+    def count_served(self, host, path):
+        replies = [self.ask_host(host, path) for _ in range(REQUESTS)]
+        return sum(reply is not None and reply[0] == 200 for reply in replies)
+
+    def send_load(self, until):
+        while time.monotonic() < until:
+            for path in PATHS:
+                self.ask_host(self.cut_host, path)
+            eventlet.sleep(CLIENT_PAUSE_S)
+
+    def check_served(self, *modes):
+        """Cuts the host off and compares how callers of both are served."""
+        for path in PATHS:
+            self.assertEqual(self.count_served(self.cut_host, path), REQUESTS)
+        self.cut(*modes)
+        self.send_load(time.monotonic() + CONTACT_S)
+        for path in PATHS:
+            served = self.count_served(self.cut_host, path)
+            others = self.count_served(self.host, path)
+            self.assertGreaterEqual(served, SERVED_SHARE * others, path)
+            self.assertEqual(others, REQUESTS, path)
+
+    def test_callers_are_served_while_connections_hang(self):
+        self.check_served("unreachable")
+
+    def test_callers_are_served_while_new_connections_are_refused(self):
+        self.check_served("closed")
+
+    def test_callers_are_served_while_connections_are_reset(self):
+        self.check_served("cut", "closed")
+
+    def test_host_serves_by_itself_again_after_the_cut(self):
+        self.cut("unreachable")
+        self.send_load(time.monotonic() + 1.0)
+        self.cut("pass")
+        before = self.cut_host.pool.opened
+        wait_until(
+            lambda: (
+                self.ask_host(self.cut_host, "/all/x")[0] == 200
+                and self.cut_host.pool.opened > before
+            ),
+            WAIT_S,
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -10,6 +10,8 @@
     one_way  drop bytes from the target on all connections
     delay    forward bytes after a delay
     refuse   keep the open connections, reset new ones
+    closed   keep the open connections, refuse new ones
+    unreachable  drop bytes on all connections; new ones do not open
 """
 
 import eventlet
@@ -23,6 +25,10 @@
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
+# Modes in which the relay accepts no connections.
+CLOSING_MODES = frozenset({"closed", "unreachable"})
+# Connections that fill the queue of a listener with a backlog of 0.
+BACKLOG_FILLERS = 3
 
 
 class Relay:
@@ -49,9 +55,10 @@
         self.attempts = 0
         self.connections = {}
         self.blackholed = set()
-        self.listener = eventlet.listen((HOST, port), reuse_port=False)
+        self.port = port
+        self._fillers = []
+        self._listen()
         self.port = self.listener.getsockname()[1]
-        eventlet.spawn_n(self._accept)
 
     def __call__(self, environ, start_response):
         """Serves the control port."""
@@ -67,8 +74,14 @@
             # Both directions keep dropping bytes after a one-way fault, like
             # a NAT or firewall that has lost its entry for the connection.
             self.blackholed |= self.connections.keys()
+        if mode != self.mode and {mode, self.mode} & CLOSING_MODES:
+            self._stop_listening()
+            if mode == "unreachable":
+                self._fill_backlog()
+            elif mode != "closed":
+                self._listen()
         self.mode = "pass" if mode == "silent" else mode
-        if mode in ("silent", "stall"):
+        if mode in ("silent", "stall", "unreachable"):
             self.blackholed |= self.connections.keys()
         if mode == "cut":
             for connection in list(self.connections):
@@ -76,10 +89,32 @@
 
     def close(self) -> None:
         """Closes all sockets."""
-        self.listener.close()
+        self._stop_listening()
         for connection in list(self.connections):
             self._close(connection)
 
+    def _listen(self) -> None:
+        self.listener = eventlet.listen((HOST, self.port), reuse_port=False)
+        self._accept_thread = eventlet.spawn(self._accept)
+
+    def _stop_listening(self) -> None:
+        self._accept_thread.kill()
+        self.listener.close()
+        for sock in self._fillers:
+            sock.close()
+        self._fillers.clear()
+
+    def _fill_backlog(self) -> None:
+        """Listens without accepting, so that new connections do not open."""
+        self.listener = eventlet.listen(
+            (HOST, self.port), backlog=0, reuse_port=False
+        )
+        for _ in range(BACKLOG_FILLERS):
+            sock = socket.socket()
+            sock.fd.setblocking(False)
+            sock.fd.connect_ex((HOST, self.port))
+            self._fillers.append(sock)
+
     def _accept(self) -> None:
         while True:
             try:
