--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -19,6 +19,7 @@
         link_mbps: Bandwidth of the host's network link, in Mbit/s.
         cores: Computing power of the host, as a number of cores of standard
             speed.
+        cut_off: Whether the host reaches no searchers.
     """
 
     name: str = pydantic.Field(min_length=1)
@@ -28,6 +29,7 @@
     relay_port: int = 0
     link_mbps: float = pydantic.Field(gt=0)
     cores: float = pydantic.Field(gt=0)
+    cut_off: bool = False
 
 
 class KnownHost(_HostFields):
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -42,6 +42,7 @@
         last_received_at: When any host last received a message from it.
         capacity: Link rate and cores of its machine.
         relay_port: Port where it accepts delegated requests; 0 for none.
+        cut_off: Whether it told that it reaches no searchers.
     """
 
     name: str
@@ -50,6 +51,7 @@
     last_received_at: float
     capacity: HostCapacity
     relay_port: int = 0
+    cut_off: bool = False
 
 
 @dataclasses.dataclass
--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -108,6 +108,19 @@
     return max(MIN_HEDGE_S, min(high_quantile_s, longest))
 
 
+def min_results(route: Route, shards: int) -> int:
+    """Returns how many results an answer needs.
+
+    Args:
+        route: The route.
+        shards: Number of shards of the request; 1 for a forwarded request.
+    """
+    if not route.shards:
+        return 1
+    wanted = route.min_shard_ratio * shards - RATIO_TOLERANCE
+    return max(1, math.ceil(wanted))
+
+
 class RequestPlan:
     """The state of one request over its shards.
 
@@ -140,8 +153,7 @@
             lead_s = DEFAULT_LEAD_S + DEFAULT_LEAD_SHARE * target
         self.route = route
         self.shards = {shard: ShardProgress() for shard in shards}
-        min_results = route.min_shard_ratio * len(shards) - RATIO_TOLERANCE
-        self.needed = max(1, math.ceil(min_results)) if route.shards else 1
+        self.needed = min_results(route, len(shards))
         self.answered = 0
         self.target_at = started + target - lead_s
         self.answer_at = self.target_at - ANSWER_MARGIN_S
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -1,8 +1,12 @@
-"""Delegates scattered requests to entry hosts with more capacity."""
+"""Delegates requests to other entry hosts, and accepts theirs.
+
+Scattered requests go to hosts with more capacity. All requests go to hosts that
+reach searchers while this one reaches none.
+"""
 
 import dataclasses
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 
@@ -10,7 +14,6 @@
 from kumquatspur.core.routing import (
     ClientReply,
     ClientRequest,
-    HostCapacity,
     Route,
 )
 from kumquatspur.policy.delegation import (
@@ -20,10 +23,17 @@
     Delegate,
     choose_delegate,
     has_capacity,
+    rank_reroutes,
 )
+from kumquatspur.policy.peer_table import Peer
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.http_messages import RawMessage, encode_request
-from kumquatspur.wire.searcher_pool import CallError, TargetPool, monotonic_s
+from kumquatspur.wire.searcher_pool import (
+    NON_REPEATABLE_MAX_IDLE_S,
+    CallError,
+    TargetPool,
+    monotonic_s,
+)
 
 # Headers used between entry hosts only.
 CONFIG_VERSION_HEADER = b"x-kumquatspur-config"
@@ -31,6 +41,9 @@
 TIME_LEFT_HEADER = b"x-kumquatspur-time-left-us"
 LEAD_HEADER = b"x-kumquatspur-lead-us"
 FIRST_HEADER = b"x-kumquatspur-first"
+# Service that was chosen for a forwarded request.
+SERVICE_HEADER = b"x-kumquatspur-service"
+REROUTED_HEADER = b"x-kumquatspur-rerouted"
 DECLINED_HEADER = b"x-kumquatspur-declined"
 _DELEGATION_HEADERS = frozenset(
     {
@@ -39,11 +52,51 @@
         TIME_LEFT_HEADER,
         LEAD_HEADER,
         FIRST_HEADER,
+        SERVICE_HEADER,
+        REROUTED_HEADER,
     }
 )
 DECLINED_STATUS = 421
+UNKNOWN_VERSION = -1
 # Time after the deadline in which the other host's answer may still arrive.
 REPLY_GRACE_S = 0.02
+# Hosts to which a request is rerouted, one after the other while they decline.
+MAX_REROUTES = 3
+# No further host is asked after this time, in which one that answers at all has
+# answered.
+MAX_REROUTE_S = 0.1
+# How long requests of a route are not rerouted after no host took one.
+REROUTE_PAUSE_S = 0.3
+# Reason to decline a request, if this host lacks searchers itself.
+UNREACHABLE = "unreachable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DelegatedRequest:
+    """A request that another host delegated to this one.
+
+    Attributes:
+        request: The client's request.
+        version: Version of the other host's configuration; `UNKNOWN_VERSION`
+            if it is not stated.
+        rerouted: Whether the other host lacks searchers for it.
+        service: Service that the other host chose for a forwarded request;
+            "" if none.
+    """
+
+    request: ClientRequest
+    version: int
+    rerouted: bool
+    service: str
+
+    def services(self, route: Route) -> tuple[str, ...]:
+        """Returns the services that may serve a forwarded request.
+
+        Args:
+            route: The request's route on this host.
+        """
+        known = route.services()
+        return (self.service,) if self.service in known else known
 
 
 class Delegator:
@@ -57,6 +110,7 @@
     def __init__(self, state: EntryState):
         self.state = state
         self.pool = TargetPool(state.settings.machine.memory_mb)
+        self._reroutes_paused_until = {}
 
     def try_delegate(
         self, request: ClientRequest, route: Route
@@ -70,56 +124,122 @@
         Returns:
             The answer; None if this host has to scatter the request itself.
         """
-        now = monotonic_s()
-        state = self.state
-        own = state.settings.machine.capacity()
+        own = self.state.settings.machine.capacity()
         chosen = choose_delegate(
             own,
-            self._candidates(own),
-            len(route.shards),
-            route.target_latency_s,
-            now,
-            state.random.random,
+            # A host with the same capacity is never faster, and in most fleets
+            # all hosts have the same.
+            self._candidates(lambda peer: peer.capacity != own),
+            route,
+            monotonic_s(),
+            self.state.random.random,
         )
         if chosen is None:
             return None
+        return self._delegate(chosen, request, route, b"")
+
+    def try_reroute(
+        self, request: ClientRequest, route: Route, shards: tuple[str, ...]
+    ) -> ClientReply | None:
+        """Gives a request to a host that reaches searchers.
+
+        Args:
+            request: The request; it was sent to no searcher.
+            route: Its route.
+            shards: Its shards, or the service of a forwarded request.
+
+        Returns:
+            The answer; None if no other host takes the request.
+        """
+        began = monotonic_s()
+        if began < self._reroutes_paused_until.get(route.name, 0.0):
+            return None
+        headers = b"%b: 1\r\n" % REROUTED_HEADER
+        if not route.shards:
+            headers += b"%b: %b\r\n" % (SERVICE_HEADER, shards[0].encode())
+        ranked = rank_reroutes(
+            self._candidates(lambda peer: True),
+            route,
+            began,
+            self.state.random.random,
+        )
+        for chosen in ranked[:MAX_REROUTES]:
+            reply = self._delegate(chosen, request, route, headers)
+            if reply is not None:
+                self.state.counters["rerouted"] += 1
+                return reply
+            if monotonic_s() - began > MAX_REROUTE_S:
+                break
+        self.state.counters["reroutes_failed"] += 1
+        now = monotonic_s()
+        if not any(chosen.delegate.has_served(now) for chosen in ranked):
+            # The searchers are probably lost to all hosts.
+            self._reroutes_paused_until[route.name] = now + REROUTE_PAUSE_S
+        return None
+
+    def _delegate(
+        self,
+        chosen: Candidate,
+        request: ClientRequest,
+        route: Route,
+        headers: bytes,
+    ) -> ClientReply | None:
+        """Gives a request to a host.
+
+        Args:
+            chosen: The host.
+            request: The request.
+            route: Its route.
+            headers: Further header lines.
+
+        Returns:
+            The answer; None if the request did not reach the host, or if it
+            declined.
+        """
+        now = monotonic_s()
         client_wait_s = min(request.time_left_s or math.inf, route.timeout_s)
         deadline = request.received_at + client_wait_s + REPLY_GRACE_S
         delegate, key = chosen.delegate, id(request)
         delegate.in_flight[key] = now
         try:
-            message = self._call(chosen, request, route, deadline)
+            message = self._call(chosen, request, route, deadline, headers)
         except CallError as error:
             delegate.record_failure(error.unresponsive, monotonic_s())
             if error.unresponsive:
-                state.zone_health.record_unresponsive(
+                self.state.peer_zones.record_unresponsive(
                     chosen.zone, chosen.name, monotonic_s()
                 )
-            self._log(request, route, chosen, str(error), lost=error.sent)
+            self._log(request, route, chosen, str(error), headers, error.sent)
             if not error.sent:
                 return None
             status = 504 if monotonic_s() >= deadline - REPLY_GRACE_S else 502
             return ClientReply(status, (), b"lost at another host\n")
         finally:
             delegate.in_flight.pop(key, None)
+        self.state.peer_zones.record_response(chosen.zone)
         reason = message.header(DECLINED_HEADER)
         if reason is not None:
-            delegate.record_declined(monotonic_s())
-            self._log(request, route, chosen, f"declined: {reason.decode()}")
+            if reason.decode() == UNREACHABLE:
+                delegate.record_unable(route.name, monotonic_s())
+            else:
+                delegate.record_declined(monotonic_s())
+            outcome = f"declined: {reason.decode()}"
+            self._log(request, route, chosen, outcome, headers)
             return None
-        delegate.record_response(monotonic_s())
-        self._log(request, route, chosen, message.status)
+        delegate.record_response(route.name, monotonic_s())
+        self._log(request, route, chosen, message.status, headers)
         return ClientReply(
             message.status, message.end_to_end_headers(), message.body()
         )
 
-    def _call(self, chosen, request, route, deadline) -> RawMessage:
+    def _call(self, chosen, request, route, deadline, headers) -> RawMessage:
         now = monotonic_s()
         version = self.state.table.config.version
         data = encode_request(
-            request, delegation_headers(request, version, now)
+            request, delegation_headers(request, version, now) + headers
         )
         bodyless = request.method == "HEAD"
+        max_idle_s = math.inf if route.repeatable else NON_REPEATABLE_MAX_IDLE_S
 
         def call():
             try:
@@ -130,6 +250,7 @@
                     lambda message: True,
                     deadline,
                     bodyless,
+                    max_idle_s,
                 )
             except CallError as error:
                 return error
@@ -152,28 +273,53 @@
             raise result
         return result
 
-    def decline_reason(self, version: str, route: Route | None) -> str:
+    def decline_reason(
+        self, delegated: DelegatedRequest, route: Route | None
+    ) -> str:
         """Returns the reason to decline a delegated request; "" to accept it.
 
         Args:
-            version: Version of the other host's configuration.
-            route: The request's route on this host.
+            delegated: The request.
+            route: Its route on this host.
         """
         state = self.state
         if state.stopping:
             return "stopping"
-        if state.table is None or version != str(state.table.config.version):
+        if state.table is None or not self._accepts_version(delegated):
             return "configuration"
-        if route is None or not route.shards:
+        if route is None or not (route.shards or delegated.rerouted):
             return "route"
-        shards_in_flight = state.scattered_shards + len(route.shards)
+        shards = route.shards or delegated.services(route)
+        if state.lacks_searchers(route, shards, monotonic_s()):
+            return UNREACHABLE
+        shards_in_flight = state.scattered_shards + len(shards)
         capacity = state.settings.machine.capacity()
         if not has_capacity(shards_in_flight, capacity, route.target_latency_s):
             return "busy"
         return ""
 
+    def _accepts_version(self, delegated: DelegatedRequest) -> bool:
+        """Returns whether this host's configuration may serve a request.
+
+        A host without searchers cannot serve its requests itself while
+        configurations differ, so a newer configuration serves them as well.
+        """
+        own = self.state.table.config.version
+        if delegated.rerouted:
+            return delegated.version <= own
+        return delegated.version == own
+
     def prune(self, now: float) -> None:
-        """Closes connections that idled too long or whose host was removed."""
+        """Forgets what no longer matters.
+
+        These are connections that idled too long or whose host was removed, and
+        backoffs that have ended.
+        """
+        paused = self._reroutes_paused_until
+        for route in [name for name, until in paused.items() if until <= now]:
+            del paused[route]
+        for delegate in self.state.delegates.values():
+            delegate.forget_unable(now)
         peers = self.state.peers.peers
         self.pool.prune(now, peers)
         delegates = self.state.delegates
@@ -185,14 +331,14 @@
         for name in removed:
             del delegates[name]
 
-    def _candidates(self, own: HostCapacity) -> Iterator[Candidate]:
+    def _candidates(
+        self, accepts: Callable[[Peer], bool]
+    ) -> Iterator[Candidate]:
         own_zone = self.state.settings.zone
         delegates = self.state.delegates
-        suspected = self.state.zone_health.suspected_zones(monotonic_s())
+        suspected = self.state.peer_zones.suspected_zones(monotonic_s())
         for peer in self.state.peers.peers.values():
-            # A host with the same capacity is never faster, and in most fleets
-            # all hosts have the same.
-            if peer.relay_port and peer.capacity != own:
+            if peer.relay_port and accepts(peer):
                 yield Candidate(
                     peer.name,
                     Address(peer.address.host, peer.relay_port),
@@ -202,9 +348,12 @@
                     delegates.setdefault(peer.name, Delegate()),
                     peer.zone in suspected,
                     peer.zone,
+                    peer.cut_off,
                 )
 
-    def _log(self, request, route, chosen, outcome, lost=False) -> None:
+    def _log(
+        self, request, route, chosen, outcome, headers, lost=False
+    ) -> None:
         self.state.counters["handed_over"] += 1
         self.state.log.write(
             "handed_over",
@@ -214,6 +363,7 @@
             to=chosen.name,
             heard_s=round(monotonic_s() - chosen.last_received_at, 3),
             outcome=outcome,
+            rerouted=REROUTED_HEADER in headers,
             lost=lost,
             ms=round((monotonic_s() - request.received_at) * 1000, 1),
         )
@@ -248,20 +398,16 @@
     return lines
 
 
-def decode_delegated_request(
-    request: ClientRequest,
-) -> tuple[ClientRequest, str]:
+def decode_delegated_request(request: ClientRequest) -> DelegatedRequest:
     """Restores the client's request from a delegated request.
 
     Args:
         request: The request as received from the other host.
-
-    Returns:
-        The request, and the version of the other host's configuration.
     """
     found = dict(request.headers)
     left_us = found.get(TIME_LEFT_HEADER, b"")
     lead_us = found.get(LEAD_HEADER, b"")
+    version = found.get(CONFIG_VERSION_HEADER, b"")
     client_request = dataclasses.replace(
         request,
         headers=tuple(
@@ -273,8 +419,11 @@
         received_at=request.received_at
         - int(found.get(AGE_HEADER, b"0")) / 1e6,
     )
-    return client_request, found.get(CONFIG_VERSION_HEADER, b"").decode(
-        "latin-1"
+    return DelegatedRequest(
+        client_request,
+        int(version) if version.isdigit() else UNKNOWN_VERSION,
+        REROUTED_HEADER in found,
+        found.get(SERVICE_HEADER, b"").decode("latin-1"),
     )
 
 
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -119,6 +119,7 @@
                 services_probed_at = now
                 probes.probe_lost_services(self.state, now)
             probes.probe_suspected_zones(self.state, now)
+            probes.probe_suspected_peer_zones(self.state, now)
             self._report_zones(now)
             if now - limits_reported_at >= LIMIT_REPORT_INTERVAL_S:
                 limits_reported_at = now
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -6,7 +6,7 @@
 import random as random_numbers
 
 from kumquatspur.border.entry_settings import EntrySettings
-from kumquatspur.core.routing import RoutingConfig, SearcherEntry
+from kumquatspur.core.routing import Route, RoutingConfig, SearcherEntry
 from kumquatspur.policy.attempt_counts import AttemptCounts
 from kumquatspur.policy.client_timing import ClientTiming
 from kumquatspur.policy.crash_suspects import CrashSuspects
@@ -15,6 +15,7 @@
 from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.latency_histogram import new_histogram
 from kumquatspur.policy.peer_table import PeerTable
+from kumquatspur.policy.request_plan import min_results
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
 from kumquatspur.policy.searcher_directory import SearcherDirectory
@@ -46,7 +47,8 @@
         pauses: Searchers that want no requests from this host for a while.
         limits: Requests per second that searchers take from all hosts.
         attempt_counts: Attempts at each searcher, for the log.
-        zone_health: Tracks which zones are unreachable.
+        zone_health: Tracks zones whose searchers are unreachable.
+        peer_zones: Tracks zones whose entry hosts are unreachable.
         latencies: Recent latencies of attempts by route.
         client_timing: Time that passes between clients and this host.
         counters: Counts since the start, by name.
@@ -76,6 +78,7 @@
         default_factory=AttemptCounts
     )
     zone_health: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
+    peer_zones: ZoneHealth = dataclasses.field(default_factory=ZoneHealth)
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
     )
@@ -150,6 +153,43 @@
             earliest = at if earliest is None else min(earliest, at)
         return earliest
 
+    def is_unreachable(self, service: str, now: float) -> bool:
+        """Returns whether this host reaches none of a service's searchers.
+
+        It is False if the service has none: no other host reaches any either.
+        """
+        entries = self.directory.usable(service, now)
+        return bool(entries) and not any(
+            self.load(entry.searcher_id).backoff_until <= now
+            for entry in self.zone_health.reachable(entries, now)
+        )
+
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether this host reaches no searcher of most services."""
+        services = [
+            service
+            for service in self.directory.by_service
+            if self.directory.usable(service, now)
+        ]
+        unreachable = sum(
+            self.is_unreachable(service, now) for service in services
+        )
+        return 2 * unreachable > len(services)
+
+    def lacks_searchers(
+        self, route: Route, shards: tuple[str, ...], now: float
+    ) -> bool:
+        """Returns whether other hosts may serve a request and this one cannot.
+
+        Args:
+            route: The route.
+            shards: Its shards, or the service of a forwarded request.
+            now: Monotonic time in seconds.
+        """
+        needed = min_results(route, len(shards))
+        reached = sum(not self.is_unreachable(name, now) for name in shards)
+        return reached < needed
+
     def record_answer(self, route: str, seconds: float) -> None:
         """Adds the latency of an answer to the histogram of its route."""
         histogram = self.histograms.get(route)
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -66,7 +66,7 @@
         else:
             # A forwarded request is handled as one shard, its service.
             shards = (table.choose_service(route, self.state.random.random()),)
-        return RequestRun(self, request, route, shards).run()
+        return RequestRun(self, request, route, shards, True).run()
 
     def _with_lead(self, request: ClientRequest, route: Route) -> ClientRequest:
         """Returns the request with the time that passes outside of the hosts.
@@ -90,10 +90,11 @@
         Args:
             request: The request, as received from the other host.
         """
-        request, version = decode_delegated_request(request)
+        delegated = decode_delegated_request(request)
+        request = delegated.request
         table = self.state.table
         route = table and table.find(request.host, request.path)
-        reason = self.delegator.decline_reason(version, route)
+        reason = self.delegator.decline_reason(delegated, route)
         if reason:
             self.state.counters["handed_over_declined"] += 1
             return declined_reply(reason)
@@ -101,7 +102,16 @@
         if self.crash_detector.is_refused(request, route.name):
             return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
         request = self._with_lead(request, route)
-        run = RequestRun(self, request, route, route.shards)
+        shards = route.shards
+        if not shards:
+            services = delegated.services(route)
+            number = self.state.random.random()
+            shards = (
+                services
+                if len(services) == 1
+                else (table.choose_service(route, number),)
+            )
+        run = RequestRun(self, request, route, shards, False)
         return reply_with_keep_alive(run.run(), idle_s)
 
     def refuse(
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -291,6 +291,7 @@
             relay_port=relay.port if relay else 0,
             link_mbps=capacity.link_mbps,
             cores=capacity.cores,
+            cut_off=self.state.is_cut_off(now),
             revision=self.mirror.revision or 0,
             era=self.mirror.era,
             config_version=table.config.version if table else -1,
@@ -361,6 +362,7 @@
                 relay_port=peer.relay_port,
                 link_mbps=peer.capacity.link_mbps,
                 cores=peer.capacity.cores,
+                cut_off=peer.cut_off,
             )
             for peer in self.state.peers.sample_peers(self.state.random.sample)
         )
@@ -508,6 +510,7 @@
         last_received_at,
         HostCapacity(host.link_mbps, host.cores),
         host.relay_port,
+        host.cut_off,
     )
 
 
--- a/kumquatspur/wire/probes.py
+++ b/kumquatspur/wire/probes.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from kumquatspur.core.routing import SearcherEntry
+from kumquatspur.policy.peer_table import Peer
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import (
     accepts_connections,
@@ -52,6 +53,32 @@
             eventlet.spawn_n(_probe_zone, state, entry)
 
 
+def probe_suspected_peer_zones(state: EntryState, now: float) -> None:
+    """Probes an entry host of each zone whose hosts seem unreachable.
+
+    Args:
+        state: The state of this host.
+        now: The current time of the monotonic clock, in seconds.
+    """
+    for zone in state.peer_zones.zones_to_probe(now):
+        peers = [p for p in state.peers.peers.values() if p.zone == zone]
+        if peers:
+            peer = state.random.choice(peers)
+            eventlet.spawn_n(_probe_peer, state, peer)
+
+
+def _probe_peer(state: EntryState, peer: Peer) -> None:
+    reached = responds(peer.address)
+    if reached:
+        state.peer_zones.record_response(peer.zone)
+    else:
+        state.peer_zones.record_failed_probe(peer.zone, monotonic_s())
+    state.counters["peer_zone_probes"] += 1
+    state.log.write(
+        "peer_zone_probed", zone=peer.zone, peer=peer.name, reached=reached
+    )
+
+
 def _probe_searcher(state: EntryState, entry: SearcherEntry) -> None:
     reached = accepts_connections(entry.address)
     if reached:
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -29,7 +29,11 @@
 from kumquatspur.wire.entry_state import contact_age_s
 from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
 from kumquatspur.wire.http_messages import split_request
-from kumquatspur.wire.searcher_pool import CallError, monotonic_s
+from kumquatspur.wire.searcher_pool import (
+    NON_REPEATABLE_MAX_IDLE_S,
+    CallError,
+    monotonic_s,
+)
 
 # An attempt that takes longer than this quantile of the latency is hedged.
 HEDGE_QUANTILE = 0.9
@@ -41,10 +45,6 @@
 # How long an attempt may continue after the request was answered, so that its
 # connection can be kept.
 SURPLUS_ATTEMPT_TIMEOUT_S = 0.3
-# A searcher may have dropped an idle connection unnoticed. A request sent on it
-# is lost, and must not be sent again if its route is not repeatable. So such a
-# request uses only a connection that was in use a moment ago.
-NON_REPEATABLE_MAX_IDLE_S = 0.3
 DEFAULT_TIME_LEFT_S = 60.0
 MIN_WAIT_S = 0.0005
 # A request in flight notices within this time that the host stops.
@@ -84,6 +84,7 @@
         state: The state of this host.
         request: The client's request.
         route: Its route.
+        may_reroute: Whether it may be given to another host.
         version: Version of the configuration that routed it.
         plan: Schedule of its attempts.
         draw: Its random number in (0, 1] for the limits of searchers.
@@ -99,8 +100,10 @@
         request: ClientRequest,
         route: Route,
         shards: tuple[str, ...],
+        may_reroute: bool,
     ):
         self.forwarder = forwarder
+        self.may_reroute = may_reroute
         self.state = forwarder.state
         self.request = request
         self.route = route
@@ -142,7 +145,7 @@
             state.resume_at(shard, now, self.draw) for shard in self.plan.shards
         ]
         if resume_times.count(now) < self.plan.needed:
-            return self._refuse_unservable(resume_times, now)
+            return self._reroute() or self._refuse_unservable(resume_times, now)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
         scattered = len(self.route.shards)
@@ -156,10 +159,32 @@
             if not self.finished:
                 self.finished = True
                 self._log_client_disconnect()
+        if outcome is PlanOutcome.FAIL and self._was_never_sent():
+            rerouted = self._reroute()
+            if rerouted is not None:
+                return rerouted
         reply = self._reply(outcome)
         self._log(outcome, reply)
         return reply
 
+    def _reroute(self) -> ClientReply | None:
+        """Returns another host's answer if this host lacks searchers."""
+        shards = tuple(self.plan.shards)
+        if not self.may_reroute or not self.state.lacks_searchers(
+            self.route, shards, monotonic_s()
+        ):
+            return None
+        return self.forwarder.delegator.try_reroute(
+            self.request, self.route, shards
+        )
+
+    def _was_never_sent(self) -> bool:
+        """Returns whether no attempt can have reached a searcher."""
+        return all(
+            isinstance(attempt.result, CallError) and not attempt.result.sent
+            for attempt in self.attempts
+        )
+
     def _refuse_unservable(
         self, resume_times: list[float | None], now: float
     ) -> ClientReply:
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -30,6 +30,10 @@
 IDLE_MARGIN_S = 1.0
 # Idle limit of a connection if the searcher sends no idle timeout.
 DEFAULT_MAX_IDLE_S = 0.8
+# A target may have dropped an idle connection unnoticed. A request sent on it
+# is lost, and must not be sent again if its route is not repeatable. So such a
+# request uses only a connection that was in use a moment ago.
+NON_REPEATABLE_MAX_IDLE_S = 0.3
 # Late responses to earlier requests that are skipped on one connection.
 MAX_SKIPPED_RESPONSES = 2
 
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -6,9 +6,10 @@
 
 import eventlet
 
+from kumquatspur.wire.searcher_pool import monotonic_s
 from standins.platform_deployment import wait_until
 from standins.platform_path_case import WAIT_S, PlatformPathCase
-from standins.platform_searcher import make_config
+from standins.platform_searcher import forwarded_route, make_config
 from standins.platform_store import StandInStore
 from standins.relay import Relay
 
@@ -89,6 +90,84 @@
     def test_callers_are_served_while_connections_are_reset(self):
         self.check_served("cut", "closed")
 
+    def wait_cut_off(self, host):
+        """Sends requests until a host knows that it reaches no searchers."""
+        self.cut("unreachable")
+        state = host.state
+
+        def is_cut_off():
+            for path in PATHS:
+                self.ask_host(host, path)
+            return state.is_cut_off(monotonic_s())
+
+        wait_until(is_cut_off, WAIT_S)
+
+    def test_request_that_must_not_repeat_runs_once(self):
+        self.wait_cut_off(self.cut_host)
+        replies = [
+            self.ask_host(self.cut_host, "/once/x") for _ in range(REQUESTS)
+        ]
+        for status, _, request_id in replies:
+            runs = self.count_single_runs(request_id)
+            self.assertLessEqual(runs, 1)
+            self.assertEqual(status == 200, runs == 1)
+
+    def test_request_is_rejected_at_once_if_no_host_reaches_searchers(self):
+        for searcher in self.searchers.values():
+            searcher.close()
+        self.wait_cut_off(self.cut_host)
+        wait_until(lambda: self.ask_host(self.host, "/all/x")[0] == 503)
+        for path in PATHS:
+            start = time.monotonic()
+            status, _, _ = self.ask_host(self.cut_host, path)
+            self.assertEqual(status, 503, path)
+            self.assertLess(time.monotonic() - start, AT_ONCE_S)
+
+    def test_rerouted_request_is_not_rerouted_again(self):
+        """Neither host reaches searchers; each could give it to the other."""
+        self.wait_cut_off(self.cut_host)
+        asked = []
+        self.host.delegator.try_reroute = lambda *fields: asked.append(fields)
+        self.host.delegator.decline_reason = lambda *fields: ""
+        self.host.state.directory.by_service.clear()
+        status, _, _ = self.ask_host(self.cut_host, "/all/x")
+        self.assertEqual(status, 503)
+        self.assertGreater(self.cut_host.state.counters["handed_over"], 0)
+        self.assertEqual(asked, [])
+
+    def test_faster_host_without_searchers_declines(self):
+        """The other host, which is slow, gives it all scattered requests."""
+        slow = self.host
+        slow.settings.machine.__dict__["link_mbps"] = 0.05
+        self.assertEqual(self.count_served(slow, "/all/x"), REQUESTS)
+        self.assertGreater(slow.state.counters["handed_over"], 0)
+        self.wait_cut_off(self.cut_host)
+        declined = self.cut_host.state.counters["handed_over_declined"]
+        self.assertEqual(self.count_served(slow, "/all/x"), REQUESTS)
+        self.assertGreater(
+            self.cut_host.state.counters["handed_over_declined"], declined
+        )
+
+    def test_service_that_was_chosen_by_weight_is_kept(self):
+        targets = [
+            {"service": "single", "weight": 1},
+            {"service": "s0", "weight": 1},
+        ]
+        split = forwarded_route("split", "/split/", "single")
+        del split["service"]
+        split["traffic-split"] = targets
+        for store in (self.store, self.cut_store):
+            store.put_json("op/config", make_config(2, [*self.routes, split]))
+        for host in (self.host, self.cut_host):
+            wait_until(lambda h=host: h.state.table.config.version == 2)
+        self.wait_cut_off(self.cut_host)
+        table = self.cut_host.state.table
+        table.choose_service = lambda route, number: "s0"
+        for _ in range(REQUESTS):
+            status, _, request_id = self.ask_host(self.cut_host, "/split/x")
+            self.assertEqual(status, 200)
+            self.assertEqual(self.count_single_runs(request_id), 0)
+
     def test_host_serves_by_itself_again_after_the_cut(self):
         self.cut("unreachable")
         self.send_load(time.monotonic() + 1.0)
