--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -57,6 +57,10 @@
 # Interval at which a suspected zone is probed, so that its return is noticed
 # without risking clients' requests.
 ZONE_PROBE_INTERVAL_S = 0.4
+# A response is late after this multiple of a high quantile of the latency, and
+# after this time at least.
+LATE_MULTIPLE = 2.0
+MIN_LATE_S = 0.1
 # Range of the random tie-breaking term, relative to the typical latency.
 JITTER_COST = 0.1
 
@@ -192,6 +196,33 @@
     return found[:MAX_REPORTED_SEARCHERS]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenCall:
+    """A call that waits for a searcher.
+
+    Attributes:
+        searcher_id: The searcher.
+        zone: Its availability zone.
+        started_at: When the call began.
+        late_at: When its response is late.
+    """
+
+    searcher_id: str
+    zone: str
+    started_at: float
+    late_at: float
+
+
+def late_at(started_at: float, late_latency_s: float) -> float:
+    """Returns when a response is so late that the searcher may be cut off.
+
+    Args:
+        started_at: When the call began.
+        late_latency_s: A high quantile of the latency of its route, in seconds.
+    """
+    return started_at + max(MIN_LATE_S, LATE_MULTIPLE * late_latency_s)
+
+
 @dataclasses.dataclass
 class ZoneHealth:
     """Detects zones in which several searchers are unresponsive at once.
@@ -201,9 +232,14 @@
     zone is suspected once more. So a suspected zone is probed, and each failed
     probe extends the suspicion.
 
+    Requests on open connections to the zone wait for their deadline. So late
+    calls count as unresponsive before they end, if nothing at all has arrived
+    from the zone since they began.
+
     Attributes:
         unresponsive_at: For each zone and searcher, when it was last
             unresponsive.
+        responded_at: When each zone last responded.
         probed_at: For each suspected zone, when it was last probed.
         reported: The zones whose suspicion was last reported as begun.
     """
@@ -211,6 +247,7 @@
     unresponsive_at: dict[str, dict[str, float]] = dataclasses.field(
         default_factory=dict
     )
+    responded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     probed_at: dict[str, float] = dataclasses.field(default_factory=dict)
     reported: frozenset[str] = frozenset()
 
@@ -220,8 +257,21 @@
         """Records that a searcher did not respond at all."""
         self.unresponsive_at.setdefault(zone, {})[searcher_id] = now
 
-    def record_response(self, zone: str) -> None:
+    def record_late_calls(self, calls: Iterable[OpenCall], now: float) -> None:
+        """Records searchers whose calls are late while their zone is silent.
+
+        Args:
+            calls: The calls in progress.
+            now: Monotonic time in seconds.
+        """
+        for call in calls:
+            responded_at = self.responded_at.get(call.zone, -1.0)
+            if now >= call.late_at and responded_at < call.started_at:
+                self.record_unresponsive(call.zone, call.searcher_id, now)
+
+    def record_response(self, zone: str, now: float) -> None:
         """Records a response from a zone, which ends any suspicion of it."""
+        self.responded_at[zone] = now
         self.unresponsive_at.pop(zone, None)
         self.probed_at.pop(zone, None)
 
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -5,11 +5,14 @@
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import LoadReport, SearcherEntry, SearcherState
 from kumquatspur.policy.searcher_choice import (
+    MIN_LATE_S,
     ZONE_PROBE_INTERVAL_S,
     ZONE_SUSPECT_S,
     ChoiceContext,
+    OpenCall,
     SearcherLoad,
     ZoneHealth,
+    late_at,
     rank_searchers,
     slow_searchers,
 )
@@ -93,7 +96,7 @@
         self.zones.record_unresponsive("b", "other-2", 1.1)
         chosen = {self.choose(1.2, entries) for _ in range(50)}
         self.assertEqual(chosen, {"y"})
-        self.zones.record_response("b")
+        self.zones.record_response("b", 1.0)
         self.assertFalse(self.zones.is_suspect("b", 1.2))
 
     def test_zone_that_is_cut_off_for_seconds_stays_suspected(self):
@@ -107,14 +110,14 @@
                 probes += 1
                 self.zones.record_failed_probe(zone, now)
         self.assertLessEqual(probes, 6.0 / ZONE_PROBE_INTERVAL_S + 1)
-        self.zones.record_response("b")
+        self.zones.record_response("b", 1.0)
         self.assertFalse(self.zones.is_suspect("b", 7.0))
         self.assertEqual(self.zones.zones_to_probe(7.0), [])
 
     def test_failed_probe_after_a_response_changes_nothing(self):
         for name in ("x", "y"):
             self.zones.record_unresponsive("b", name, 1.0)
-        self.zones.record_response("b")
+        self.zones.record_response("b", 1.0)
         self.zones.record_failed_probe("b", 1.1)
         self.assertFalse(self.zones.is_suspect("b", 1.1))
 
@@ -124,7 +127,7 @@
         self.assertEqual(self.zones.reachable(entries, 1.0), entries)
         for name in "xy":
             self.zones.record_unresponsive("b", name, 1.0)
-        self.zones.record_response("c")
+        self.zones.record_response("c", 1.0)
         self.assertEqual(self.zones.reachable(entries, 1.1), [])
         all_entries = [*entries, entry("z", "c")]
         self.assertEqual(
@@ -134,7 +137,7 @@
         self.assertEqual(self.zones.reachable(entries, later), entries)
         self.zones.record_unresponsive("b", "x", later)
         self.zones.record_unresponsive("b", "y", later)
-        self.zones.record_response("b")
+        self.zones.record_response("b", 1.0)
         self.assertEqual(self.zones.reachable(entries, later), entries)
 
     def test_cold_searcher_is_used_less(self):
@@ -188,12 +191,36 @@
             running.append((now + TYPICAL_S * 1.5, searcher_id, step))
         self.assertLessEqual(most, 4)
 
+    def test_zone_that_falls_silent_under_open_calls_is_suspected(self):
+        """Connections to the zone hang, so no call ends for a while."""
+        self.zones.record_response("b", 0.9)
+        calls = [OpenCall(name, "b", 1.0, late_at(1.0, 0.03)) for name in "pq"]
+        self.zones.record_late_calls(calls, 0.99 + MIN_LATE_S)
+        self.assertFalse(self.zones.is_suspect("b", 1.1))
+        self.zones.record_late_calls(calls, 1.01 + MIN_LATE_S)
+        self.assertTrue(self.zones.is_suspect("b", 1.2))
+        self.zones.record_response("b", 1.2)
+        self.zones.record_late_calls(calls, 1.3)
+        self.assertFalse(self.zones.is_suspect("b", 1.3))
+
+    def test_slow_calls_do_not_raise_suspicion_while_the_zone_responds(self):
+        calls = [OpenCall(name, "b", 1.0, 1.5) for name in "pq"]
+        self.zones.record_late_calls(calls, 1.4)
+        self.zones.record_response("b", 1.4)
+        self.zones.record_late_calls(calls, 1.6)
+        self.assertFalse(self.zones.is_suspect("b", 1.6))
+
+    def test_one_late_searcher_is_no_sign_of_a_cut(self):
+        calls = [OpenCall("p", "b", 1.0, 1.1), OpenCall("p", "b", 1.2, 1.3)]
+        self.zones.record_late_calls(calls, 2.0)
+        self.assertFalse(self.zones.is_suspect("b", 2.0))
+
     def test_changes_of_suspicions_are_reported_once(self):
         for name in ("far", "far-2"):
             self.zones.record_unresponsive("b", name, 1.0)
         self.assertEqual(self.zones.take_changes(1.1), {"b": True})
         self.assertEqual(self.zones.take_changes(1.2), {})
-        self.zones.record_response("b")
+        self.zones.record_response("b", 1.0)
         self.assertEqual(self.zones.take_changes(1.3), {"b": False})
 
 
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -216,7 +216,7 @@
             return ClientReply(status, (), b"lost at another host\n")
         finally:
             delegate.in_flight.pop(key, None)
-        self.state.peer_zones.record_response(chosen.zone)
+        self.state.peer_zones.record_response(chosen.zone, monotonic_s())
         reason = message.header(DECLINED_HEADER)
         if reason is not None:
             if reason.decode() == UNREACHABLE:
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -17,7 +17,11 @@
 from kumquatspur.policy.peer_table import PeerTable
 from kumquatspur.policy.request_plan import min_results
 from kumquatspur.policy.route_table import RouteTable
-from kumquatspur.policy.searcher_choice import SearcherLoad, ZoneHealth
+from kumquatspur.policy.searcher_choice import (
+    OpenCall,
+    SearcherLoad,
+    ZoneHealth,
+)
 from kumquatspur.policy.searcher_directory import SearcherDirectory
 from kumquatspur.policy.searcher_limits import (
     UNLEASED_SHARE,
@@ -50,6 +54,7 @@
         zone_health: Tracks zones whose searchers are unreachable.
         peer_zones: Tracks zones whose entry hosts are unreachable.
         latencies: Recent latencies of attempts by route.
+        open_calls: Calls that wait for searchers, by number.
         client_timing: Time that passes between clients and this host.
         counters: Counts since the start, by name.
         histograms: Latency histograms in microseconds by route.
@@ -82,6 +87,7 @@
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
     )
+    open_calls: dict[int, OpenCall] = dataclasses.field(default_factory=dict)
     client_timing: ClientTiming = dataclasses.field(
         default_factory=ClientTiming
     )
--- a/kumquatspur/wire/probes.py
+++ b/kumquatspur/wire/probes.py
@@ -46,6 +46,7 @@
         state: The state of this host.
         now: The current time of the monotonic clock, in seconds.
     """
+    state.zone_health.record_late_calls(state.open_calls.values(), now)
     for zone in state.zone_health.zones_to_probe(now):
         entries = [e for e in state.directory.by_id.values() if e.zone == zone]
         if entries:
@@ -70,7 +71,7 @@
 def _probe_peer(state: EntryState, peer: Peer) -> None:
     reached = responds(peer.address)
     if reached:
-        state.peer_zones.record_response(peer.zone)
+        state.peer_zones.record_response(peer.zone, monotonic_s())
     else:
         state.peer_zones.record_failed_probe(peer.zone, monotonic_s())
     state.counters["peer_zone_probes"] += 1
@@ -95,7 +96,7 @@
 def _probe_zone(state: EntryState, entry: SearcherEntry) -> None:
     reached = responds(entry.address)
     if reached:
-        state.zone_health.record_response(entry.zone)
+        state.zone_health.record_response(entry.zone, monotonic_s())
     else:
         state.zone_health.record_failed_probe(entry.zone, monotonic_s())
     state.counters["zone_probes"] += 1
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -24,7 +24,12 @@
     RequestPlan,
     hedge_delay_s,
 )
-from kumquatspur.policy.searcher_choice import ChoiceContext, rank_searchers
+from kumquatspur.policy.searcher_choice import (
+    ChoiceContext,
+    OpenCall,
+    late_at,
+    rank_searchers,
+)
 from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, servable_at
 from kumquatspur.wire.entry_state import contact_age_s
 from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
@@ -286,7 +291,14 @@
         entry = attempt.entry
         load = self.state.load(entry.searcher_id)
         key = id(attempt)
-        load.in_flight[key] = attempt.started_at
+        started_at = attempt.started_at
+        load.in_flight[key] = started_at
+        self.state.open_calls[key] = OpenCall(
+            entry.searcher_id,
+            entry.zone,
+            started_at,
+            late_at(started_at, self.late_latency_s),
+        )
         try:
             message = self.forwarder.pool.call(
                 entry.searcher_id,
@@ -319,6 +331,7 @@
             attempt.result = error
         finally:
             load.in_flight.pop(key, None)
+            self.state.open_calls.pop(key, None)
             if attempt.result is None:
                 self._observe_abandoned(attempt, load)
         attempt.ended_at = monotonic_s()
@@ -350,7 +363,7 @@
                     entry.zone, entry.searcher_id, now
                 )
             return
-        self.state.zone_health.record_response(entry.zone)
+        self.state.zone_health.record_response(entry.zone, now)
         if result.load is not None:
             load.record_load(result.load, now)
         if result.status == headers.MISDIRECTED_REQUEST:
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -6,9 +6,9 @@
 
 import eventlet
 
-from kumquatspur.wire.searcher_pool import monotonic_s
+from kumquatspur.wire.searcher_pool import monotonic_s as now
 from standins.platform_deployment import wait_until
-from standins.platform_path_case import WAIT_S, PlatformPathCase
+from standins.platform_path_case import WAIT_S, ZONE, PlatformPathCase
 from standins.platform_searcher import forwarded_route, make_config
 from standins.platform_store import StandInStore
 from standins.relay import Relay
@@ -21,6 +21,8 @@
 # Half of the deadline of the tests' requests: a rejection is not held back.
 AT_ONCE_S = 0.25
 CLIENT_PAUSE_S = 0.02
+LONG_TIMEOUT_MS = 6000
+CONCURRENT = 8
 PATHS = ("/all/x", "/one/x", "/once/x")
 
 
@@ -98,10 +100,46 @@
         def is_cut_off():
             for path in PATHS:
                 self.ask_host(host, path)
-            return state.is_cut_off(monotonic_s())
+            return state.is_cut_off(now())
 
         wait_until(is_cut_off, WAIT_S)
 
+    def test_silence_is_noticed_while_requests_wait(self):
+        """All connections that the request needs are open, and hang."""
+        routes = [
+            {**route, "timeout-ms": LONG_TIMEOUT_MS} for route in self.routes
+        ]
+        self.cut_store.put_json("op/config", make_config(2, routes))
+        state = self.cut_host.state
+        wait_until(lambda: state.table.config.version == 2)
+        targets = self.cut_host.pool.by_target
+
+        def are_all_open():
+            threads = [
+                eventlet.spawn(self.ask_host, self.cut_host, "/all/x")
+                for _ in range(CONCURRENT)
+            ]
+            for thread in threads:
+                thread.wait()
+            return all(
+                name in targets and targets[name].idle
+                for name, searcher in self.searchers.items()
+                if searcher.service != "single"
+            )
+
+        wait_until(are_all_open)
+        self.cut("unreachable")
+        request = self.request("/all/x", "hangs").replace(
+            b"Deadline-Ms: 500", b"Deadline-Ms: %d" % LONG_TIMEOUT_MS
+        )
+        waiting = eventlet.spawn(
+            self.exchange, self.connect(self.cut_host), request
+        )
+        wait_until(
+            lambda: waiting.dead or state.zone_health.is_suspect(ZONE, now())
+        )
+        self.assertFalse(waiting.dead)
+
     def test_request_that_must_not_repeat_runs_once(self):
         self.wait_cut_off(self.cut_host)
         replies = [
