Take a refused connection for a crash only if another searcher accepts one

What callers saw: a request that was under way alone when a host lost its links (reset, new connections refused) counted as the cause of several crashes; its client's next try was refused by all hosts with 503 crashes_upstreams for ten minutes.

Fix: a refused connection proves a crash only if one of up to four other searchers accepts a connection.

--- a/kumquatspur/wire/crash_detector.py
+++ b/kumquatspur/wire/crash_detector.py
@@ -1,8 +1,10 @@
 """Detects requests that crash the searchers which run them.
 
 When a connection breaks while a searcher has a request, this module tries to
-connect again. If the connection is refused, the searcher has crashed, and all
-requests whose connections broke with it are recorded as possible causes.
+connect again. If the connection is refused, and another searcher accepts one,
+the searcher has crashed, and all requests whose connections broke with it are
+recorded as possible causes. If all connections are refused, this host has
+probably lost its links.
 """
 
 import eventlet
@@ -16,10 +18,17 @@
     Incident,
 )
 from kumquatspur.wire.entry_state import EntryState
-from kumquatspur.wire.searcher_pool import is_listening, monotonic_s
+from kumquatspur.wire.searcher_pool import (
+    accepts_connections,
+    is_listening,
+    monotonic_s,
+)
 
 # Delay in which the other connections to a crashed searcher break as well.
 SETTLE_S = 0.05
+# Other searchers that are tried. With a third of them down, one of four accepts
+# in 99 of 100 cases.
+MAX_OTHERS_TRIED = 4
 
 
 class CrashDetector:
@@ -85,9 +94,24 @@
             eventlet.spawn_n(self._confirm_crash, entry)
         fingerprints.add(fingerprint(request, route))
 
+    def _reaches_others(self, entry: SearcherEntry) -> bool:
+        """Returns whether a connection to another searcher can be opened."""
+        others = [
+            other
+            for other in self.state.directory.by_id.values()
+            if other.searcher_id != entry.searcher_id
+        ]
+        count = min(MAX_OTHERS_TRIED, len(others))
+        return any(
+            accepts_connections(other.address)
+            for other in self.state.random.sample(others, count)
+        )
+
     def _confirm_crash(self, entry: SearcherEntry) -> None:
         eventlet.sleep(SETTLE_S)
-        crashed = not is_listening(entry.address)
+        crashed = not is_listening(entry.address) and self._reaches_others(
+            entry
+        )
         fingerprints = self._broken_fingerprints.pop(entry.searcher_id)
         if not crashed:
             return
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -6,8 +6,9 @@
 
 import eventlet
 
+from kumquatspur.wire.crash_detector import SETTLE_S
 from kumquatspur.wire.searcher_pool import monotonic_s as now
-from standins.platform_deployment import wait_until
+from standins.platform_deployment import SHARDS, wait_until
 from standins.platform_path_case import WAIT_S, ZONE, PlatformPathCase
 from standins.platform_searcher import forwarded_route, make_config
 from standins.platform_store import StandInStore
@@ -140,6 +141,27 @@
         )
         self.assertFalse(waiting.dead)
 
+    def test_lost_links_are_not_taken_for_crashes_by_a_request(self):
+        """The client of a host that lost its links sends the request again."""
+        shards = [s for s in self.searchers.values() if s.service != "single"]
+        for searcher in shards:
+            searcher.script.extend(["hang"] * 2)
+        request = self.request("/all/again", "first")
+        first = eventlet.spawn(
+            self.exchange, self.connect(self.cut_host), request
+        )
+        wait_until(lambda: sum(s.runs["first"] for s in shards) >= len(SHARDS))
+        self.cut("cut", "closed")
+        for searcher in shards:
+            searcher.script.clear()
+        self.assertNotEqual(first.wait()[0], 200)
+        self.cut_host.exchange.exchange_now()
+        time_to_confirm = 4 * SETTLE_S
+        eventlet.sleep(time_to_confirm)
+        for host in (self.host, self.cut_host):
+            self.assertEqual(host.state.suspects.incidents, {})
+        self.assertEqual(self.ask_host(self.host, "/all/again")[0], 200)
+
     def test_request_that_must_not_repeat_runs_once(self):
         self.wait_cut_off(self.cut_host)
         replies = [
