--- a/bench/shared_limits.py
+++ b/bench/shared_limits.py
@@ -3,12 +3,12 @@
 Usage: python -m bench.shared_limits
 """
 
+from standins.limit_rule import WINDOW_S, most_in_window
 from standins.limit_simulation import LimitSimulation
 
 SEEDS = range(5)
 SETTLE_S = 4.0
 MEASURED_S = 20.0
-WINDOW_S = 4.0
 GROWTH_AT_S = 112.0
 # Hosts, limit per second, and requests per second at a host and time.
 LOADS = {
@@ -50,9 +50,8 @@
             simulation.run(SETTLE_S)
             start = simulation.now
             simulation.run(MEASURED_S)
-            most.append(
-                simulation.most_in(WINDOW_S, start) / (WINDOW_S * limit)
-            )
+            found = most_in_window(simulation.arrivals, start)
+            most.append(found / (WINDOW_S * limit))
             used.append(simulation.rate_between(start, simulation.now) / limit)
         mean_used = sum(used) / len(used)
         print(f"| {name} | {limit:g} | {max(most):.2f} | {mean_used:.2f} |")
--- a/kumquatspur/policy/limit_shares_test.py
+++ b/kumquatspur/policy/limit_shares_test.py
@@ -6,12 +6,9 @@
     ShareAsk,
     ShareLedger,
 )
+from standins.limit_rule import allowed, most_in_window
 from standins.limit_simulation import LimitSimulation
 
-# The users' rule, see docs/incidents/server-limit-exceeded.md.
-WINDOW_S = 4.0
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5
 # Target: of what the limit and the requests allow, this share is used, also if
 # the limit is far less than a request a second for each host.
 USED_SHARE = 0.5
@@ -82,8 +79,8 @@
     def check(self, simulation, start, wanted_per_s=None):
         """Checks all windows since a time; returns the rate of arrivals."""
         limit = simulation.limit_per_s
-        allowed = ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
-        self.assertLessEqual(simulation.most_in(WINDOW_S, start), allowed)
+        most = most_in_window(simulation.arrivals, start)
+        self.assertLessEqual(most, allowed(limit))
         found = simulation.rate_between(start, simulation.now)
         if wanted_per_s is not None:
             expected = USED_SHARE * min(limit, wanted_per_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import json
 import random
 import signal
+import time
 
 import eventlet
 
@@ -28,6 +29,25 @@
     "hang",
 )
 FAULTY_REPLIES = 8
+LIMITED_SHARE = 0.8
+LIMITS_PER_S = (1.0, 8.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """A limit that a searcher named for a while.
+
+    Attributes:
+        searcher: Identifier of the searcher.
+        per_s: Requests per second from all hosts together.
+        since: When it was first named, in monotonic time.
+        until: When it ended.
+    """
+
+    searcher: str
+    per_s: float
+    since: float
+    until: float
 
 
 @dataclasses.dataclass
@@ -39,12 +59,16 @@
         searcher_relays: Relays in front of the searchers, by searcher.
         store_relays: Relays in front of the store, by entry host.
         rng: The source of randomness, seeded for the run.
+        disturbed: Names of the hosts that were stopped, killed or paused.
+        limits: The limits that searchers named.
     """
 
     deployment: PlatformDeployment
     searcher_relays: dict[str, Relay]
     store_relays: dict[str, Relay]
     rng: random.Random
+    disturbed: set[str] = dataclasses.field(default_factory=set)
+    limits: list[StatedLimit] = dataclasses.field(default_factory=list)
 
     def any_host(self) -> HostProcess:
         """Returns a random entry host."""
@@ -118,6 +142,7 @@
 def pause_host(environment: Environment, for_s: float) -> None:
     """Pauses a host's process with SIGSTOP."""
     host = environment.any_host()
+    environment.disturbed.add(host.name)
     host.signal(signal.SIGSTOP)
     eventlet.sleep(for_s)
     host.signal(signal.SIGCONT)
@@ -127,6 +152,7 @@
     environment: Environment, hosts: list[HostProcess], signal_number: int
 ) -> None:
     processes = [host.process for host in hosts]
+    environment.disturbed.update(host.name for host in hosts)
     for host in hosts:
         host.signal(signal.SIGCONT)
         host.signal(signal_number)
@@ -221,6 +247,31 @@
     deployment.replace_marker_route()
 
 
+def name_limits(environment: Environment, for_s: float) -> None:
+    """Makes most or all searchers of some shards name limits."""
+    deployment, rng = environment.deployment, environment.rng
+    services = rng.sample(
+        sorted({s.service for s in deployment.searchers.values()}), 2
+    )
+    limited = [
+        searcher
+        for searcher in deployment.searchers.values()
+        if searcher.service in services and rng.random() < LIMITED_SHARE
+    ]
+    since = time.monotonic()
+    for searcher in limited:
+        searcher.limit_per_s = round(rng.uniform(*LIMITS_PER_S), 1)
+    eventlet.sleep(for_s)
+    until = time.monotonic()
+    for searcher in limited:
+        environment.limits.append(
+            StatedLimit(
+                searcher.searcher_id, searcher.limit_per_s, since, until
+            )
+        )
+        searcher.limit_per_s = None
+
+
 def _register(environment: Environment, name: str) -> None:
     """Writes a searcher's entry with the address of its relay."""
     searcher = environment.deployment.searchers[name]
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -7,6 +7,8 @@
 import dataclasses
 
 from kumquatspur.core.reason import Reason
+from soak.faults import Environment
+from standins.limit_rule import CONTACT_S, WINDOW_S, allowed, most_in_window
 from standins.platform_deployment import RECORD_BYTES, PlatformDeployment
 
 RESULT_LIMIT = 5
@@ -69,6 +71,43 @@
     return violations
 
 
+def find_exceeded_limits(environment: Environment) -> list[str]:
+    """Returns a description of each limit that searchers' requests exceeded.
+
+    Requests that clients sent to a disturbed host do not count, as in the
+    users' rule.
+
+    Args:
+        environment: The environment, with the limits and disturbed hosts.
+    """
+    violations = []
+    for limit in environment.limits:
+        searcher = environment.deployment.searchers[limit.searcher]
+        counted = [
+            at
+            for at, request_id in searcher.arrived
+            if at < limit.until
+            and receiving_host(request_id) not in environment.disturbed
+        ]
+        found = most_in_window(counted, limit.since + CONTACT_S)
+        if found > allowed(limit.per_s):
+            violations.append(
+                f"{limit.searcher}: {found} requests in {WINDOW_S:g} s, named "
+                f"a limit of {limit.per_s} a second"
+            )
+    return violations
+
+
+def receiving_host(request_id: str) -> str:
+    """Returns the host that a request of a client was sent to.
+
+    Args:
+        request_id: Seed, host, number of the client and number of the request,
+            separated by hyphens.
+    """
+    return request_id.partition("-")[2].rsplit("-", 2)[0]
+
+
 def _check_scattered(searchers, request: ClientRequest) -> str:
     _, fields, body = request.reply
     seals = fields.get("kumquatspur-part-seals", "").split(", ")
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,8 +18,9 @@
     FAULTS,
     STATEMENT_FAULTS,
     Environment,
+    name_limits,
 )
-from soak.invariants import find_violations  # noqa: E402
+from soak.invariants import find_exceeded_limits, find_violations  # noqa: E402
 from standins.platform_deployment import (  # noqa: E402
     LOOPBACK,
     PlatformDeployment,
@@ -35,6 +36,10 @@
 FAULTS_PER_SEED = 5
 FAULT_WINDOW_S = 6.0
 FAULT_DURATION_S = (0.3, 3.0)
+# Share of the seeds in which searchers name limits, and for how long: the rule
+# holds for the last part of it.
+LIMITS_SHARE = 0.5
+LIMITS_DURATION_S = 10.0
 # Timeout from the end of the last fault until every host serves all requests
 # again; the platform requires recovery within 12 s.
 RECOVERY_S = 12.0
@@ -97,6 +102,10 @@
             own_rng.uniform(*FAULT_DURATION_S),
         )
     )
+    limit_rng = random.Random(f"{seed} limits")
+    if limit_rng.random() < LIMITS_SHARE:
+        limited = dataclasses.replace(environment, rng=limit_rng)
+        plan.append((0.0, name_limits, limited, LIMITS_DURATION_S))
     return plan
 
 
@@ -149,6 +158,7 @@
     if not any(item.reply and item.reply[0] == 200 for item in requests):
         violations.append("no request was served")
     violations += find_violations(deployment, requests)
+    violations += find_exceeded_limits(environment)
     if not violations:
         shutil.rmtree(folder, ignore_errors=True)
     return faults, violations
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -2,8 +2,12 @@
 import sys
 import unittest
 
-from soak.faults import FAULTS
-from soak.invariants import ClientRequest, find_violations
+from soak.faults import FAULTS, Environment, StatedLimit
+from soak.invariants import (
+    ClientRequest,
+    find_exceeded_limits,
+    find_violations,
+)
 from standins.platform_deployment import SHARDS, make_record
 
 # Seeds that failed because of a bug that has been fixed, with the cause.
@@ -11,7 +15,8 @@
     1: "a connection reset was counted as a removed searcher",
     4: "the stand-in relay continued to read sockets that it had closed",
 }
-SEEDS = (*REGRESSIONS, 8)
+# In one of them, searchers name limits.
+SEEDS = (*REGRESSIONS, 8, 22)
 SEED_TIMEOUT_S = 120.0
 
 
@@ -82,6 +87,33 @@
         self.assertFalse(self.check(request_id="r", reply=refused, **once))
 
 
+class ExceededLimitsTest(unittest.TestCase):
+    """Tests that the check counts what the users' rule counts."""
+
+    def check(self, host, start, disturbed=()):
+        deployment = FakeDeployment()
+        searcher = deployment.searchers["i-s0"]
+        searcher.arrived = [
+            (start + number / 100.0, f"7-{host}-0-{number}")
+            for number in range(40)
+        ]
+        environment = Environment(deployment, {}, {}, None, set(disturbed))
+        environment.limits.append(StatedLimit("i-s0", 5.0, 10.0, 20.0))
+        return find_exceeded_limits(environment)
+
+    def test_exceeded_limit_is_reported(self):
+        self.assertEqual(len(self.check("z1-0", 14.1)), 1)
+
+    def test_requests_before_the_contact_time_do_not_count(self):
+        self.assertEqual(self.check("z1-0", 13.5), [])
+
+    def test_requests_after_the_end_do_not_count(self):
+        self.assertEqual(self.check("z1-0", 20.1), [])
+
+    def test_requests_of_disturbed_hosts_do_not_count(self):
+        self.assertEqual(self.check("z1-0", 14.1, ["z1-0"]), [])
+
+
 class SoakTest(unittest.TestCase):
     def test_seeds(self):
         self.assertGreater(len(FAULTS), 5)
--- a/standins/limit_simulation.py
+++ b/standins/limit_simulation.py
@@ -149,16 +149,6 @@
             host.heard_at = self.now
         return self.now - host.heard_at > ISOLATED_AFTER_S
 
-    def most_in(self, window_s: float, start: float) -> int:
-        """Returns the most arrivals in a window that begins after a time."""
-        later = [at for at in self.arrivals if at >= start]
-        first = most = 0
-        for index, at in enumerate(later):
-            while later[first] <= at - window_s:
-                first += 1
-            most = max(most, index - first + 1)
-        return most
-
     def rate_between(self, start: float, end: float) -> float:
         """Returns the arrivals per second between two times."""
         count = sum(start <= at < end for at in self.arrivals)
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -56,6 +56,7 @@
         pause_value: Value of the header with which "pause" asks for a pause.
         limit_per_s: Limit that its answers name; None for none.
         arrived_at: When each request arrived, in monotonic time.
+        arrived: The same with the identifier of each request.
     """
 
     def __init__(self, searcher_id, service, zone="z", records=(), work_s=0.0):
@@ -71,6 +72,7 @@
         self.pause_value = "1"
         self.limit_per_s = None
         self.arrived_at = []
+        self.arrived = []
         self.deadlines = []
         self.script = collections.deque()
         self.listener = eventlet.listen(("127.0.0.1", 0))
@@ -141,6 +143,7 @@
             return True
         behaviour = self.script.popleft() if self.script else "ok"
         request_id = message.header(b"kumquatspur-attempt-id").decode()
+        self.arrived.append((self.arrived_at[-1], request_id))
         if behaviour in ("shed", "pause"):
             lines = [
                 "HTTP/1.1 503 Full",
--- a/standins/searcher_limit_test.py
+++ b/standins/searcher_limit_test.py
@@ -7,34 +7,17 @@
 import eventlet
 
 from kumquatspur.wire.searcher_pool import monotonic_s
+from standins.limit_rule import CONTACT_S, WINDOW_S, allowed, most_in_window
 from standins.platform_deployment import wait_until
 from standins.platform_path_case import WAIT_S, ZONE, PlatformPathCase
 
 LIMIT_PER_S = 5.0
-# The users' rule: in no window of this length, later than `CONTACT_S` after the
-# limit was first named, more than the factor times the limit allows, plus some.
-WINDOW_S = 4.0
-CONTACT_S = 4.0
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5
 CLIENT_PAUSE_S = 0.03
 # Half of the deadline of the tests' requests: a rejection is not held back.
 AT_ONCE_S = 0.25
 LOAD_S = CONTACT_S + WINDOW_S + 1.0
 
 
-def most_in_window(times, start) -> int:
-    """Returns the most arrivals in a window that begins after a time."""
-    later = sorted(at for at in times if at >= start)
-    return max(
-        (
-            sum(at <= other < at + WINDOW_S for other in later[index:])
-            for index, at in enumerate(later)
-        ),
-        default=0,
-    )
-
-
 class SearcherLimitTest(PlatformPathCase):
     def setUp(self):
         super().setUp()
@@ -69,11 +52,10 @@
             thread.wait()
 
     def assert_limits_hold(self, names, start):
-        allowed = ALLOWED_FACTOR * LIMIT_PER_S * WINDOW_S + ALLOWED_EXTRA
         for name in names:
             arrived_at = self.searchers[name].arrived_at
             found = most_in_window(arrived_at, start + CONTACT_S)
-            self.assertLessEqual(found, allowed, name)
+            self.assertLessEqual(found, allowed(LIMIT_PER_S), name)
 
     def test_limit_of_searchers_holds_over_all_hosts(self):
         names = ("i-single-a", "i-single-b")
