--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -43,6 +43,7 @@
 FIRST_HEADER = b"x-kumquatspur-first"
 # Service that was chosen for a forwarded request.
 SERVICE_HEADER = b"x-kumquatspur-service"
+# Marks a rerouted request; attempts that may be made for each shard.
 REROUTED_HEADER = b"x-kumquatspur-rerouted"
 DECLINED_HEADER = b"x-kumquatspur-declined"
 _DELEGATION_HEADERS = frozenset(
@@ -79,16 +80,32 @@
         request: The client's request.
         version: Version of the other host's configuration; `UNKNOWN_VERSION`
             if it is not stated.
-        rerouted: Whether the other host lacks searchers for it.
+        attempts: Attempts that may be made for each shard, if the other host
+            lacks searchers for it; 0 if it does not.
         service: Service that the other host chose for a forwarded request;
             "" if none.
     """
 
     request: ClientRequest
     version: int
-    rerouted: bool
+    attempts: int
     service: str
 
+    def is_rerouted(self) -> bool:
+        """Returns whether the other host lacks searchers for the request."""
+        return self.attempts > 0
+
+    def limit_attempts(self, route: Route) -> Route:
+        """Returns its route with the attempts that may still be made.
+
+        Args:
+            route: The request's route on this host.
+        """
+        if not self.is_rerouted():
+            return route
+        attempts = min(route.max_attempts, self.attempts)
+        return dataclasses.replace(route, max_attempts=attempts)
+
     def services(self, route: Route) -> tuple[str, ...]:
         """Returns the services that may serve a forwarded request.
 
@@ -139,14 +156,20 @@
         return self._delegate(chosen, request, route, b"")
 
     def try_reroute(
-        self, request: ClientRequest, route: Route, shards: tuple[str, ...]
+        self,
+        request: ClientRequest,
+        route: Route,
+        shards: tuple[str, ...],
+        attempts: int,
     ) -> ClientReply | None:
         """Gives a request to a host that reaches searchers.
 
         Args:
-            request: The request; it was sent to no searcher.
+            request: The request; it was sent to no searcher, or may be
+                repeated.
             route: Its route.
             shards: Its shards, or the service of a forwarded request.
+            attempts: Attempts that the other host may make for each shard.
 
         Returns:
             The answer; None if no other host takes the request.
@@ -154,7 +177,7 @@
         began = monotonic_s()
         if began < self._reroutes_paused_until.get(route.name, 0.0):
             return None
-        headers = b"%b: 1\r\n" % REROUTED_HEADER
+        headers = b"%b: %d\r\n" % (REROUTED_HEADER, attempts)
         if not route.shards:
             headers += b"%b: %b\r\n" % (SERVICE_HEADER, shards[0].encode())
         ranked = rank_reroutes(
@@ -287,7 +310,7 @@
             return "stopping"
         if state.table is None or not self._accepts_version(delegated):
             return "configuration"
-        if route is None or not (route.shards or delegated.rerouted):
+        if route is None or not (route.shards or delegated.is_rerouted()):
             return "route"
         shards = route.shards or delegated.services(route)
         if state.lacks_searchers(route, shards, monotonic_s()):
@@ -305,7 +328,7 @@
         configurations differ, so a newer configuration serves them as well.
         """
         own = self.state.table.config.version
-        if delegated.rerouted:
+        if delegated.is_rerouted():
             return delegated.version <= own
         return delegated.version == own
 
@@ -408,6 +431,7 @@
     left_us = found.get(TIME_LEFT_HEADER, b"")
     lead_us = found.get(LEAD_HEADER, b"")
     version = found.get(CONFIG_VERSION_HEADER, b"")
+    attempts = found.get(REROUTED_HEADER, b"")
     client_request = dataclasses.replace(
         request,
         headers=tuple(
@@ -422,7 +446,7 @@
     return DelegatedRequest(
         client_request,
         int(version) if version.isdigit() else UNKNOWN_VERSION,
-        REROUTED_HEADER in found,
+        int(attempts) if attempts.isdigit() else 0,
         found.get(SERVICE_HEADER, b"").decode("latin-1"),
     )
 
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -5,6 +5,8 @@
 import math
 import random as random_numbers
 
+from eventlet.greenthread import GreenThread
+
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.routing import Route, RoutingConfig, SearcherEntry
 from kumquatspur.policy.attempt_counts import AttemptCounts
@@ -55,6 +57,8 @@
         peer_zones: Tracks zones whose entry hosts are unreachable.
         latencies: Recent latencies of attempts by route.
         open_calls: Calls that wait for searchers, by number.
+        call_threads: Green threads of the open calls whose requests may be
+            repeated, by number.
         client_timing: Time that passes between clients and this host.
         counters: Counts since the start, by name.
         histograms: Latency histograms in microseconds by route.
@@ -88,6 +92,9 @@
         default_factory=dict
     )
     open_calls: dict[int, OpenCall] = dataclasses.field(default_factory=dict)
+    call_threads: dict[int, GreenThread] = dataclasses.field(
+        default_factory=dict
+    )
     client_timing: ClientTiming = dataclasses.field(
         default_factory=ClientTiming
     )
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -111,6 +111,7 @@
                 if len(services) == 1
                 else (table.choose_service(route, number),)
             )
+        route = delegated.limit_attempts(route)
         run = RequestRun(self, request, route, shards, False)
         return reply_with_keep_alive(run.run(), idle_s)
 
--- a/kumquatspur/wire/probes.py
+++ b/kumquatspur/wire/probes.py
@@ -10,6 +10,7 @@
 from kumquatspur.policy.peer_table import Peer
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import (
+    CallError,
     accepts_connections,
     monotonic_s,
     responds,
@@ -99,5 +100,25 @@
         state.zone_health.record_response(entry.zone, monotonic_s())
     else:
         state.zone_health.record_failed_probe(entry.zone, monotonic_s())
+        if state.zone_health.is_suspect(entry.zone, monotonic_s()):
+            _give_up_calls(state, entry.zone)
     state.counters["zone_probes"] += 1
     state.log.write("zone_probed", zone=entry.zone, reached=reached)
+
+
+def _give_up_calls(state: EntryState, zone: str) -> None:
+    """Ends late calls to a zone that is cut off, if they may be repeated."""
+    now = monotonic_s()
+    late = [
+        key
+        for key, call in state.open_calls.items()
+        if call.zone == zone and now >= call.late_at
+    ]
+    for key in late:
+        thread = state.call_threads.get(key)
+        if thread is not None:
+            error = CallError(
+                f"zone {zone} is cut off", unresponsive=True, cut_off=True
+            )
+            thread.kill(error)
+            state.counters["calls_given_up"] += 1
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -150,7 +150,9 @@
             state.resume_at(shard, now, self.draw) for shard in self.plan.shards
         ]
         if resume_times.count(now) < self.plan.needed:
-            return self._reroute() or self._refuse_unservable(resume_times, now)
+            attempts = self.route.max_attempts
+            rerouted = self._reroute(attempts)
+            return rerouted or self._refuse_unservable(resume_times, now)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
         scattered = len(self.route.shards)
@@ -164,31 +166,43 @@
             if not self.finished:
                 self.finished = True
                 self._log_client_disconnect()
-        if outcome is PlanOutcome.FAIL and self._was_never_sent():
-            rerouted = self._reroute()
+        if outcome is PlanOutcome.FAIL:
+            rerouted = self._reroute(self._attempts_left())
             if rerouted is not None:
                 return rerouted
         reply = self._reply(outcome)
         self._log(outcome, reply)
         return reply
 
-    def _reroute(self) -> ClientReply | None:
-        """Returns another host's answer if this host lacks searchers."""
+    def _reroute(self, attempts: int) -> ClientReply | None:
+        """Returns another host's answer if this host lacks searchers.
+
+        Args:
+            attempts: Attempts that the other host may make for each shard.
+        """
         shards = tuple(self.plan.shards)
-        if not self.may_reroute or not self.state.lacks_searchers(
-            self.route, shards, monotonic_s()
+        now = monotonic_s()
+        if (
+            not self.may_reroute
+            or attempts <= 0
+            or now >= self.plan.deadline
+            or not self.state.lacks_searchers(self.route, shards, now)
         ):
             return None
         return self.forwarder.delegator.try_reroute(
-            self.request, self.route, shards
+            self.request, self.route, shards, attempts
         )
 
-    def _was_never_sent(self) -> bool:
-        """Returns whether no attempt can have reached a searcher."""
-        return all(
+    def _attempts_left(self) -> int:
+        """Returns how many attempts another host may make for each shard."""
+        never_sent = all(
             isinstance(attempt.result, CallError) and not attempt.result.sent
             for attempt in self.attempts
         )
+        if not self.route.repeatable and not never_sent:
+            return 0
+        made = max(p.sent_attempts for p in self.plan.shards.values())
+        return self.route.max_attempts - made
 
     def _refuse_unservable(
         self, resume_times: list[float | None], now: float
@@ -299,6 +313,8 @@
             started_at,
             late_at(started_at, self.late_latency_s),
         )
+        if self.route.repeatable:
+            self.state.call_threads[key] = eventlet.getcurrent()
         try:
             message = self.forwarder.pool.call(
                 entry.searcher_id,
@@ -332,6 +348,7 @@
         finally:
             load.in_flight.pop(key, None)
             self.state.open_calls.pop(key, None)
+            self.state.call_threads.pop(key, None)
             if attempt.result is None:
                 self._observe_abandoned(attempt, load)
         attempt.ended_at = monotonic_s()
@@ -462,7 +479,10 @@
         if isinstance(result, CallError):
             if not result.sent:
                 self._refund(attempt)
-            self.plan.record_failure(shard, result.verdict, result.sent)
+            # An attempt at a searcher that is cut off leaves the route's limit
+            # to others, as one that was not sent.
+            counts = result.sent and not result.cut_off
+            self.plan.record_failure(shard, result.verdict, counts)
             return
         if result.not_executed:
             self.plan.record_failure(shard, Verdict.NOT_RUN, True)
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -58,6 +58,8 @@
         connection_lost: Whether the connection was closed or reset before the
             first byte of a response.
         refused: Whether the connection attempt was refused.
+        cut_off: Whether the call was given up because the target's zone is cut
+            off from this host.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         unresponsive=False,
         connection_lost=False,
         refused=False,
+        cut_off=False,
     ):
         super().__init__(message)
         self.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
@@ -74,6 +77,7 @@
         self.unresponsive = unresponsive
         self.connection_lost = connection_lost
         self.refused = refused
+        self.cut_off = cut_off
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -24,6 +24,8 @@
 CLIENT_PAUSE_S = 0.02
 LONG_TIMEOUT_MS = 6000
 CONCURRENT = 8
+# Of the routes.
+MAX_ATTEMPTS = 2
 PATHS = ("/all/x", "/one/x", "/once/x")
 
 
@@ -105,14 +107,18 @@
 
         wait_until(is_cut_off, WAIT_S)
 
-    def test_silence_is_noticed_while_requests_wait(self):
-        """All connections that the request needs are open, and hang."""
+    def open_all_connections(self):
+        """Makes the host keep a connection to each searcher of the shards.
+
+        Afterwards requests may take `LONG_TIMEOUT_MS`.
+        """
         routes = [
             {**route, "timeout-ms": LONG_TIMEOUT_MS} for route in self.routes
         ]
         self.cut_store.put_json("op/config", make_config(2, routes))
-        state = self.cut_host.state
-        wait_until(lambda: state.table.config.version == 2)
+        self.store.put_json("op/config", make_config(2, routes))
+        for host in (self.host, self.cut_host):
+            wait_until(lambda h=host: h.state.table.config.version == 2)
         targets = self.cut_host.pool.by_target
 
         def are_all_open():
@@ -129,18 +135,60 @@
             )
 
         wait_until(are_all_open)
-        self.cut("unreachable")
-        request = self.request("/all/x", "hangs").replace(
+
+    def spawn_long_request(self, path, request_id):
+        """Sends a request to the host; returns the thread of its reply."""
+        request = self.request(path, request_id).replace(
             b"Deadline-Ms: 500", b"Deadline-Ms: %d" % LONG_TIMEOUT_MS
         )
-        waiting = eventlet.spawn(
-            self.exchange, self.connect(self.cut_host), request
-        )
-        wait_until(
-            lambda: waiting.dead or state.zone_health.is_suspect(ZONE, now())
-        )
+        sock = self.connect(self.cut_host)
+        thread = eventlet.spawn(self.exchange, sock, request)
+        # Ends before the socket is closed, on which it may still wait.
+        self.addCleanup(thread.kill)
+        return thread
+
+    def test_silence_is_noticed_while_requests_wait(self):
+        """All connections that the request needs are open, and hang."""
+        self.open_all_connections()
+        self.cut("unreachable")
+        waiting = self.spawn_long_request("/all/x", "hangs")
+        health = self.cut_host.state.zone_health
+        wait_until(lambda: waiting.dead or health.is_suspect(ZONE, now()))
         self.assertFalse(waiting.dead)
 
+    def test_waiting_requests_are_given_to_another_host(self):
+        self.open_all_connections()
+        self.cut("unreachable")
+        waiting = self.spawn_long_request("/all/x", "hangs")
+        status, fields, _ = waiting.wait()
+        self.assertEqual(status, 200)
+        self.assertEqual(fields["kumquatspur-missing-parts"], "0")
+
+    def test_reset_requests_are_given_to_another_host(self):
+        self.open_all_connections()
+        shards = [s for s in self.searchers.values() if s.service != "single"]
+        for searcher in shards:
+            searcher.script.extend(["hang"] * 2)
+        waiting = self.spawn_long_request("/all/x", "reset")
+        wait_until(lambda: sum(s.runs["reset"] for s in shards) >= len(SHARDS))
+        self.cut("cut", "closed")
+        for searcher in shards:
+            searcher.script.clear()
+        self.assertIn(waiting.wait()[0], (200, 502))
+        for shard in SHARDS:
+            runs = sum(s.runs["reset"] for s in shards if s.service == shard)
+            self.assertLessEqual(runs, MAX_ATTEMPTS)
+
+    def test_waiting_request_that_must_not_repeat_is_not_given_away(self):
+        self.open_all_connections()
+        for name in ("i-single-a", "i-single-b"):
+            self.searchers[name].script.append("hang")
+        waiting = self.spawn_long_request("/once/x", "once")
+        wait_until(lambda: self.count_single_runs("once") == 1)
+        self.cut("unreachable")
+        self.assertEqual(waiting.wait()[0], 504)
+        self.assertEqual(self.count_single_runs("once"), 1)
+
     def test_lost_links_are_not_taken_for_crashes_by_a_request(self):
         """The client of a host that lost its links sends the request again."""
         shards = [s for s in self.searchers.values() if s.service != "single"]
