Sum the leases of a searcher's limit as they change

Cause: an allocator added up all leases of a searcher for each host that renewed, so an answer cost more with every host of the fleet.

Change: the sums of leased parts and of wanted rates are kept with the leases and added up again when leases end. bench.shared_limits prints the processor time of an answer.

--- a/bench/shared_limits.py
+++ b/bench/shared_limits.py
@@ -1,8 +1,21 @@
-"""Measures how far hosts together use the limit of a searcher, by simulation.
+"""Measures the division of searchers' limits among hosts.
+
+Prints how far hosts together use the limit of a searcher, by simulation, and
+the processor time that an allocator takes to answer a host.
 
 Usage: python -m bench.shared_limits
 """
 
+import time
+
+from kumquatspur.border import packing
+from kumquatspur.border.share_codec import (
+    LeasedShare,
+    ShareNeed,
+    ShareReply,
+    ShareRequest,
+)
+from kumquatspur.policy.limit_shares import ShareAsk, ShareLedger
 from standins.limit_rule import WINDOW_S, most_in_window
 from standins.limit_simulation import LimitSimulation
 
@@ -39,8 +52,58 @@
 }
 
 
-def main() -> None:
-    """Prints a table."""
+def _answer(ledger: ShareLedger, data: bytes, now: float) -> bytes:
+    """Answers a host as `wire.share_exchange` does, without the HTTP server."""
+    request = packing.unpack(data, ShareRequest)
+    asks = {n.searcher: ShareAsk(n.per_s, n.held) for n in request.needs}
+    granted = ledger.renew(request.host, asks, now)
+    shares = tuple(
+        LeasedShare(searcher=name, share=share)
+        for name, share in granted.items()
+    )
+    return packing.pack(ShareReply(lease_s=2.0, renew_s=0.5, shares=shares))
+
+
+def _answer_us(hosts: int, searchers: int) -> float:
+    """Returns the processor time of an answer in microseconds.
+
+    Args:
+        hosts: Hosts that hold leases.
+        searchers: Limited searchers that each host asks about.
+    """
+    ledger = ShareLedger()
+    messages = [
+        packing.pack(
+            ShareRequest(
+                host=f"front-{host}",
+                needs=tuple(
+                    ShareNeed(searcher=f"i-{item}", per_s=1.0, held=0.01)
+                    for item in range(searchers)
+                ),
+            )
+        )
+        for host in range(hosts)
+    ]
+    for data in messages:
+        _answer(ledger, data, 1.0)
+    began = time.process_time()
+    for data in messages:
+        _answer(ledger, data, 1.5)
+    return (time.process_time() - began) / hosts * 1e6
+
+
+def print_costs() -> None:
+    """Prints the processor time of an allocator's answers."""
+    print("| hosts | limited searchers of the zone | us an answer |")
+    print("| --- | --- | --- |")
+    for hosts in (9, 195):
+        for searchers in (1, 40):
+            cost_us = _answer_us(hosts, searchers)
+            print(f"| {hosts} | {searchers} | {cost_us:.0f} |")
+
+
+def print_use() -> None:
+    """Prints how far limits are used."""
     print("| load | limit/s | most in 4 s, of 4 limits | used, of the limit |")
     print("| --- | --- | --- | --- |")
     for name, (count, limit, rate) in LOADS.items():
@@ -57,5 +120,12 @@
         print(f"| {name} | {limit:g} | {max(most):.2f} | {mean_used:.2f} |")
 
 
+def main() -> None:
+    """Prints both tables."""
+    print_use()
+    print()
+    print_costs()
+
+
 if __name__ == "__main__":
     main()
--- a/kumquatspur/policy/limit_shares.py
+++ b/kumquatspur/policy/limit_shares.py
@@ -13,7 +13,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 # A host asks again after this time, or later if so many hosts ask that the
 # allocator would have to answer more than `MAX_ASKS_PER_S`.
@@ -48,18 +48,53 @@
     until: float
 
 
+_NO_LEASE = _Lease(0.0, 0.0, 0.0)
+
+
+@dataclasses.dataclass(slots=True)
+class _SearcherLeases:
+    """The leases of one searcher, with their sums.
+
+    Attributes:
+        by_host: Leases by host.
+        share: Sum of the leased parts.
+        per_s: Sum of the hosts' requests per second.
+    """
+
+    by_host: dict[str, _Lease] = dataclasses.field(default_factory=dict)
+    share: float = 0.0
+    per_s: float = 0.0
+
+    def put(self, host: str, lease: _Lease) -> None:
+        """Replaces the lease of a host."""
+        old = self.by_host.get(host, _NO_LEASE)
+        self.share += lease.share - old.share
+        self.per_s += lease.per_s - old.per_s
+        self.by_host[host] = lease
+
+    def expire(self, now: float) -> None:
+        """Removes the leases that have ended."""
+        ended = [k for k, v in self.by_host.items() if v.until <= now]
+        for host in ended:
+            del self.by_host[host]
+        if ended:
+            # Adding up again removes rounding errors too.
+            self.share = sum(lease.share for lease in self.by_host.values())
+            self.per_s = sum(lease.per_s for lease in self.by_host.values())
+
+
 @dataclasses.dataclass
 class ShareLedger:
     """The parts that this host has leased as an allocator.
 
+    The cost of an answer does not depend on the number of hosts.
+
     Attributes:
-        leases: Leases by searcher and host.
+        leases: Leases by searcher.
         asked_at: When each host last asked.
     """
 
-    leases: dict[str, dict[str, _Lease]] = dataclasses.field(
-        default_factory=dict
-    )
+    leases: dict[str, _SearcherLeases] = dataclasses.field(default_factory=dict)
     asked_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def renew_s(self) -> float:
@@ -87,32 +122,31 @@
         until = now + self.lease_s()
         granted = {}
         for searcher_id, ask in asks.items():
-            leases = self.leases.setdefault(searcher_id, {})
-            share = _share(
-                ask, [v for k, v in leases.items() if k != host], now
-            )
-            leases[host] = _Lease(ask.per_s, share, until)
+            leases = self.leases.setdefault(searcher_id, _SearcherLeases())
+            share = _share(ask, leases, leases.by_host.get(host, _NO_LEASE))
+            leases.put(host, _Lease(ask.per_s, share, until))
             granted[searcher_id] = share
         return granted
 
     def expire(self, now: float) -> None:
-        """Forgets leases that have ended and hosts that no longer ask."""
+        """Forgets leases that have ended and hosts that no longer ask.
+
+        Until this is called, an ended lease counts as held.
+        """
         for searcher_id, leases in list(self.leases.items()):
-            for host in [k for k, v in leases.items() if v.until <= now]:
-                del leases[host]
-            if not leases:
+            leases.expire(now)
+            if not leases.by_host:
                 del self.leases[searcher_id]
         oldest = now - self.lease_s()
         for host in [k for k, at in self.asked_at.items() if at < oldest]:
             del self.asked_at[host]
 
 
-def _share(ask: ShareAsk, others: Iterable[_Lease], now: float) -> float:
+def _share(ask: ShareAsk, leases: _SearcherLeases, own: _Lease) -> float:
     """Returns the part for a host beside the leases of the other hosts."""
-    current = [lease for lease in others if now < lease.until]
-    leased = sum(lease.share for lease in current)
-    wanted = ask.per_s + sum(lease.per_s for lease in current)
     if ask.per_s <= 0.0:
         return 0.0
+    wanted = ask.per_s + max(0.0, leases.per_s - own.per_s)
+    left = 1.0 - (leases.share - own.share)
     growth = MAX_GROWTH * max(ask.held, MIN_SHARE)
-    return max(0.0, min(ask.per_s / wanted, growth, 1.0 - leased))
+    return max(0.0, min(ask.per_s / wanted, growth, left))
--- a/kumquatspur/policy/limit_shares_test.py
+++ b/kumquatspur/policy/limit_shares_test.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from kumquatspur.policy.limit_shares import (
@@ -39,12 +40,27 @@
     def test_lease_of_a_lost_host_ends(self):
         self.renew("a", 10.0, 1.0, 1.0)
         end = 1.0 + self.ledger.lease_s()
+        self.ledger.expire(end - 0.1)
         self.assertEqual(self.renew("b", 10.0, 1.0, end - 0.1), 0.0)
+        self.ledger.expire(end)
         self.assertEqual(self.renew("b", 10.0, 1.0, end), 1.0)
         self.ledger.expire(end + 2 * self.ledger.lease_s())
         self.assertEqual(self.ledger.leases, {})
         self.assertEqual(self.ledger.asked_at, {})
 
+    def test_sums_match_the_leases(self):
+        numbers = random.Random(4)
+        for step in range(2000):
+            now = step / 50.0
+            host = f"host-{numbers.randrange(12)}"
+            self.renew(host, numbers.choice((0.0, 1.0, 7.0)), 0.5, now)
+            if step % 5 == 0:
+                self.ledger.expire(now)
+            leases = self.ledger.leases["i"]
+            held = sum(v.share for v in leases.by_host.values())
+            self.assertAlmostEqual(leases.share, held)
+            self.assertLessEqual(held, 1.0 + 1e-9)
+
     def test_new_allocator_lets_a_host_grow_in_steps(self):
         self.assertAlmostEqual(self.renew("a", 10.0, 0.1, 1.0), 0.2)
         self.assertAlmostEqual(self.renew("a", 10.0, 0.2, 1.5), 0.4)
