Take the calls of a request out of request_run; decode accounts and cold rates

Change: wire/attempts.py makes and observes the calls; request_run.py keeps the plan and the answer. The configuration's accounts, auth-exempt routes, warm-up rates and the settings' new bounds are decoded; nothing uses them yet.

--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -47,6 +47,14 @@
         retry_budget_window_s: Window over which extra attempts are counted.
         retry_budget_slack: Extra attempts per window that all hosts together
             may make in addition.
+        evacuation_ms: Time within which nothing may be sent any more to a zone
+            that is evacuated.
+        warmup_overrun: Factor on the rate of a cold searcher in a second.
+        warmup_slack: Requests a second beyond that, per cold searcher.
+        quota_window_s: Window over which the requests of an account are
+            counted.
+        quota_overrun: Share by which an account's quota may be exceeded.
+        quota_slack: Requests per window beyond that, per account.
     """
 
     drain_ms: float = pydantic.Field(gt=0)
@@ -55,6 +63,12 @@
     retry_budget_ratio: float = pydantic.Field(ge=0)
     retry_budget_window_s: float = pydantic.Field(gt=0)
     retry_budget_slack: float = pydantic.Field(ge=0)
+    evacuation_ms: float = pydantic.Field(5000.0, gt=0)
+    warmup_overrun: float = pydantic.Field(1.0, ge=1)
+    warmup_slack: float = pydantic.Field(0.0, ge=0)
+    quota_window_s: float = pydantic.Field(5.0, gt=0)
+    quota_overrun: float = pydantic.Field(0.0, ge=0)
+    quota_slack: float = pydantic.Field(0.0, ge=0)
 
 
 class Machine(_Model):
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -42,6 +42,8 @@
             for a forwarded route.
         result_limit: Maximum number of records in a scattered answer.
         min_shard_ratio: Minimum share of the shards in a scattered answer.
+        needs_key: Whether requests need the key of a client account, if the
+            configuration has accounts.
     """
 
     name: str
@@ -56,6 +58,7 @@
     shards: tuple[str, ...] = ()
     result_limit: int = 0
     min_shard_ratio: float = 1.0
+    needs_key: bool = True
 
     def services(self) -> tuple[str, ...]:
         """Returns the services that may execute requests of the route."""
@@ -73,10 +76,37 @@
         name: The service's name.
         max_connections: Maximum number of connections that each searcher of
             the service accepts, in total over all hosts that connect to it.
+        warmup_s: How long a searcher of the service is cold after its start.
+        cold_per_s: Requests per second that a cold searcher takes from all
+            hosts together; 0 if it is not limited.
     """
 
     name: str
     max_connections: int
+    warmup_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """A client account: a customer's keys and its quota.
+
+    Attributes:
+        name: The account's name.
+        key_digests: SHA-256 digests of its keys.
+        priority: Priority of its requests, which overrides the route's; 0 is
+            the highest. None if the route's applies.
+        rate_per_s: Requests per second that all hosts together accept; 0 if
+            they are not limited.
+        burst: Requests that may be accepted at once after a pause, beyond the
+            rate.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,12 +135,14 @@
         routes: All routes.
         services: Services by name.
         limits: Limits for clients.
+        accounts: Client accounts; None if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: ClientLimits
+    accounts: tuple[Account, ...] | None = None
 
 
 class SearcherState(enum.StrEnum):
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes documents of operator and searchers in the metadata store."""
 
+import hashlib
 import ipaddress
 import json
 from typing import Annotated, Literal
@@ -9,6 +10,7 @@
 from kumquatspur.border.validation import validation_diagnostics
 from kumquatspur.core.records import Address, Diagnostic
 from kumquatspur.core.routing import (
+    Account,
     ClientLimits,
     Route,
     RoutingConfig,
@@ -75,6 +77,7 @@
     fanout_services: tuple[_NonEmptyStr, ...] = ()
     result_limit: int = pydantic.Field(0, ge=0)
     min_shard_ratio: float = pydantic.Field(0.0, ge=0, le=1)
+    auth_exempt: bool = False
 
     @pydantic.model_validator(mode="after")
     def _has_target(self):
@@ -104,6 +107,7 @@
             shards=self.fanout_services,
             result_limit=self.result_limit,
             min_shard_ratio=self.min_shard_ratio,
+            needs_key=not self.auth_exempt,
         )
 
 
@@ -111,6 +115,29 @@
     name: _NonEmptyStr
     # Limit per searcher, in total over all hosts that connect to it.
     max_connections: int = pydantic.Field(ge=1)
+    warmup_s: float = pydantic.Field(0.0, ge=0)
+    # 0: a cold searcher's requests are not limited.
+    cold_per_s: float = pydantic.Field(0.0, ge=0)
+
+
+class _Account(_Document):
+    name: _NonEmptyStr
+    api_keys: tuple[_NonEmptyStr, ...] = ()
+    priority: int | None = None
+    # 0: the account's requests are not limited.
+    rate_per_s: float = pydantic.Field(0.0, ge=0)
+    burst_size: float = pydantic.Field(0.0, ge=0)
+
+    def to_account(self) -> Account:
+        return Account(
+            name=self.name,
+            key_digests=tuple(
+                hashlib.sha256(key.encode()).digest() for key in self.api_keys
+            ),
+            priority=self.priority,
+            rate_per_s=self.rate_per_s,
+            burst=self.burst_size,
+        )
 
 
 class _Limits(_Document):
@@ -127,6 +154,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits | None = None
+    tenants: tuple[_Account, ...] | None = None
 
 
 class _Searcher(_Document):
@@ -159,6 +187,9 @@
         return None, validation_diagnostics(CONFIG_KEY, error)
     except (ValueError, RecursionError) as error:
         return None, [Diagnostic(CONFIG_KEY, f"is not JSON: {error}")]
+    accounts = document.tenants
+    if accounts is not None:
+        accounts = tuple(account.to_account() for account in accounts)
     limits = ClientLimits()
     if document.limits:
         limits = ClientLimits(
@@ -172,10 +203,16 @@
             version=document.config_version,
             routes=tuple(route.to_route() for route in document.routes),
             services={
-                service.name: ServiceSpec(service.name, service.max_connections)
+                service.name: ServiceSpec(
+                    service.name,
+                    service.max_connections,
+                    service.warmup_s,
+                    service.cold_per_s,
+                )
                 for service in document.services
             },
             limits=limits,
+            accounts=accounts,
         ),
         [],
     )
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -1,8 +1,5 @@
 """One client request: its attempts at searchers, and the answer from them."""
 
-import dataclasses
-import math
-
 import eventlet
 import eventlet.semaphore
 
@@ -12,7 +9,6 @@
     ClientReply,
     ClientRequest,
     Route,
-    SearcherEntry,
     SearcherReply,
 )
 from kumquatspur.core.verdict import Verdict
@@ -26,16 +22,19 @@
 )
 from kumquatspur.policy.searcher_choice import (
     ChoiceContext,
-    OpenCall,
-    late_at,
     rank_searchers,
 )
-from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, servable_at
+from kumquatspur.policy.searcher_pauses import servable_at
+from kumquatspur.wire.attempts import (
+    Attempt,
+    AttemptCaller,
+    CallTiming,
+    describe,
+    is_first_success,
+)
 from kumquatspur.wire.entry_state import contact_age_s
 from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
-from kumquatspur.wire.http_messages import split_request
 from kumquatspur.wire.searcher_pool import (
-    NON_REPEATABLE_MAX_IDLE_S,
     CallError,
     monotonic_s,
 )
@@ -56,31 +55,6 @@
 MAX_WAIT_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """One attempt to get an answer from a searcher.
-
-    Attributes:
-        shard: The shard, or the service of a forwarded request.
-        entry: The searcher.
-        kind: First attempt, hedge or retry.
-        started_at: Start time, on the monotonic clock.
-        charged: Whether it was charged to the budget of extra attempts.
-        result: The response, or the error; None while in flight.
-        ended_at: When the result arrived, on the monotonic clock.
-        thread: The green thread that makes the call.
-    """
-
-    shard: str
-    entry: SearcherEntry
-    kind: AttemptKind
-    started_at: float
-    charged: bool = False
-    result: SearcherReply | CallError | None = None
-    ended_at: float = 0.0
-    thread: object = None
-
-
 class RequestRun:
     """One request in flight.
 
@@ -93,6 +67,7 @@
         version: Version of the configuration that routed it.
         plan: Schedule of its attempts.
         draw: Its random number in (0, 1] for the limits of searchers.
+        caller: Calls the searchers.
         attempts: All attempts so far.
         parts: The accepted responses by shard.
         failure: The last failure that a searcher answered with; None if none.
@@ -131,7 +106,14 @@
         self.typical_s = typical or (
             route.target_latency_s * DEFAULT_TYPICAL_SHARE
         )
-        self.request_parts = split_request(request)
+        self.caller = AttemptCaller(
+            self.state,
+            forwarder.pool,
+            forwarder.crash_detector,
+            request,
+            route,
+            CallTiming(self.deadline, self.typical_s, self.late_latency_s),
+        )
         self.wake = eventlet.semaphore.Semaphore(0)
         self.finished = False
         self.attempts = []
@@ -302,162 +284,10 @@
         return charged
 
     def _call(self, attempt: Attempt) -> None:
-        entry = attempt.entry
-        load = self.state.load(entry.searcher_id)
-        key = id(attempt)
-        started_at = attempt.started_at
-        load.in_flight[key] = started_at
-        self.state.open_calls[key] = OpenCall(
-            entry.searcher_id,
-            entry.zone,
-            started_at,
-            late_at(started_at, self.late_latency_s),
-        )
-        if self.route.repeatable:
-            self.state.call_threads[key] = eventlet.getcurrent()
-        try:
-            message = self.forwarder.pool.call(
-                entry.searcher_id,
-                entry.address,
-                b"".join(
-                    (
-                        self.request_parts[0],
-                        headers.encode_searcher_headers(
-                            entry.searcher_id, self.deadline - monotonic_s()
-                        ),
-                        self.request_parts[1],
-                    )
-                ),
-                self._matches_request,
-                self.deadline,
-                self.request.method == "HEAD",
-                math.inf
-                if self.route.repeatable
-                else NON_REPEATABLE_MAX_IDLE_S,
-            )
-            attempt.result = headers.decode_reply(
-                message.status,
-                # A merged answer has none of the searchers' headers.
-                message.headers
-                if self.route.shards
-                else message.end_to_end_headers(),
-                message.body(),
-            )
-        except CallError as error:
-            attempt.result = error
-        finally:
-            load.in_flight.pop(key, None)
-            self.state.open_calls.pop(key, None)
-            self.state.call_threads.pop(key, None)
-            if attempt.result is None:
-                self._observe_abandoned(attempt, load)
-        attempt.ended_at = monotonic_s()
-        self._observe(attempt, load)
+        self.caller.call(attempt)
         if not self.finished:
             self._handle_result(attempt)
 
-    def _matches_request(self, message) -> bool:
-        value = message.header(headers.REQUEST_ID)
-        if value is None:
-            # All requests on a connection name the same searcher, so a
-            # misdirected reply without identifier applies to this one too.
-            return message.status == headers.MISDIRECTED_REQUEST
-        return value.decode("latin-1") == self.request.request_id
-
-    def _observe(self, attempt: Attempt, load) -> None:
-        """Updates load, zone and crash state from the result of an attempt."""
-        entry, result, now = attempt.entry, attempt.result, attempt.ended_at
-        if isinstance(result, CallError):
-            reached = result.sent and not result.unresponsive
-            record = load.record_error if reached else load.record_unreachable
-            record(now)
-            if result.connection_lost:
-                self.forwarder.crash_detector.record_broken_connection(
-                    self.request, self.route.name, entry
-                )
-            if result.unresponsive:
-                self.state.zone_health.record_unresponsive(
-                    entry.zone, entry.searcher_id, now
-                )
-            return
-        self.state.zone_health.record_response(entry.zone, now)
-        if result.load is not None:
-            load.record_load(result.load, now)
-        if result.status == headers.MISDIRECTED_REQUEST:
-            load.record_unreachable(now)
-            return
-        self._observe_wishes(entry, result, now)
-        self._observe_limit(entry, result, now)
-        if result.status >= 500 or result.not_executed:
-            load.record_error(now)
-        if 200 <= result.status < 300:
-            seconds = now - attempt.started_at
-            self.window.add(seconds)
-            load.record_latency(seconds / self.typical_s, now)
-            self.forwarder.crash_detector.record_success(
-                self.request, self.route.name
-            )
-
-    def _observe_wishes(
-        self, entry: SearcherEntry, result: SearcherReply, now: float
-    ) -> None:
-        """Records that a searcher is leaving, or wants a pause."""
-        state = self.state
-        if result.leaving and state.directory.record_leaving(
-            entry.searcher_id, entry.started_unix_ms, now
-        ):
-            state.counters["searchers_leaving"] += 1
-            state.log.write(
-                "searcher_leaving",
-                True,
-                searcher=entry.searcher_id,
-                service=entry.service,
-                source="answer",
-                left=len(state.directory.usable(entry.service, now)),
-            )
-        if result.pause_s is None:
-            return
-        grown_s = state.pauses.record(entry.searcher_id, result.pause_s, now)
-        if grown_s:
-            state.counters["searcher_pauses"] += 1
-            state.log.write(
-                "searcher_pause",
-                searcher=entry.searcher_id,
-                service=entry.service,
-                asked_s=result.pause_s,
-                limit_s=MAX_PAUSE_S,
-                grown_s=round(grown_s, 3),
-            )
-
-    def _observe_limit(
-        self, entry: SearcherEntry, result: SearcherReply, now: float
-    ) -> None:
-        """Records the limit that a searcher names, or that it names none."""
-        if result.limit_per_s is None and not result.signature:
-            # A rejection or a damaged answer does not show that a limit ended.
-            return
-        limits = self.state.limits
-        if not limits.record(entry.searcher_id, result.limit_per_s, now):
-            return
-        self.state.counters["searcher_limits"] += 1
-        self.state.log.write(
-            "searcher_limit",
-            True,
-            searcher=entry.searcher_id,
-            service=entry.service,
-            per_s=result.limit_per_s,
-            attempts_before=self.state.attempt_counts.previous_total(
-                entry.searcher_id
-            ),
-        )
-
-    def _observe_abandoned(self, attempt: Attempt, load) -> None:
-        """Records the latency so far of an attempt that was given up."""
-        now = monotonic_s()
-        ratio = (now - attempt.started_at) / self.typical_s
-        if ratio > load.current_slowness(now):
-            load.record_latency(ratio, now)
-
     def _handle_result(self, attempt: Attempt) -> None:
         """Updates the plan from the result of an attempt.
 
@@ -587,35 +417,8 @@
             parts=f"{len(self.parts)}/{len(self.plan.shards)}",
             missing=[s for s in self.plan.shards if s not in self.parts],
             attempts=[
-                _describe(attempt, self.request.received_at)
+                describe(attempt, self.request.received_at)
                 for attempt in self.attempts
-                if not _is_first_success(attempt)
+                if not is_first_success(attempt)
             ],
         )
-
-
-def _is_first_success(attempt: Attempt) -> bool:
-    if attempt.kind is not AttemptKind.FIRST:
-        return False
-    result = attempt.result
-    return isinstance(result, SearcherReply) and result.status == 200
-
-
-def _describe(attempt: Attempt, received_at: float) -> list:
-    result = attempt.result
-    outcome = "open"
-    if isinstance(result, CallError):
-        outcome = str(result)
-    elif result is not None:
-        outcome = result.status
-    took = (
-        attempt.ended_at - attempt.started_at if attempt.ended_at else math.nan
-    )
-    return [
-        attempt.kind,
-        attempt.entry.searcher_id,
-        attempt.entry.zone,
-        round((attempt.started_at - received_at) * 1000, 1),
-        None if math.isnan(took) else round(took * 1000, 1),
-        outcome,
-    ]
