--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -260,12 +260,22 @@
             load.record_latency(ratio, now)
 
 
-def is_first_success(attempt: Attempt) -> bool:
-    """Returns whether a first attempt succeeded, which is not logged."""
-    if attempt.kind is not AttemptKind.FIRST:
-        return False
+def is_usual(attempt: Attempt, hedge_delay_s: float) -> bool:
+    """Returns whether an attempt needs no line in the log.
+
+    These are first attempts that succeeded before they would have been hedged.
+
+    Args:
+        attempt: The attempt.
+        hedge_delay_s: The hedge delay of its request, in seconds.
+    """
     result = attempt.result
-    return isinstance(result, SearcherReply) and result.status == 200
+    return (
+        attempt.kind is AttemptKind.FIRST
+        and isinstance(result, SearcherReply)
+        and result.status == 200
+        and attempt.ended_at - attempt.started_at <= hedge_delay_s
+    )
 
 
 def describe(attempt: Attempt, received_at: float) -> list:
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -30,7 +30,7 @@
     AttemptCaller,
     CallTiming,
     describe,
-    is_first_success,
+    is_usual,
 )
 from kumquatspur.wire.entry_state import contact_age_s
 from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
@@ -413,12 +413,13 @@
             status=reply.status,
             outcome=outcome,
             ms=round(elapsed * 1000, 1),
+            hedge_ms=round(self.plan.hedge_delay_s * 1000, 1),
             target_ms=round(self.route.target_latency_s * 1000),
             parts=f"{len(self.parts)}/{len(self.plan.shards)}",
             missing=[s for s in self.plan.shards if s not in self.parts],
             attempts=[
                 describe(attempt, self.request.received_at)
                 for attempt in self.attempts
-                if not is_first_success(attempt)
+                if not is_usual(attempt, self.plan.hedge_delay_s)
             ],
         )
