--- a/kumquatspur/border/decision_lines.py
+++ b/kumquatspur/border/decision_lines.py
@@ -36,6 +36,7 @@
     time: float
     host: str = ""
     route: str | None = None
+    account: str | None = None
 
 
 class _Answered(_Line):
@@ -96,6 +97,7 @@
     ]
 )
 _REFUSAL_OUTCOMES = {
+    401: RequestOutcome.NO_KEY,
     404: RequestOutcome.NO_ROUTE,
     429: RequestOutcome.REFUSED,
     503: RequestOutcome.REFUSED,
@@ -235,7 +237,11 @@
 
     def _add_request(self, line: _Line, at_s: float) -> None:
         request = _CONVERTERS[type(line)](line, at_s)
-        self.requests.append(dataclasses.replace(request, host=line.host))
+        self.requests.append(
+            dataclasses.replace(
+                request, host=line.host, account=line.account or ""
+            )
+        )
 
     def _add_delegated(self, line: _Delegated, at_s: float) -> None:
         if line.lost:
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -20,6 +20,8 @@
         cores: Computing power of the host, as a number of cores of standard
             speed.
         cut_off: Whether the host reaches no searchers.
+        knows_accounts: Whether the host's build checks the keys of client
+            accounts. Earlier builds do not send it.
     """
 
     name: str = pydantic.Field(min_length=1)
@@ -30,6 +32,7 @@
     link_mbps: float = pydantic.Field(gt=0)
     cores: float = pydantic.Field(gt=0)
     cut_off: bool = False
+    knows_accounts: bool = False
 
 
 class KnownHost(_HostFields):
@@ -116,7 +119,8 @@
 
     key: str
     revision: int
-    value: bytes | None
+    # May contain the keys of accounts, which must not get into logs.
+    value: bytes | None = pydantic.Field(repr=False)
 
 
 class Exchange(_HostFields):
--- a/kumquatspur/border/packing.py
+++ b/kumquatspur/border/packing.py
@@ -9,6 +9,8 @@
 import msgpack
 import pydantic
 
+from kumquatspur.border.validation import validation_diagnostics
+
 # Limits the memory that a compressed message can occupy.
 MAX_UNPACKED_BYTES = 8 * 1024 * 1024
 # The fastest level suffices: most of a message is repetitive text.
@@ -45,10 +47,11 @@
         if not decompressor.eof:
             raise ValueError("message cut short, or too long")
         return message_type.model_validate(msgpack.unpackb(packed))
-    except (
-        zlib.error,
-        msgpack.UnpackException,
-        pydantic.ValidationError,
-    ) as error:
+    except pydantic.ValidationError as error:
+        # The text of the error itself contains the input, which may have the
+        # keys of accounts.
+        found = validation_diagnostics(message_type.__name__, error)[0]
+        raise ValueError(f"{found.source}: {found.message}"[:200]) from None
+    except (zlib.error, msgpack.UnpackException) as error:
         # Shortened because the text is sent to the peer.
         raise ValueError(str(error)[:200]) from error
--- a/kumquatspur/core/reason.py
+++ b/kumquatspur/core/reason.py
@@ -31,6 +31,8 @@
             send nothing for a while.
         SEARCHERS_LIMITED: All searchers of a needed shard name a limit, of
             which this host has used up its part.
+        UNKNOWN_KEY: The route needs the key of a client account, and the
+            request has none that the configuration contains.
     """
 
     NO_REPLICA = "no_replica"
@@ -53,3 +55,4 @@
     ALREADY_CLAIMED = "already_claimed"
     SEARCHERS_PAUSED = "searchers_paused"
     SEARCHERS_LIMITED = "searchers_limited"
+    UNKNOWN_KEY = "unknown_key"
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -103,7 +103,7 @@
     """
 
     name: str
-    key_digests: tuple[bytes, ...] = ()
+    key_digests: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -221,19 +221,32 @@
         is_first: Whether it is the first request on its connection.
         lead_s: How much of the target latency passes outside of the hosts; None
             if it is not known. Set on delegated requests.
+        authorization: Values of its Authorization headers.
+        account: The client account whose key it has; None if its route needs
+            none, or before its key is checked.
+        key_digest: SHA-256 digest of its key, once the key was checked; b"" if
+            it has none.
     """
 
     method: str
     target: str
     host: str
     path: str
-    headers: tuple[tuple[bytes, bytes], ...]
+    # May contain the key of an account, which must not get into logs.
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(repr=False)
     body: bytes
     request_id: str
     time_left_s: float | None
     received_at: float
     is_first: bool = False
     lead_s: float | None = None
+    authorization: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    account: Account | None = None
+    key_digest: bytes = dataclasses.field(default=b"", repr=False)
+
+    def account_name(self) -> str | None:
+        """Returns the name of its account; None if it has none."""
+        return self.account.name if self.account else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -121,7 +121,13 @@
 
 
 class _Account(_Document):
-    name: _NonEmptyStr
+    # Sent in a header, where control characters would end the line.
+    name: Annotated[
+        _NonEmptyStr,
+        pydantic.StringConstraints(
+            pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$"
+        ),
+    ]
     api_keys: tuple[_NonEmptyStr, ...] = ()
     priority: int | None = None
     # 0: the account's requests are not limited.
--- a/kumquatspur/platform/documents_test.py
+++ b/kumquatspur/platform/documents_test.py
@@ -127,6 +127,31 @@
         self.assertEqual(route.result_limit, 5)
         self.assertEqual(route.min_shard_ratio, 0.5)
 
+    def test_account_names_that_cannot_be_a_header_are_refused(self):
+        """A line end in a name would let it add headers to requests."""
+        for name, valid in (
+            ("n", True),
+            ("süd 1", True),
+            ("a\r\nx: y", False),
+            ("a\n", False),
+            (" a", False),
+            ("\x7f", False),
+            ("a\ud800", False),
+        ):
+            tenants = [{"name": name, "api-keys": ["k"]}]
+            config, _ = decode_config(encode_document(CONFIG, tenants=tenants))
+            self.assertEqual(config is not None, valid, repr(name))
+
+    def test_keys_that_are_no_text_are_refused(self):
+        """They must not stop the host, nor be shown in the error."""
+        for keys in (["\ud800secret"], [{"secret": 1}], "secret", [""]):
+            tenants = [{"name": "n", "api-keys": keys}]
+            config, errors = decode_config(
+                encode_document(CONFIG, tenants=tenants)
+            )
+            self.assertIsNone(config)
+            self.assertNotIn("secret", repr(errors))
+
     def test_errors_name_the_invalid_field(self):
         invalid = {
             "config-version": encode_document(
--- a/kumquatspur/platform/headers.py
+++ b/kumquatspur/platform/headers.py
@@ -14,12 +14,24 @@
 MISSING_PARTS = b"kumquatspur-missing-parts"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+AUTHORIZATION = b"authorization"
+ACCOUNT = b"kumquatspur-tenant-name"
 LIMIT = b"server-limit"
 
 READY_PATH = "/readiness"
 
 # Request headers that this system sets itself, so clients' values are removed.
-OWN_REQUEST_HEADERS = frozenset({TIME_LEFT, EXPECTED_SEARCHER})
+# Servers that pass headers on as CGI variables do not tell "_" from "-".
+OWN_REQUEST_HEADERS = frozenset(
+    {
+        TIME_LEFT,
+        EXPECTED_SEARCHER,
+        ACCOUNT,
+        b"kumquatspur_tenant_name",
+        b"kumquatspur_tenant-name",
+        b"kumquatspur-tenant_name",
+    }
+)
 # Reply headers that only entry hosts set, on merged answers. They are removed
 # from searchers' replies, where they could be forged.
 OWN_REPLY_HEADERS = frozenset({PART_SIGNATURES, MISSING_PARTS})
@@ -146,17 +158,35 @@
     )
 
 
-def encode_searcher_headers(searcher_id: str, time_left_s: float) -> bytes:
+def without_authorization(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns the headers without those that may contain a key.
+
+    Args:
+        headers: Headers with names in lower case.
+    """
+    return tuple(item for item in headers if item[0] != AUTHORIZATION)
+
+
+def encode_searcher_headers(
+    searcher_id: str, time_left_s: float, account: str | None = None
+) -> bytes:
     """Returns the header lines that are added to a request to a searcher.
 
     Args:
         searcher_id: Identifier of the searcher that should process it.
         time_left_s: Time until the client gives up, in seconds.
+        account: Name of the request's client account; None if it has none.
     """
     milliseconds = max(1, int(time_left_s * 1000.0))
+    account_line = (
+        "" if account is None else f"Kumquatspur-Tenant-Name: {account}\r\n"
+    )
     return (
         f"Kumquatspur-Deadline-Ms: {milliseconds}\r\n"
         f"Kumquatspur-Expected-Instance: {searcher_id}\r\n"
+        f"{account_line}"
     ).encode()
 
 
--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -48,7 +48,8 @@
 
     key: str
     revision: int
-    value: bytes | None
+    # May contain the keys of accounts, which must not get into logs.
+    value: bytes | None = dataclasses.field(repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatspur/policy/day_report.py
+++ b/kumquatspur/policy/day_report.py
@@ -3,7 +3,8 @@
 The input is the decision logs of the hosts. Each request has the value 1. A
 request that was refused, failed or late, or whose client disconnected, loses
 all of it. An answer in time keeps the square of its share of shards. A request
-without a route has no value; only its reason is counted.
+without a route, or without the key that its route needs, has no value; only its
+reason is counted.
 """
 
 import collections
@@ -29,6 +30,7 @@
     FAILED = "failed"
     CLIENT_DISCONNECTED = "client left"
     NO_ROUTE = "no route"
+    NO_KEY = "no key"
 
 
 # Causes of lost value, in the order of the report's columns.
@@ -41,6 +43,9 @@
 )
 
 
+_WITHOUT_VALUE = frozenset({RequestOutcome.NO_ROUTE, RequestOutcome.NO_KEY})
+
+
 @record
 class RequestLine:
     """The log line that a host wrote when a request ended.
@@ -56,6 +61,7 @@
         shards: Number of shards requested; 0 if not logged.
         extra_attempts: Attempts beyond the first one for each shard.
         host: The entry host that logged the end of the request; "" if unknown.
+        account: Name of the client account; "" if none is known.
     """
 
     at_s: float
@@ -67,6 +73,7 @@
     shards: int = 0
     extra_attempts: int = 0
     host: str = ""
+    account: str = ""
 
 
 @record
@@ -116,7 +123,7 @@
 
     def add(self, line: RequestLine) -> None:
         """Adds a request."""
-        if line.outcome is RequestOutcome.NO_ROUTE:
+        if line.outcome in _WITHOUT_VALUE:
             self.reasons[line.reason or line.outcome] += 1
             return
         self.requests += 1
@@ -152,6 +159,30 @@
         return 1.0 - sum(self.lost.values()) / self.requests
 
 
+@dataclasses.dataclass
+class AccountStats:
+    """Statistics of the requests of a client account.
+
+    They have no histogram, since there may be very many accounts.
+
+    Attributes:
+        requests: Number of requests that ended.
+        reasons: Number of requests not answered in time, by reason, or by
+            outcome if no reason is known.
+    """
+
+    requests: int = 0
+    reasons: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, line: RequestLine) -> None:
+        """Adds a request."""
+        self.requests += 1
+        if line.outcome is not RequestOutcome.IN_TIME:
+            self.reasons[line.reason or line.outcome] += 1
+
+
 @dataclasses.dataclass
 class DayReport:
     """Statistics of a day.
@@ -162,6 +193,7 @@
         hosts: Statistics by entry host.
         intervals: Statistics by start of the interval in seconds, in order of
             time.
+        accounts: Statistics by client account.
         lost_processes: Processes that ended without logging a stop.
         lines_dropped: Lines that hosts dropped to bound their logs.
         unreadable: Lines that could not be parsed as a decision.
@@ -171,6 +203,7 @@
     routes: dict[str, RequestStats]
     hosts: dict[str, RequestStats]
     intervals: dict[float, RequestStats]
+    accounts: dict[str, AccountStats] = dataclasses.field(default_factory=dict)
     lost_processes: list[LostProcess] = dataclasses.field(default_factory=list)
     lines_dropped: int = 0
     unreadable: int = 0
@@ -189,7 +222,10 @@
     routes = collections.defaultdict(RequestStats)
     hosts = collections.defaultdict(RequestStats)
     intervals = collections.defaultdict(RequestStats)
+    accounts = collections.defaultdict(AccountStats)
     for line in lines:
+        if line.account:
+            accounts[line.account].add(line)
         start = line.at_s // INTERVAL_S * INTERVAL_S
         for stats in (
             total,
@@ -203,6 +239,7 @@
         dict(sorted(routes.items())),
         dict(sorted(hosts.items())),
         _fill_gaps(intervals),
+        dict(sorted(accounts.items())),
     )
 
 
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -43,6 +43,7 @@
         capacity: Link rate and cores of its machine.
         relay_port: Port where it accepts delegated requests; 0 for none.
         cut_off: Whether it told that it reaches no searchers.
+        knows_accounts: Whether it told that it checks the keys of accounts.
     """
 
     name: str
@@ -52,6 +53,7 @@
     capacity: HostCapacity
     relay_port: int = 0
     cut_off: bool = False
+    knows_accounts: bool = False
 
 
 @dataclasses.dataclass
--- a/kumquatspur/policy/route_table.py
+++ b/kumquatspur/policy/route_table.py
@@ -4,6 +4,7 @@
 import math
 
 from kumquatspur.core.routing import Route, RoutingConfig
+from kumquatspur.policy.account_keys import AccountKeys
 
 # Fractional part of the golden ratio. Steps of this size, modulo 1, spread
 # evenly over [0, 1) even if they are few.
@@ -20,15 +21,19 @@
         positions: For each route, the position in [0, 1) of its last choice of
             a service.
         services: All services of the routes.
+        keys: Keys of the client accounts; None if requests need none.
     """
 
     config: RoutingConfig
     by_host: dict[str, dict[str, Route]] = dataclasses.field(init=False)
     positions: dict[str, float] = dataclasses.field(default_factory=dict)
     services: frozenset[str] = dataclasses.field(init=False)
+    keys: AccountKeys | None = None
 
     def __post_init__(self):
         self.by_host = {}
+        if self.config.accounts is not None:
+            self.keys = AccountKeys(self.config.accounts)
         self.services = frozenset(
             service
             for route in self.config.routes
--- a/kumquatspur/scripts/day_command.py
+++ b/kumquatspur/scripts/day_command.py
@@ -16,6 +16,8 @@
 
 MAX_INTERVALS_SHOWN = 3
 MAX_HOSTS_SHOWN = 6
+MAX_ACCOUNTS_SHOWN = 6
+MAX_REASONS_SHOWN = 3
 
 
 def run_day(arguments) -> int:
@@ -74,6 +76,7 @@
         f"{start - first_start:g} s: {kept:.0%}" for kept, start in worst
     )
     lines.append(f"least kept in spans that begin after {intervals}")
+    lines += _account_lines(report)
     for process in report.lost_processes:
         gap_s = process.started_at_s - process.last_line_at_s
         lines.append(
@@ -88,6 +91,23 @@
     return lines
 
 
+def _account_lines(report: DayReport) -> list[str]:
+    """Returns a line for each account that lost the most requests."""
+    worst = sorted(
+        report.accounts.items(),
+        key=lambda item: (-item[1].reasons.total(), item[0]),
+    )
+    return [
+        f"account {name}: {stats.requests} requests, not in time: "
+        + ", ".join(
+            f"{reason} {count}"
+            for reason, count in stats.reasons.most_common(MAX_REASONS_SHOWN)
+        )
+        for name, stats in worst[:MAX_ACCOUNTS_SHOWN]
+        if stats.reasons
+    ]
+
+
 def _text_row(name: str, row: RequestStats) -> str:
     divisor = max(1, row.requests)
     causes = "".join(f"{row.lost[c] / divisor:15.2%}" for c in CAUSES)
@@ -109,6 +129,15 @@
         "total": _json_row(report.total),
         "routes": {n: _json_row(row) for n, row in report.routes.items()},
         "hosts": {n: _json_row(row) for n, row in report.hosts.items()},
+        "accounts": {
+            name: {
+                "requests": stats.requests,
+                "reasons": {
+                    str(key): n for key, n in sorted(stats.reasons.items())
+                },
+            }
+            for name, stats in report.accounts.items()
+        },
         "spans": intervals,
         "lost_processes": [
             dataclasses.asdict(process) for process in report.lost_processes
--- a/kumquatspur/scripts/day_command_test.py
+++ b/kumquatspur/scripts/day_command_test.py
@@ -127,6 +127,22 @@
         self.assertIn("least kept at hosts cut: 0.0%, h: ", text)
         self.assertEqual(as_json(report)["hosts"]["cut"]["requests"], 1)
 
+    def test_requests_and_refusals_by_account(self):
+        lines = [
+            {"account": "north", **answered(106.0, 20.0)},
+            {"account": "north", **refused(106.0, 503, "no_replica")},
+            refused(106.0, 401, "unknown_key"),
+        ]
+        self.write("c.log", [json.dumps({"host": "h", **i}) for i in lines])
+        report = build_day_report(self.read().requests)
+        self.assertEqual(report.total.requests, 8)
+        self.assertEqual(report.total.reasons["unknown_key"], 1)
+        text = "\n".join(as_text(report))
+        line = "account north: 2 requests, not in time: no_replica 1"
+        self.assertIn(line, text)
+        expected = {"north": {"requests": 2, "reasons": {"no_replica": 1}}}
+        self.assertEqual(as_json(report)["accounts"], expected)
+
     def test_intervals_without_requests_are_included(self):
         report = build_day_report(self.read().requests)
         counts = {
--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -100,6 +100,11 @@
         self.timing = timing
         self.request_parts = split_request(request)
 
+    def replace_request(self, request: ClientRequest) -> None:
+        """Replaces the request, whose account may have changed."""
+        self.request = request
+        self.request_parts = split_request(request)
+
     def call(self, attempt: Attempt) -> None:
         """Makes an attempt and records its result.
 
@@ -129,6 +134,7 @@
                         headers.encode_searcher_headers(
                             entry.searcher_id,
                             self.timing.deadline - monotonic_s(),
+                            self.request.account_name(),
                         ),
                         self.request_parts[1],
                     )
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -7,6 +7,7 @@
 import dataclasses
 import math
 from collections.abc import Callable, Iterator
+from urllib.parse import quote, unquote
 
 import eventlet
 
@@ -45,6 +46,10 @@
 SERVICE_HEADER = b"x-kumquatspur-service"
 # Marks a rerouted request; attempts that may be made for each shard.
 REROUTED_HEADER = b"x-kumquatspur-rerouted"
+# Name of the client account, percent-encoded, and hexadecimal SHA-256 digest of
+# the key, by which the receiving host checks that the key is still valid.
+ACCOUNT_HEADER = b"x-kumquatspur-account"
+KEY_DIGEST_HEADER = b"x-kumquatspur-key-digest"
 DECLINED_HEADER = b"x-kumquatspur-declined"
 _DELEGATION_HEADERS = frozenset(
     {
@@ -55,6 +60,8 @@
         FIRST_HEADER,
         SERVICE_HEADER,
         REROUTED_HEADER,
+        ACCOUNT_HEADER,
+        KEY_DIGEST_HEADER,
     }
 )
 DECLINED_STATUS = 421
@@ -70,6 +77,9 @@
 REROUTE_PAUSE_S = 0.3
 # Reason to decline a request, if this host lacks searchers itself.
 UNREACHABLE = "unreachable"
+# Reason to decline a request whose account this host does not know as the other
+# host does.
+ACCOUNT_UNKNOWN = "account"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,17 +94,36 @@
             lacks searchers for it; 0 if it does not.
         service: Service that the other host chose for a forwarded request;
             "" if none.
+        account: Name of the client account; "" if none.
     """
 
     request: ClientRequest
     version: int
     attempts: int
     service: str
+    account: str = ""
 
     def is_rerouted(self) -> bool:
         """Returns whether the other host lacks searchers for the request."""
         return self.attempts > 0
 
+    def account_mismatch(self, checked: ClientRequest | None) -> str:
+        """Returns the reason to decline for the account; "" for none.
+
+        A host of an earlier build, or without accounts, names no account and
+        passes the client's key on, which this host then checks itself.
+
+        Args:
+            checked: The request after the check of its key; None if it has no
+                valid key.
+        """
+        if checked is None:
+            has_key = self.request.authorization and not self.account
+            return "" if has_key else ACCOUNT_UNKNOWN
+        if self.account and self.account != checked.account_name():
+            return ACCOUNT_UNKNOWN
+        return ""
+
     def limit_attempts(self, route: Route) -> Route:
         """Returns its route with the attempts that may still be made.
 
@@ -146,7 +175,7 @@
             own,
             # A host with the same capacity is never faster, and in most fleets
             # all hosts have the same.
-            self._candidates(lambda peer: peer.capacity != own),
+            self._candidates(request, lambda peer: peer.capacity != own),
             route,
             monotonic_s(),
             self.state.random.random,
@@ -181,7 +210,7 @@
         if not route.shards:
             headers += b"%b: %b\r\n" % (SERVICE_HEADER, shards[0].encode())
         ranked = rank_reroutes(
-            self._candidates(lambda peer: True),
+            self._candidates(request, lambda peer: True),
             route,
             began,
             self.state.random.random,
@@ -355,12 +384,19 @@
             del delegates[name]
 
     def _candidates(
-        self, accepts: Callable[[Peer], bool]
+        self, request: ClientRequest, accepts: Callable[[Peer], bool]
     ) -> Iterator[Candidate]:
+        """Yields the hosts that may be given a request.
+
+        Hosts of earlier builds would not tell searchers its account.
+        """
+        has_account = request.account is not None
         own_zone = self.state.settings.zone
         delegates = self.state.delegates
         suspected = self.state.peer_zones.suspected_zones(monotonic_s())
         for peer in self.state.peers.peers.values():
+            if has_account and not peer.knows_accounts:
+                continue
             if peer.relay_port and accepts(peer):
                 yield Candidate(
                     peer.name,
@@ -381,6 +417,7 @@
         self.state.log.write(
             "handed_over",
             request_id=request.request_id,
+            account=request.account_name(),
             route=route.name,
             config=self.state.table.config.version,
             to=chosen.name,
@@ -418,6 +455,13 @@
     if request.lead_s is not None:
         lead_us = int(request.lead_s * 1e6)
         lines += b"%b: %d\r\n" % (LEAD_HEADER, lead_us)
+    if request.account is not None:
+        lines += b"%b: %b\r\n%b: %b\r\n" % (
+            ACCOUNT_HEADER,
+            quote(request.account.name, safe="").encode(),
+            KEY_DIGEST_HEADER,
+            request.key_digest.hex().encode(),
+        )
     return lines
 
 
@@ -432,6 +476,7 @@
     lead_us = found.get(LEAD_HEADER, b"")
     version = found.get(CONFIG_VERSION_HEADER, b"")
     attempts = found.get(REROUTED_HEADER, b"")
+    age_us = found.get(AGE_HEADER, b"")
     client_request = dataclasses.replace(
         request,
         headers=tuple(
@@ -441,16 +486,25 @@
         is_first=FIRST_HEADER in found,
         lead_s=int(lead_us) / 1e6 if lead_us.isdigit() else None,
         received_at=request.received_at
-        - int(found.get(AGE_HEADER, b"0")) / 1e6,
+        - (int(age_us) / 1e6 if age_us.isdigit() else 0.0),
+        key_digest=_decode_digest(found.get(KEY_DIGEST_HEADER, b"")),
     )
     return DelegatedRequest(
         client_request,
         int(version) if version.isdigit() else UNKNOWN_VERSION,
         int(attempts) if attempts.isdigit() else 0,
         found.get(SERVICE_HEADER, b"").decode("latin-1"),
+        unquote(found.get(ACCOUNT_HEADER, b"").decode("latin-1")),
     )
 
 
+def _decode_digest(value: bytes) -> bytes:
+    try:
+        return bytes.fromhex(value.decode("latin-1"))
+    except ValueError:
+        return b""
+
+
 def declined_reply(reason: str) -> ClientReply:
     """Returns the reply that declines a delegated request."""
     return ClientReply(DECLINED_STATUS, ((DECLINED_HEADER, reason.encode()),))
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -98,6 +98,7 @@
                 self.state,
                 self.settings.relay,
                 self.forwarder.serve_delegated,
+                is_for_hosts=True,
             )
         store = PlatformStore(self.settings.store)
         watch = StoreWatch(self.state, store, self.mirror, self.exchange.follow)
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -35,6 +35,7 @@
 
 # Hosts assumed to share the allowance of extra attempts until peers are known.
 ASSUMED_HOSTS = 16
+MAX_ACCOUNTS_LOGGED = 5
 
 
 @dataclasses.dataclass
@@ -234,7 +235,17 @@
             previous=current,
             routes=len(config.routes),
             source=source,
+            accounts=None if config.accounts is None else len(config.accounts),
         )
+        keys = self.table.keys
+        if keys is not None and keys.shared:
+            self.log.write(
+                "account_keys_shared",
+                True,
+                version=config.version,
+                count=len(keys.shared),
+                accounts=keys.shared[:MAX_ACCOUNTS_LOGGED],
+            )
         return True
 
     def is_ready(self) -> bool:
--- a/kumquatspur/wire/error_replies.py
+++ b/kumquatspur/wire/error_replies.py
@@ -4,6 +4,7 @@
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({429, 503, 408, 421})
+UNAUTHORIZED = 401
 
 
 def error_reply(
@@ -18,6 +19,9 @@
             says that the request has not run.
     """
     fields = [(b"Content-Type", b"text/plain")]
+    if status == UNAUTHORIZED:
+        # HTTP requires it with this status.
+        fields.append((b"WWW-Authenticate", b"Bearer"))
     if status in NOT_RUN_STATUSES and retry_after_s:
         fields.append((b"Retry-After", f"{retry_after_s:.3f}".encode()))
     return ClientReply(status, tuple(fields), f"{reason}\n".encode())
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -13,10 +13,14 @@
 )
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.error_replies import error_reply
+from kumquatspur.wire.key_check import check_key
 from kumquatspur.wire.request_run import RequestRun
 from kumquatspur.wire.searcher_pool import TargetPool, monotonic_s
 
 RETRY_AFTER_RANGE_S = (0.05, 0.2)
+# Refusals of unknown keys beyond this are only counted. A client with a wrong
+# key would otherwise use up the log's lines, of which there are 150 a second.
+MAX_UNKNOWN_KEYS_LOGGED_PER_S = 20
 
 
 class Forwarder:
@@ -40,6 +44,7 @@
         self.pool = pool
         self.crash_detector = crash_detector
         self.delegator = delegator
+        self._unknown_keys_logged = (0, 0)
 
     def serve(self, request: ClientRequest) -> ClientReply:
         """Returns the answer to a request.
@@ -55,6 +60,10 @@
         route = table.find(request.host, request.path)
         if route is None:
             return self.refuse(request, None, 404, Reason.UNKNOWN_SERVICE)
+        checked = check_key(table, request, route)
+        if checked is None:
+            return self.refuse(request, route, 401, Reason.UNKNOWN_KEY)
+        request = checked
         if self.crash_detector.is_refused(request, route.name):
             return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
         request = self._with_lead(request, route)
@@ -66,7 +75,7 @@
         else:
             # A forwarded request is handled as one shard, its service.
             shards = (table.choose_service(route, self.state.random.random()),)
-        return RequestRun(self, request, route, shards, True).run()
+        return RequestRun(self, request, route, shards, True, table).run()
 
     def _with_lead(self, request: ClientRequest, route: Route) -> ClientRequest:
         """Returns the request with the time that passes outside of the hosts.
@@ -95,9 +104,16 @@
         table = self.state.table
         route = table and table.find(request.host, request.path)
         reason = self.delegator.decline_reason(delegated, route)
+        checked = None
+        if not reason:
+            checked = check_key(table, request, route)
+            reason = delegated.account_mismatch(checked)
         if reason:
             self.state.counters["handed_over_declined"] += 1
             return declined_reply(reason)
+        if checked is None:
+            return self.refuse(request, route, 401, Reason.UNKNOWN_KEY)
+        request = checked
         idle_s = table.config.limits.idle_timeout_s
         if self.crash_detector.is_refused(request, route.name):
             return self.refuse(request, route, 503, Reason.CRASHES_UPSTREAMS)
@@ -112,7 +128,7 @@
                 else (table.choose_service(route, number),)
             )
         route = delegated.limit_attempts(route)
-        run = RequestRun(self, request, route, shards, False)
+        run = RequestRun(self, request, route, shards, False, table)
         return reply_with_keep_alive(run.run(), idle_s)
 
     def refuse(
@@ -135,9 +151,13 @@
         """
         retry_after_s = self.retry_after_s(wait_s)
         self.state.counters[f"refused_{reason}"] += 1
+        if reason is Reason.UNKNOWN_KEY and not self._may_log_unknown_key():
+            self.state.log.dropped += 1
+            return error_reply(status, reason)
         self.state.log.write(
             "refused",
             request_id=request.request_id,
+            account=request.account_name(),
             route=route.name if route else None,
             path=request.path,
             config=self.state.table and self.state.table.config.version,
@@ -148,6 +168,13 @@
         )
         return error_reply(status, reason, retry_after_s)
 
+    def _may_log_unknown_key(self) -> bool:
+        second, count = self._unknown_keys_logged
+        current = int(monotonic_s())
+        count = count + 1 if second == current else 1
+        self._unknown_keys_logged = (current, count)
+        return count <= MAX_UNKNOWN_KEYS_LOGGED_PER_S
+
     def retry_after_s(self, wait_s: float = 0.0) -> float:
         """Returns when a refused client should retry.
 
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -14,6 +14,7 @@
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.error_replies import error_reply
 from kumquatspur.wire.http_messages import (
+    HOST_HEADER_PREFIX,
     MessageError,
     RawMessage,
     RequestReader,
@@ -34,6 +35,7 @@
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
@@ -52,6 +54,7 @@
         serve: Returns the answer to a request.
         connections: The open connections.
         accepting: Whether connections are accepted.
+        is_for_hosts: Whether requests come from other hosts, not from clients.
     """
 
     def __init__(
@@ -59,8 +62,10 @@
         state: EntryState,
         address: Address,
         serve: Callable[[ClientRequest], ClientReply],
+        is_for_hosts: bool = False,
     ):
         self.state = state
+        self.is_for_hosts = is_for_hosts
         self.serve = serve
         self.connections = set()
         self.accepting = True
@@ -244,7 +249,9 @@
             self.socket.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, message: RawMessage) -> ClientReply:
-        request = decode_request(message, self.is_first)
+        request = decode_request(
+            message, self.is_first, self.server.is_for_hosts
+        )
         self.is_first = False
         if request is None:
             return error_reply(400, "request identifier or host is missing")
@@ -279,13 +286,15 @@
 
 
 def decode_request(
-    message: RawMessage, is_first: bool = False
+    message: RawMessage, is_first: bool = False, is_from_host: bool = False
 ) -> ClientRequest | None:
     """Converts a message to a request; None if a required header is missing.
 
     Args:
         message: The message as read from the connection.
         is_first: Whether it is the first request on its connection.
+        is_from_host: Whether another host sent it. A client's headers with the
+            names that are used between hosts are removed.
     """
     found = dict(reversed(message.headers))
     request_id = found.get(headers.REQUEST_ID)
@@ -307,6 +316,7 @@
             item
             for item in message.end_to_end_headers()
             if item[0] not in headers.OWN_REQUEST_HEADERS
+            and (is_from_host or not item[0].startswith(HOST_HEADER_PREFIX))
         ),
         body=message.body(),
         request_id=request_id.decode("latin-1"),
@@ -315,4 +325,14 @@
         ),
         received_at=monotonic_s(),
         is_first=is_first,
+        authorization=(
+            tuple(
+                value
+                # A trailer cannot authorize a request.
+                for name, value in message.headers[: message.head_count]
+                if name == headers.AUTHORIZATION
+            )
+            if headers.AUTHORIZATION in found
+            else ()
+        ),
     )
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -27,6 +27,8 @@
         b"expect",
     }
 )
+# Start of the names of headers that are used between entry hosts only.
+HOST_HEADER_PREFIX = b"x-kumquatspur-"
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -38,7 +40,9 @@
         target: Request target; empty for a response.
         method: Request method; empty for a response.
         status: Response status; 0 for a request.
-        headers: Pairs of lower-case name and value.
+        headers: Pairs of lower-case name and value, trailers included.
+        head_count: Number of headers that are not trailers, once all headers of
+            a request were read.
         chunks: Chunks of the body.
         body_bytes: Total length of the chunks.
         keep_alive: Whether the connection may be reused.
@@ -55,6 +59,7 @@
     keep_alive: bool = True
     headers_done: bool = False
     complete: bool = False
+    head_count: int = 0
 
     def body(self) -> bytes:
         """Returns the body."""
@@ -185,6 +190,7 @@
         message.method = self.parser.get_method()
         message.keep_alive = self.parser.should_keep_alive()
         message.headers_done = True
+        message.head_count = len(message.headers)
         names = [name for name, _ in message.headers]
         length_header_count = names.count(b"content-length")
         if length_header_count and b"transfer-encoding" in names:
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -292,6 +292,7 @@
             link_mbps=capacity.link_mbps,
             cores=capacity.cores,
             cut_off=self.state.is_cut_off(now),
+            knows_accounts=True,
             revision=self.mirror.revision or 0,
             era=self.mirror.era,
             config_version=table.config.version if table else -1,
@@ -363,6 +364,7 @@
                 link_mbps=peer.capacity.link_mbps,
                 cores=peer.capacity.cores,
                 cut_off=peer.cut_off,
+                knows_accounts=peer.knows_accounts,
             )
             for peer in self.state.peers.sample_peers(self.state.random.sample)
         )
@@ -511,6 +513,7 @@
         HostCapacity(host.link_mbps, host.cores),
         host.relay_port,
         host.cut_off,
+        host.knows_accounts,
     )
 
 
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -20,6 +20,7 @@
     RequestPlan,
     hedge_delay_s,
 )
+from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_choice import (
     ChoiceContext,
     rank_searchers,
@@ -34,6 +35,7 @@
 )
 from kumquatspur.wire.entry_state import contact_age_s
 from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
+from kumquatspur.wire.key_check import check_key
 from kumquatspur.wire.searcher_pool import (
     CallError,
     monotonic_s,
@@ -64,6 +66,8 @@
         request: The client's request.
         route: Its route.
         may_reroute: Whether it may be given to another host.
+        table: Routes and keys with which its key was last checked.
+        key_removed: Whether its key was removed while it was in flight.
         version: Version of the configuration that routed it.
         plan: Schedule of its attempts.
         draw: Its random number in (0, 1] for the limits of searchers.
@@ -81,13 +85,16 @@
         route: Route,
         shards: tuple[str, ...],
         may_reroute: bool,
+        table: RouteTable,
     ):
         self.forwarder = forwarder
         self.may_reroute = may_reroute
         self.state = forwarder.state
         self.request = request
         self.route = route
-        self.version = self.state.table.config.version
+        self.table = table
+        self.key_removed = False
+        self.version = table.config.version
         self.window = self.state.latency_window(route.name)
         time_left = request.time_left_s or DEFAULT_TIME_LEFT_S
         self.deadline = request.received_at + min(time_left, route.timeout_s)
@@ -149,6 +156,10 @@
                 self.finished = True
                 self._log_client_disconnect()
         if outcome is PlanOutcome.FAIL:
+            if self.key_removed and self._combined_verdict() is Verdict.NOT_RUN:
+                return self.forwarder.refuse(
+                    self.request, self.route, 401, Reason.UNKNOWN_KEY
+                )
             rerouted = self._reroute(self._attempts_left())
             if rerouted is not None:
                 return rerouted
@@ -168,6 +179,7 @@
             not self.may_reroute
             or attempts <= 0
             or now >= self.plan.deadline
+            or not self._has_valid_key()
             or not self.state.lacks_searchers(self.route, shards, now)
         ):
             return None
@@ -245,7 +257,28 @@
             wait = max(MIN_WAIT_S, self.plan.wake_at(now) - now)
             self.wake.acquire(timeout=min(wait, MAX_WAIT_S))
 
+    def _has_valid_key(self) -> bool:
+        """Returns whether the request may still be sent.
+
+        A newer configuration may have removed its key.
+        """
+        table = self.state.table
+        if table is not self.table:
+            self.table = table
+            request = self.request
+            route = table.find(request.host, request.path) or self.route
+            checked = check_key(table, request, route)
+            if checked is None:
+                self.key_removed = True
+            else:
+                self.request = checked
+                self.caller.replace_request(checked)
+        return not self.key_removed
+
     def _start(self, shard: str, kind: AttemptKind, now: float) -> None:
+        if not self._has_valid_key():
+            self.plan.record_unavailable(shard, kind, now)
+            return
         progress = self.plan.shards[shard]
         entries = [
             entry
@@ -364,9 +397,11 @@
         (part,) = self.parts.values()
         return ClientReply(part.status, part.headers, part.body)
 
+    def _combined_verdict(self) -> Verdict:
+        return verdicts.combine(self.plan.verdicts())
+
     def _failure(self) -> ClientReply:
-        verdict = verdicts.combine(self.plan.verdicts())
-        if verdict is Verdict.NOT_RUN:
+        if self._combined_verdict() is Verdict.NOT_RUN:
             wait_s = self._pause_left_s(monotonic_s())
             return error_reply(
                 503, Reason.OVERLOADED, self.forwarder.retry_after_s(wait_s)
@@ -391,6 +426,7 @@
         self.state.log.write(
             "client_left",
             request_id=self.request.request_id,
+            account=self.request.account_name(),
             route=self.route.name,
             config=self.version,
             ms=round((monotonic_s() - self.request.received_at) * 1000, 1),
@@ -407,6 +443,7 @@
         self.state.log.write(
             "answered",
             request_id=self.request.request_id,
+            account=self.request.account_name(),
             route=self.route.name,
             config=self.version,
             searchers_age_s=contact_age_s(self.state),
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -1,6 +1,9 @@
 import json
 import random
 import unittest
+import zlib
+
+import msgpack
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import Exchange, StoreItem
@@ -81,6 +84,15 @@
 
 
 class ExchangeCodecTest(unittest.TestCase):
+    def test_error_shows_no_part_of_the_message(self):
+        """A message may contain the configuration, with keys of accounts."""
+        data = zlib.compress(msgpack.packb({"config": "secret", "name": "h"}))
+        with self.assertRaises(ValueError) as raised:
+            exchange_codec.decode(data)
+        self.assertNotIn("secret", str(raised.exception))
+        item = StoreItem(key="op/config", revision=1, value=b"secret")
+        self.assertNotIn("secret", repr(item))
+
     def test_damaged_messages_are_refused(self):
         message = Exchange(
             name="h",
--- a/standins/platform_fuzz_test.py
+++ b/standins/platform_fuzz_test.py
@@ -14,6 +14,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.platform import documents, headers
 from kumquatspur.platform.store import PlatformStore, PlatformStoreError
+from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S, SearcherPauses
 from kumquatspur.wire.delegator import decode_delegated_request
 from kumquatspur.wire.front_server import decode_request
@@ -21,7 +22,9 @@
     MessageError,
     RequestReader,
     ResponseReader,
+    split_request,
 )
+from kumquatspur.wire.key_check import check_key
 from standins.platform_searcher import (
     forwarded_route,
     make_config,
@@ -51,7 +54,14 @@
         forwarded_route("b", "/b/", "s2"),
     ],
 )
+TENANTS = [{"name": "n", "api-keys": ["k"]}]
+KEYS_CONFIG, _ = documents.decode_config(
+    json.dumps({**CONFIG, "tenants": TENANTS}).encode()
+)
+KEYS_TABLE = RouteTable(KEYS_CONFIG)
+KEYS_ROUTE = KEYS_CONFIG.routes[0]
 ITEM = {"key": "servers/i", "value": "e30=", "revision": 3, "lease": 0}
+VALID = "GET /a HTTP/1.1\r\nHost: h\r\nKumquatspur-Attempt-Id: i"
 REMOVAL = {"key": "servers/j", "revision": 4, "removed": True}
 STORE_REPLY = {
     "items": [ITEM],
@@ -87,6 +97,7 @@
     "Kumquatspur-Deadline-Ms",
     "Kumquatspur-Server-Load",
     "x-kumquatspur-age-us",
+    "x-kumquatspur-key-digest",
     "Upgrade",
 ]
 VALUES = ["5", "0", "-1", "1e9", "chunked", "close", "100-continue", "a, b"]
@@ -94,6 +105,13 @@
     st.sampled_from(NAMES) | TOKEN, st.sampled_from(VALUES) | VALUE
 )
 
+KEY_FIELD = st.tuples(
+    st.sampled_from(
+        ["Authorization", "aUTHORIZATION", "x-kumquatspur-account"]
+    ),
+    st.sampled_from(["Bearer k", "bearer  k ", "Bearer", "Bearer x"]) | VALUE,
+)
+
 
 @st.composite
 def damaged_json(draw, document):
@@ -229,10 +247,24 @@
                 [summary(m) for m in unsplit[0]], [summary(m) for m in split[0]]
             )
         for message in split[0]:
-            request = decode_request(message)
+            request = decode_request(message, is_from_host=True)
             if request is not None:
                 decode_delegated_request(request)
 
+    @fuzz
+    @given(st.lists(KEY_FIELD, max_size=3))
+    def test_keys_are_never_passed_on(self, fields):
+        lines = [VALID, *(f"{name}: {value}" for name, value in fields)]
+        data = "\r\n".join([*lines, "", ""]).encode()
+        for message in read_all(RequestReader(HEADER_LIMIT, 0), [data])[0]:
+            request = decode_request(message)
+            checked = check_key(KEYS_TABLE, request, KEYS_ROUTE)
+            valid = [value.lower().split() for _, value in fields]
+            if checked is not None:
+                self.assertIn(["bearer", "k"], valid)
+                sent = b"".join(split_request(checked)).lower()
+                self.assertNotIn(b"bearer", sent)
+
     @fuzz
     @given(st.binary(max_size=200), CUTS)
     def test_readers_raise_only_message_errors(self, data, cuts):
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -15,6 +15,7 @@
 MAX_MESSAGE_BYTES = 1_000_000
 ENDLESS_WRITE_BYTES = 65536
 LATE_COPY_DELAY_S = 0.05
+MAX_REQUESTS_KEPT = 100
 _OK_LINE = b"HTTP/1.1 200 OK\r\n"
 # Start and repeated bytes of responses that never end.
 ENDLESS = {
@@ -57,6 +58,7 @@
         limit_per_s: Limit that its answers name; None for none.
         arrived_at: When each request arrived, in monotonic time.
         arrived: The same with the identifier of each request.
+        received: The headers of the latest requests.
     """
 
     def __init__(self, searcher_id, service, zone="z", records=(), work_s=0.0):
@@ -73,6 +75,7 @@
         self.limit_per_s = None
         self.arrived_at = []
         self.arrived = []
+        self.received = collections.deque(maxlen=MAX_REQUESTS_KEPT)
         self.deadlines = []
         self.script = collections.deque()
         self.listener = eventlet.listen(("127.0.0.1", 0))
@@ -135,6 +138,7 @@
         """Answers a request; returns whether to keep the connection."""
         self.arrivals += 1
         self.arrived_at.append(time.monotonic())
+        self.received.append(message.headers)
         expected = message.header(b"kumquatspur-expected-instance")
         if expected and expected.decode() != self.searcher_id:
             sock.sendall(
