--- a/bench/shared_limits.py
+++ b/bench/shared_limits.py
@@ -6,6 +6,7 @@
 Usage: python -m bench.shared_limits
 """
 
+import functools
 import time
 
 from kumquatspur.border import packing
@@ -17,7 +18,11 @@
 )
 from kumquatspur.policy.limit_shares import ShareAsk, ShareLedger
 from standins.limit_rule import WINDOW_S, most_in_window
-from standins.limit_simulation import LimitSimulation
+from standins.limit_simulation import (
+    COLD_EXTRA_REQUESTS,
+    COLD_FACTOR,
+    LimitSimulation,
+)
 
 SEEDS = range(5)
 SETTLE_S = 4.0
@@ -51,6 +56,44 @@
     ),
 }
 
+COLD_WARMUP_S = 12.0
+# Hosts, cold rate per second, and requests per second at a host and time, for a
+# searcher of a zone that comes back. Its requests begin at once.
+COLD_LOADS = {
+    "9 hosts alike, 270/s": (9, 10.0, lambda host, now: 30.0),
+    "9 hosts alike, 9/s": (9, 10.0, lambda host, now: 1.0),
+    "9 hosts, cold rate of 2/s": (9, 2.0, lambda host, now: 10.0),
+    "270/s at one of 9 hosts": (
+        9,
+        10.0,
+        lambda host, now: 270.0 if host == 4 else 0.0,
+    ),
+    "270/s move between 9 hosts each 3 s": (
+        9,
+        10.0,
+        lambda host, now: 270.0 if host == int(now / 3.0) % 9 else 0.0,
+    ),
+    "all requests of 2 s in a tenth of a second": (
+        68,
+        10.0,
+        lambda host, now: 20.0 if now % 2.0 < 0.1 else 0.0,
+    ),
+    "68 hosts alike, 136/s": (68, 10.0, lambda host, now: 2.0),
+    "68 hosts alike, cold rate of 40/s": (68, 40.0, lambda host, now: 2.0),
+    "195 hosts alike, 98/s": (195, 10.0, lambda host, now: 0.5),
+}
+COLD_SEEDS = range(20)
+# Of 9 hosts with 270/s: those that stop, for how long, and whether they know
+# nothing afterwards. Host 0 is the allocator.
+COLD_FAULTS = {
+    "all hosts restart": (range(9), 1.0, True),
+    "allocator restarts": ((0,), 2.0, True),
+    "6 of 9 hosts join": (range(3, 9), 5.0, True),
+    "4 of 9 hosts freeze for 1.5 s": ((0, 3, 4, 5), 1.5, False),
+    "4 of 9 hosts freeze for 4 s": ((0, 3, 4, 5), 4.0, False),
+}
+FAULT_AFTER_S = 5.0
+
 
 def _answer(ledger: ShareLedger, data: bytes, now: float) -> bytes:
     """Answers a host as `wire.share_exchange` does, without the HTTP server."""
@@ -120,10 +163,67 @@
         print(f"| {name} | {limit:g} | {max(most):.2f} | {mean_used:.2f} |")
 
 
+def print_cold_use() -> None:
+    """Prints what a searcher gets that comes back cold."""
+    print(
+        "| load | cold rate/s | most in 1 s, of the bound | seeds above it "
+        "| used, of the cold rate |"
+    )
+    print("| --- | --- | --- | --- | --- |")
+    for name, load in COLD_LOADS.items():
+        _print_cold(name, load, lambda simulation: None)
+    load = next(iter(COLD_LOADS.values()))
+    for name, fault in COLD_FAULTS.items():
+        _print_cold(name, load, functools.partial(_stop_hosts, fault=fault))
+    _print_cold("hosts are split, 5 and 4, for 5 s", load, _split_hosts)
+
+
+def _stop_hosts(simulation: LimitSimulation, fault) -> None:
+    numbers, seconds, restart = fault
+    for number in numbers:
+        simulation.hosts[number].up = False
+    simulation.run(seconds)
+    for number in numbers:
+        simulation.hosts[number].up = True
+        if restart:
+            simulation.restart(number)
+
+
+def _split_hosts(simulation: LimitSimulation) -> None:
+    for number in range(5, 9):
+        simulation.hosts[number].group = 1
+    simulation.run(5.0)
+    for number in range(5, 9):
+        simulation.hosts[number].group = 0
+
+
+def _print_cold(name: str, load, fault) -> None:
+    count, cold_per_s, rate = load
+    bound = cold_per_s * COLD_FACTOR + COLD_EXTRA_REQUESTS
+    most, used = [], []
+    for seed in COLD_SEEDS:
+        simulation = LimitSimulation(count, None, rate, seed)
+        start = simulation.now
+        simulation.set_cold(cold_per_s, COLD_WARMUP_S)
+        simulation.run(FAULT_AFTER_S)
+        fault(simulation)
+        simulation.run(simulation.cold.until - simulation.now)
+        most.append(simulation.most_while_cold(start) / bound)
+        used.append(simulation.rate_between(start, simulation.now) / cold_per_s)
+    above = sum(share > 1.0 for share in most)
+    mean_used = sum(used) / len(used)
+    print(
+        f"| {name} | {cold_per_s:g} | {max(most):.2f} | "
+        f"{above} of {len(most)} | {mean_used:.2f} |"
+    )
+
+
 def main() -> None:
-    """Prints both tables."""
+    """Prints all tables."""
     print_use()
     print()
+    print_cold_use()
+    print()
     print_costs()
 
 
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -108,6 +108,24 @@
     age_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
 
 
+class WarmupStatement(Message):
+    """What a host knows of a searcher's warm-up.
+
+    Attributes:
+        searcher: The searcher's identifier.
+        left_s: Remaining warm-up time when it was stated or assumed; 0 if the
+            searcher was warm.
+        kind: Why it is taken for cold or warm, a
+            `kumquatspur.policy.warmups.WarmupKind`; others are skipped.
+        age_s: Time since then.
+    """
+
+    searcher: str
+    left_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    kind: str
+    age_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+
+
 class StoreItem(Message):
     """An item of the platform's metadata store.
 
@@ -138,6 +156,7 @@
         slow: Searchers that are slower than usual.
         leaving: Searchers that said in answers that they leave.
         limits: What searchers have stated about their limits.
+        warmups: Searchers that are cold, or were a short time ago.
         hosts: Hosts in the sender's peer table.
         incidents: Recent crashes of searchers, with the requests suspected of
             causing them.
@@ -156,6 +175,7 @@
     config: StoreItem | None = None
     leaving: tuple[LeavingSearcher, ...] = ()
     limits: tuple[LimitStatement, ...] = ()
+    warmups: tuple[WarmupStatement, ...] = ()
     slow: tuple[SlowSearcher, ...] = ()
     hosts: tuple[KnownHost, ...] = ()
     incidents: tuple[CrashIncident, ...] = ()
--- a/kumquatspur/core/routing.py
+++ b/kumquatspur/core/routing.py
@@ -79,12 +79,14 @@
         warmup_s: How long a searcher of the service is cold after its start.
         cold_per_s: Requests per second that a cold searcher takes from all
             hosts together; 0 if it is not limited.
+        health_path: Path of the searchers' health checks; "" if they have none.
     """
 
     name: str
     max_connections: int
     warmup_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -297,6 +299,9 @@
             None if it rejected nothing or named no time.
         limit_per_s: Requests per second that the searcher takes from all hosts
             together; None if it names no limit.
+        warmup_left_s: Remaining warm-up time; None if it is not stated, or not
+            validly.
+        invalid_warmup: The stated warm-up time if it is invalid; "" otherwise.
     """
 
     status: int
@@ -310,3 +315,5 @@
     leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    warmup_left_s: float | None = None
+    invalid_warmup: str = ""
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -3,6 +3,7 @@
 import hashlib
 import ipaddress
 import json
+import re
 from typing import Annotated, Literal
 
 import pydantic
@@ -23,6 +24,7 @@
 CONFIG_KEY = "op/config"
 SEARCHER_PREFIX = "servers/"
 
+_PATH_PATTERN = re.compile(r"/[!-~]*")
 _NonEmptyStr = Annotated[
     str, pydantic.StringConstraints(strict=True, min_length=1)
 ]
@@ -37,6 +39,16 @@
     return Address(str(ipaddress.IPv4Address(host)), int(port))
 
 
+def _parse_path(value) -> str:
+    """Returns a path, or "" for a value that can't be sent as one.
+
+    A service without a usable path has no health checks, which is no reason to
+    reject the whole configuration.
+    """
+    usable = isinstance(value, str) and _PATH_PATTERN.fullmatch(value)
+    return value if usable else ""
+
+
 def _hyphenated(name: str) -> str:
     return name.replace("_", "-")
 
@@ -118,6 +130,8 @@
     warmup_s: float = pydantic.Field(0.0, ge=0)
     # 0: a cold searcher's requests are not limited.
     cold_per_s: float = pydantic.Field(0.0, ge=0)
+    # Answers to GET of this path state the remaining warm-up time.
+    health_path: Annotated[str, pydantic.BeforeValidator(_parse_path)] = ""
 
 
 class _Account(_Document):
@@ -214,6 +228,7 @@
                     service.max_connections,
                     service.warmup_s,
                     service.cold_per_s,
+                    service.health_path,
                 )
                 for service in document.services
             },
--- a/kumquatspur/platform/documents_test.py
+++ b/kumquatspur/platform/documents_test.py
@@ -152,6 +152,23 @@
             self.assertIsNone(config)
             self.assertNotIn("secret", repr(errors))
 
+    def test_health_path_that_cannot_be_sent_rejects_no_configuration(self):
+        service = {"name": "s", "max-connections": 26}
+        for value, expected in (
+            ("/health?deep=1", "/health?deep=1"),
+            ("/a b", ""),
+            ("/a\r\nX: y", ""),
+            ("health", ""),
+            (None, ""),
+        ):
+            config, errors = decode_config(
+                encode_document(
+                    CONFIG, services=[{**service, "health-path": value}]
+                )
+            )
+            self.assertEqual(errors, [])
+            self.assertEqual(config.services["s"].health_path, expected)
+
     def test_errors_name_the_invalid_field(self):
         invalid = {
             "config-version": encode_document(
--- a/kumquatspur/platform/headers.py
+++ b/kumquatspur/platform/headers.py
@@ -2,6 +2,7 @@
 
 import re
 
+from kumquatspur.core.records import Address
 from kumquatspur.core.routing import ClientReply, LoadReport, SearcherReply
 
 REQUEST_ID = b"kumquatspur-attempt-id"
@@ -17,6 +18,7 @@
 AUTHORIZATION = b"authorization"
 ACCOUNT = b"kumquatspur-tenant-name"
 LIMIT = b"server-limit"
+WARMUP = b"kumquatspur-warmup-ms"
 
 READY_PATH = "/readiness"
 
@@ -37,13 +39,16 @@
 OWN_REPLY_HEADERS = frozenset({PART_SIGNATURES, MISSING_PARTS})
 # Reply headers by which a searcher addresses this host. A client would take
 # them for statements of the entry host.
-HOST_REPLY_HEADERS = frozenset({LEAVING, RETRY_AFTER, LIMIT})
+HOST_REPLY_HEADERS = frozenset({LEAVING, RETRY_AFTER, LIMIT, WARMUP})
 _REMOVED_REPLY_HEADERS = OWN_REPLY_HEADERS | HOST_REPLY_HEADERS
 
 _MIN_LOAD_FIELDS = 3
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 _LEAVING_VALUE = b"1"
+# A longer warm-up time is invalid: it would exclude a searcher for good.
+_MAX_WARMUP_S = 3600.0
+_MAX_LOGGED_BYTES = 40
 _DECIMAL_PATTERN = re.compile(rb"\d{1,20}(\.\d{1,20})?")
 
 
@@ -96,6 +101,22 @@
     return _decode_decimal(value)
 
 
+def decode_warmup_s(value: bytes) -> float | None:
+    """Decodes a searcher's remaining warm-up time.
+
+    Args:
+        value: The header's value, in milliseconds.
+
+    Returns:
+        The time in seconds; None for a negative number, more than an hour or
+        text, which state no usable time.
+    """
+    milliseconds = _decode_decimal(value)
+    if milliseconds is None or milliseconds > _MAX_WARMUP_S * 1000.0:
+        return None
+    return milliseconds / 1000.0
+
+
 def _decode_decimal(value: bytes) -> float | None:
     value = value.strip()
     if _DECIMAL_PATTERN.fullmatch(value) is None:
@@ -136,6 +157,11 @@
     load = by_name.get(LOAD)
     retry_after = by_name.get(RETRY_AFTER)
     limit = by_name.get(LIMIT)
+    warmup = by_name.get(WARMUP)
+    warmup_left_s = decode_warmup_s(warmup) if warmup is not None else None
+    invalid_warmup = ""
+    if warmup is not None and warmup_left_s is None:
+        invalid_warmup = repr(warmup[:_MAX_LOGGED_BYTES])
     pause_s = None
     if status == SERVICE_UNAVAILABLE and retry_after is not None:
         pause_s = decode_pause_s(retry_after)
@@ -155,6 +181,8 @@
         leaving=by_name.get(LEAVING, b"").strip() == _LEAVING_VALUE,
         pause_s=pause_s,
         limit_per_s=decode_limit_per_s(limit) if limit is not None else None,
+        warmup_left_s=warmup_left_s,
+        invalid_warmup=invalid_warmup,
     )
 
 
@@ -190,6 +218,25 @@
     ).encode()
 
 
+def encode_health_check(
+    path: str, address: Address, searcher_id: str, request_id: str
+) -> bytes:
+    """Returns the request that checks the health of a searcher.
+
+    Args:
+        path: Path of the health check.
+        address: Address of the searcher.
+        searcher_id: Identifier of the searcher that should answer.
+        request_id: Identifier of the request.
+    """
+    return (
+        f"GET {path} HTTP/1.1\r\n"
+        f"Host: {address.host}:{address.port}\r\n"
+        f"Kumquatspur-Attempt-Id: {request_id}\r\n"
+        f"Kumquatspur-Expected-Instance: {searcher_id}\r\n\r\n"
+    ).encode()
+
+
 def merged_reply(
     signatures: list[str], missing: int, body: bytes
 ) -> ClientReply:
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -36,7 +36,7 @@
 MAX_ERROR_SHARE = 0.95
 # Additional cost of another zone, relative to the typical latency.
 REMOTE_COST = 0.35
-# Factor on the cost of a searcher that is still warming up.
+# Factor on the cost of a searcher that has just begun to warm up.
 COLD_FACTOR = 1.6
 # Additional cost as a searcher fills up to its last slot, and per request that
 # has to wait for a slot.
@@ -342,6 +342,11 @@
         return [e for e in entries if not self.is_suspect(e.zone, now)]
 
 
+def _entry_left_share(entry: SearcherEntry) -> float:
+    """Returns 1 for a searcher that is cold by its entry, else 0."""
+    return 1.0 if entry.warmup_left_s > 0 else 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChoiceContext:
     """The inputs of a choice besides the searchers.
@@ -352,12 +357,15 @@
             successful calls for the same route.
         now: Monotonic time in seconds.
         random: Returns a number in [0, 1).
+        warmup_left_share: Returns the part of a searcher's warm-up that is
+            left, from 1 to 0.
     """
 
     zone: str
     typical_s: float
     now: float
     random: Callable[[], float]
+    warmup_left_share: Callable[[SearcherEntry], float] = _entry_left_share
 
 
 def _queueing_cost(busy: float, slots: int) -> float:
@@ -400,8 +408,7 @@
     )
     failing = min(load.current_error_share(now), MAX_ERROR_SHARE)
     cost *= 1.0 + ERROR_COST * failing / (1.0 - failing)
-    if entry.warmup_left_s > 0:
-        cost *= COLD_FACTOR
+    cost *= 1.0 + (COLD_FACTOR - 1.0) * context.warmup_left_share(entry)
     if load.in_flight:
         oldest = now - min(load.in_flight.values())
         if oldest > STUCK_MULTIPLE * context.typical_s:
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -12,7 +12,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from kumquatspur.core.routing import SearcherEntry, SearcherState
 
@@ -72,6 +72,7 @@
         last_contact_at: When the state was last known to be current.
         leaving: Searchers that said in an answer that they leave.
         departed: Searchers whose entry was removed a short time ago.
+        on_put: Called with each entry that was written, and the time.
     """
 
     drain_s: float
@@ -89,6 +90,7 @@
     last_contact_at: float = -1.0
     leaving: dict[str, Departure] = dataclasses.field(default_factory=dict)
     departed: dict[str, Departure] = dataclasses.field(default_factory=dict)
+    on_put: Callable[[SearcherEntry, float], None] | None = None
 
     def record_store_contact(self, asked_at: float, now: float) -> None:
         """Records that the state is current, and detects the end of an outage.
@@ -113,6 +115,8 @@
         unless it is from a later start.
         """
         searcher_id = entry.searcher_id
+        if self.on_put is not None:
+            self.on_put(entry, now)
         self.departed.pop(searcher_id, None)
         departure = self.leaving.get(searcher_id)
         if departure is not None:
--- a/kumquatspur/policy/searcher_limits.py
+++ b/kumquatspur/policy/searcher_limits.py
@@ -6,6 +6,11 @@
 leased to it by the requests that the hosts have for the searcher, or a small
 one that needs no agreement while it has no lease (see `limit_shares`).
 
+A searcher that is cold after its start takes less, and crashes if it gets more
+than a bound in any second. The hosts divide its cold rate in the same way; the
+smaller one of both rates holds. Its bound is on one second, so hosts accumulate
+less credit for it.
+
 Requests beyond the share go to other searchers. If none is left, they are
 rejected at once. A request draws one number for all its shards, so that of many
 requests some get all their shards, instead of each one a part of them.
@@ -19,6 +24,20 @@
 
 # Credit that a host accumulates without requests, in seconds of its rate.
 CREDIT_S = 2.0
+# The same for a cold searcher, whose bound is on one second: credit for more
+# time could be used by all hosts in the same second.
+COLD_CREDIT_S = 0.5
+# Hosts without a lease use this part of what they may use of a named limit.
+COLD_UNLEASED_FACTOR = 0.5
+# Requests of many hosts in a second scatter as independent ones. The aim leaves
+# this many standard deviations to the bound.
+COLD_DEVIATIONS = 4.0
+# A cold rate begins at this part of the aim and grows to all of it.
+COLD_START_SHARE = 0.5
+# After the warm-up, the rate doubles in this time, and ends after `COLD_RAMP_S`
+# at 32 times the cold rate, so that the traffic has no step.
+COLD_DOUBLING_S = 1.0
+COLD_RAMP_S = 5.0
 # A searcher that takes nothing gets a request now and then all the same, since
 # only an answer shows that its limit has ended.
 MIN_LIMIT_PER_S = 0.25
@@ -36,12 +55,62 @@
 MAX_TOLD_AGE_S = 5.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdRate:
+    """The rate of a searcher that warms up.
+
+    Attributes:
+        aim_per_s: Requests per second from all hosts at the end of the warm-up.
+        warmup_s: Length of the whole warm-up.
+        until: End of the warm-up, in monotonic time.
+    """
+
+    aim_per_s: float
+    warmup_s: float
+    until: float
+
+    def left_share(self, now: float) -> float:
+        """Returns the part of the warm-up that is left, from 1 to 0."""
+        if self.warmup_s <= 0.0:
+            return 0.0
+        return min(1.0, max(0.0, (self.until - now) / self.warmup_s))
+
+    def per_s(self, now: float) -> float:
+        """Returns the requests per second from all hosts together."""
+        if now <= self.until:
+            saved = (1.0 - COLD_START_SHARE) * self.left_share(now)
+            return self.aim_per_s * (1.0 - saved)
+        # The exponent is bounded because the end is found some time later.
+        ramp_s = min(now - self.until, COLD_RAMP_S)
+        return self.aim_per_s * 2.0 ** (ramp_s / COLD_DOUBLING_S)
+
+    def is_over(self, now: float) -> bool:
+        """Returns whether the searcher takes its usual traffic again."""
+        return now >= self.until + COLD_RAMP_S
+
+
+def cold_aim_per_s(cold_per_s: float, overrun: float, slack: float) -> float:
+    """Returns the rate that hosts aim for at a cold searcher.
+
+    Args:
+        cold_per_s: Requests per second that it takes.
+        overrun: Factor on this rate that a second may have.
+        slack: Requests that a second may have beyond that.
+    """
+    bound = cold_per_s * overrun + slack
+    # The greatest mean m with m + COLD_DEVIATIONS * sqrt(m) = bound.
+    half = COLD_DEVIATIONS / 2.0
+    aim = (math.sqrt(half * half + bound) - half) ** 2
+    return min(cold_per_s, aim)
+
+
 @dataclasses.dataclass(slots=True)
 class SearcherLimit:
     """The limit of one searcher, and this host's use of it.
 
     Attributes:
-        per_s: Requests per second from all hosts together.
+        per_s: Requests per second from all hosts together, as the searcher
+            named it; infinite if it named none.
         stated_at: When the searcher last named it, to any host.
         reported_per_s: The limit that was last reported as a change.
         credit: Requests that this host may send now; negative after a request
@@ -52,6 +121,7 @@
         wanted_at: When the last of them came.
         share: Part of the limit that is leased to this host.
         share_until: End of the lease.
+        cold: Its cold rate; None if it is warm.
     """
 
     per_s: float
@@ -63,6 +133,16 @@
     wanted_at: float = -math.inf
     share: float = 0.0
     share_until: float = -math.inf
+    cold: ColdRate | None = None
+
+    def is_named(self) -> bool:
+        """Returns whether the searcher has named a limit."""
+        return self.per_s < math.inf
+
+    def current_per_s(self, now: float) -> float:
+        """Returns the smaller one of the named and the cold rate."""
+        named = max(self.per_s, MIN_LIMIT_PER_S)
+        return named if self.cold is None else min(named, self.cold.per_s(now))
 
     def current_wanted_per_s(self, now: float) -> float:
         """Returns the rate of wanted requests, decayed since the last one."""
@@ -84,6 +164,7 @@
         unleased_share: Part of a limit that this host may use without a lease.
         by_searcher: The current limits.
         ended_at: When a limit ended, by searcher; for `ENDED_MEMORY_S`.
+        cold_withheld: Times that a cold searcher was passed over for its rate.
     """
 
     unleased_share: float = 0.0
@@ -91,6 +172,7 @@
         default_factory=dict
     )
     ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_withheld: int = 0
 
     def record(self, searcher_id: str, per_s: float | None, at: float) -> bool:
         """Records what a searcher has stated, to this host or to another one.
@@ -106,18 +188,25 @@
         """
         known = self.by_searcher.get(searcher_id)
         if per_s is None:
-            if known is None or at < known.stated_at:
+            if known is None or not known.is_named() or at < known.stated_at:
                 return False
-            del self.by_searcher[searcher_id]
+            if known.cold is None:
+                del self.by_searcher[searcher_id]
+            else:
+                known.per_s = math.inf
             self.ended_at[searcher_id] = at
             return True
-        if known is None:
+        if known is None or not known.is_named():
             if at <= self.ended_at.get(searcher_id, -math.inf):
                 return False
             self.ended_at.pop(searcher_id, None)
-            self.by_searcher[searcher_id] = SearcherLimit(
-                per_s, at, per_s, credit_at=at
-            )
+            if known is None:
+                self.by_searcher[searcher_id] = SearcherLimit(
+                    per_s, at, per_s, credit_at=at
+                )
+            else:
+                known.per_s = known.reported_per_s = per_s
+                known.stated_at = at
             return True
         if at < known.stated_at:
             return False
@@ -128,6 +217,54 @@
         known.reported_per_s = per_s
         return True
 
+    def set_cold(
+        self,
+        searcher_id: str,
+        cold: ColdRate | None,
+        now: float,
+        in_flight: int = 0,
+    ) -> None:
+        """Sets or ends the cold rate of a searcher.
+
+        Args:
+            searcher_id: The searcher.
+            cold: The rate; None if the searcher is warm.
+            now: Monotonic time in seconds.
+            in_flight: Requests of this host at the searcher. At the begin of a
+                cold rate, they count as the host's requests of one second.
+        """
+        limit = self.by_searcher.get(searcher_id)
+        if cold is None:
+            if limit is not None and limit.is_named():
+                limit.cold = None
+            elif limit is not None:
+                del self.by_searcher[searcher_id]
+            return
+        if limit is None:
+            limit = self.by_searcher[searcher_id] = SearcherLimit(
+                math.inf, -math.inf, math.inf, credit_at=now
+            )
+        known = limit.cold
+        if known is not None and (now < known.until or now >= cold.until):
+            limit.cold = cold
+            return
+        credit = self._update_credit(limit, now)
+        limit.cold = cold
+        debt = min(float(in_flight), self._rate(limit, now))
+        limit.credit = min(credit, 0.0) - debt
+
+    def cold_searchers(self, now: float) -> list[str]:
+        """Returns the searchers that are warming up now."""
+        return [
+            searcher_id
+            for searcher_id, limit in self.by_searcher.items()
+            if limit.cold is not None and now < limit.cold.until
+        ]
+
+    def named_searchers(self) -> set[str]:
+        """Returns the searchers that name a limit."""
+        return {k for k, v in self.by_searcher.items() if v.is_named()}
+
     def statements(self, now: float) -> list[tuple[str, float | None, float]]:
         """Returns what searchers have stated, for other hosts.
 
@@ -141,7 +278,7 @@
         current = [
             (searcher_id, limit.per_s, limit.stated_at)
             for searcher_id, limit in self.by_searcher.items()
-            if now - limit.stated_at < MAX_TOLD_AGE_S
+            if limit.is_named() and now - limit.stated_at < MAX_TOLD_AGE_S
         ]
         ended = [(name, None, at) for name, at in self.ended_at.items()]
         return current + ended
@@ -166,6 +303,8 @@
         """Returns the part of a limit that this host may use now."""
         if now < limit.share_until:
             return limit.share
+        if limit.cold is not None:
+            return self.unleased_share * COLD_UNLEASED_FACTOR
         return self.unleased_share
 
     def wanted(self, now: float) -> list[str]:
@@ -206,6 +345,8 @@
                 limit.record_wanted(now)
             if self._update_credit(limit, now) >= needed:
                 return entry
+            if limit.cold is not None and not is_hedge:
+                self.cold_withheld += 1
         return None
 
     def record_rejected(
@@ -271,12 +412,13 @@
 
     def _rate(self, limit: SearcherLimit, now: float) -> float:
         """Returns the requests per second that this host may send."""
-        return self.share(limit, now) * max(limit.per_s, MIN_LIMIT_PER_S)
+        return self.share(limit, now) * limit.current_per_s(now)
 
     def _update_credit(self, limit: SearcherLimit, now: float) -> float:
         """Adds the credit that has accumulated; returns the total."""
         rate = self._rate(limit, now)
         earned = rate * max(0.0, now - limit.credit_at)
-        limit.credit = min(rate * CREDIT_S, limit.credit + earned)
+        credit_s = CREDIT_S if limit.cold is None else COLD_CREDIT_S
+        limit.credit = min(rate * credit_s, limit.credit + earned)
         limit.credit_at = now
         return limit.credit
--- a/kumquatspur/policy/searcher_limits_test.py
+++ b/kumquatspur/policy/searcher_limits_test.py
@@ -1,15 +1,25 @@
+import itertools
 import unittest
 
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import SearcherEntry, SearcherState
 from kumquatspur.policy.searcher_limits import (
+    COLD_CREDIT_S,
+    COLD_RAMP_S,
     CREDIT_S,
     ENDED_MEMORY_S,
     IDLE_S,
     MAX_TOLD_AGE_S,
     MIN_LIMIT_PER_S,
+    ColdRate,
     SearcherLimits,
+    cold_aim_per_s,
 )
+from standins.limit_simulation import LimitSimulation
+
+COLD_PER_S = 10.0
+COLD_BOUND = 20.0
+WARMUP_S = 8.0
 
 
 def entry(searcher_id):
@@ -144,6 +154,106 @@
         self.limits.prune({"free"}, 3.0 + ENDED_MEMORY_S)
         self.assertEqual(self.limits.statements(4.0), [])
 
+    def test_smaller_one_of_the_named_and_the_cold_rate_holds(self):
+        cold = ColdRate(10.0, 5.0, 1.0)
+        limit_of = self.limits.by_searcher
+        self.limits.set_cold("limited", cold, 1.0)
+        self.assertEqual(limit_of["limited"].current_per_s(1.0), 10.0)
+        self.assertEqual(self.limits.statements(1.0), [])
+        self.assertTrue(self.limits.record("limited", 4.0, 1.0))
+        self.assertEqual(limit_of["limited"].current_per_s(1.0), 4.0)
+        self.assertTrue(self.limits.record("limited", None, 2.0))
+        self.assertFalse(self.limits.record("limited", None, 3.0))
+        self.assertEqual(limit_of["limited"].current_per_s(1.0), 10.0)
+        self.limits.record("limited", 4.0, 4.0)
+        self.limits.set_cold("limited", None, 5.0)
+        self.assertEqual(self.limits.named_searchers(), {"limited"})
+        self.limits.record("limited", None, 6.0)
+        self.assertEqual(limit_of, {})
+
+    def test_cold_rate_grows_without_a_step(self):
+        cold = ColdRate(10.0, 5.0, 100.0)
+        times = [94.0 + n / 50.0 for n in range(50 * 11)]
+        rates = [cold.per_s(now) for now in times]
+        self.assertEqual(rates, sorted(rates))
+        for before, after in itertools.pairwise(rates):
+            self.assertLess(after, before * 1.05)
+        self.assertEqual(cold.per_s(100.0), 10.0)
+        self.assertGreater(rates[-1], 200.0)
+        self.assertTrue(cold.is_over(100.0 + COLD_RAMP_S))
+
+    def test_aim_leaves_room_to_the_bound(self):
+        self.assertAlmostEqual(cold_aim_per_s(10.0, 1.5, 5.0), 8.4, delta=0.1)
+        self.assertEqual(cold_aim_per_s(1.0, 1.5, 5.0), 1.0)
+        self.assertLess(cold_aim_per_s(10.0, 1.0, 0.0), 5.0)
+
+    def test_credit_for_a_cold_searcher_fits_a_second(self):
+        """Neither a pause nor a frozen host may earn a burst."""
+        self.limits.set_cold("limited", ColdRate(10.0, 1.0, 1000.0), 1.0)
+        self.limits.record_lease("limited", 1.0, 1000.0, 1.0)
+        found = [self.admitted(50.0, draw=0.5) for _ in range(20)]
+        admitted = len(found) - found.count(None)
+        self.assertLessEqual(admitted, 10.0 * COLD_CREDIT_S + 1)
+        self.assertEqual(self.limits.cold_withheld, 20 - admitted)
+
+    def test_requests_in_flight_count_when_a_searcher_becomes_cold(self):
+        for in_flight, admits in ((0, True), (5, False)):
+            self.limits = SearcherLimits(unleased_share=0.1)
+            cold = ColdRate(10.0, 1.0, 1000.0)
+            self.limits.set_cold("limited", cold, 1.0, in_flight)
+            found = self.admitted(1.9, draw=0.1)
+            self.assertEqual(found is not None, admits)
+
+
+class ColdSearcherTest(unittest.TestCase):
+    """A searcher is back, cold; hosts have far more requests than it takes."""
+
+    def check(self, fault):
+        used = 0.0
+        for seed in range(3):
+            simulation = LimitSimulation(9, None, lambda n, t: 30.0, seed)
+            start = simulation.now
+            simulation.set_cold(COLD_PER_S, WARMUP_S)
+            simulation.run(4.0)
+            fault(simulation)
+            simulation.run(max(0.0, simulation.cold.until - simulation.now))
+            most = simulation.most_while_cold(start)
+            self.assertLessEqual(most, COLD_BOUND, f"seed {seed}")
+            used += simulation.rate_between(start, simulation.now) / 3.0
+        self.assertGreater(used, 0.4 * COLD_PER_S)
+
+    def stop_for(self, simulation, numbers, seconds, restart):
+        for number in numbers:
+            simulation.hosts[number].up = False
+        simulation.run(seconds)
+        for number in numbers:
+            simulation.hosts[number].up = True
+            if restart:
+                simulation.restart(number)
+
+    def test_zone_that_comes_back(self):
+        self.check(lambda simulation: None)
+
+    def test_hosts_that_restart(self):
+        for numbers in ((0,), range(9)):
+            self.check(lambda s, n=numbers: self.stop_for(s, n, 1.0, True))
+
+    def test_hosts_that_freeze(self):
+        for seconds in (1.0, 3.0):
+            self.check(
+                lambda s, t=seconds: self.stop_for(s, (0, 3, 4, 5), t, False)
+            )
+
+    def test_hosts_that_are_cut_off_from_each_other(self):
+        def split(simulation):
+            for number in (5, 6, 7, 8):
+                simulation.hosts[number].group = 1
+            simulation.run(2.0)
+            for number in (5, 6, 7, 8):
+                simulation.hosts[number].group = 0
+
+        self.check(split)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -16,6 +16,7 @@
 from kumquatspur.policy.request_plan import AttemptKind
 from kumquatspur.policy.searcher_choice import OpenCall, late_at
 from kumquatspur.policy.searcher_pauses import MAX_PAUSE_S
+from kumquatspur.wire import warmup_watch
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.http_messages import split_request
@@ -180,6 +181,7 @@
             reached = result.sent and not result.unresponsive
             record = load.record_error if reached else load.record_unreachable
             record(now)
+            warmup_watch.observe_failure(self.state, entry, result)
             if result.connection_lost:
                 self.crash_detector.record_broken_connection(
                     self.request, self.route.name, entry
@@ -197,6 +199,7 @@
             return
         self._observe_wishes(entry, result, now)
         self._observe_limit(entry, result, now)
+        warmup_watch.observe_reply(self.state, entry, result)
         if result.status >= 500 or result.not_executed:
             load.record_error(now)
         if 200 <= result.status < 300:
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -1,5 +1,6 @@
 """An entry host on the platform: its components, start and stop."""
 
+import functools
 import json
 import pathlib
 
@@ -12,7 +13,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
-from kumquatspur.wire import probes
+from kumquatspur.wire import probes, warmup_watch
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.delegator import Delegator
@@ -69,6 +70,12 @@
         self.forwarder = Forwarder(
             self.state, self.pool, crash_detector, self.delegator
         )
+        self.state.directory.on_put = functools.partial(
+            warmup_watch.observe_entry, self.state
+        )
+        self.warmups = warmup_watch.WarmupWatch(
+            self.state, self.exchange.exchange_with
+        )
         self._path = pathlib.Path(path)
         self._text = ""
         self.front = None
@@ -105,6 +112,7 @@
         eventlet.spawn_n(watch.run)
         self.exchange.start()
         self.shares.start()
+        eventlet.spawn_n(self.warmups.run)
         pruned_at = checked_at = services_probed_at = monotonic_s()
         limits_reported_at = pruned_at
         while not self._advance_stop(front):
@@ -139,7 +147,7 @@
     def _report_limits(self) -> None:
         """Logs this host's attempts at searchers that name a limit."""
         attempts = self.state.attempt_counts.end_interval(
-            self.state.limits.by_searcher
+            self.state.limits.named_searchers()
         )
         if attempts:
             self.state.log.write("limited_attempts", True, attempts=attempts)
@@ -235,12 +243,15 @@
         ]
         table = self.state.table
         version = table.config.version if table else -1
-        limited = len(self.state.limits.by_searcher)
+        limited = len(self.state.limits.named_searchers())
+        cold = len(self.state.limits.cold_searchers(monotonic_s()))
         suspected = len(self.state.zone_health.reported)
         lines += [
             f"kumquatspur_config_version {version}",
             f"kumquatspur_searchers {len(self.state.directory.by_id)}",
             f"kumquatspur_limited_searchers {limited}",
+            f"kumquatspur_cold_searchers {cold}",
+            f"kumquatspur_cold_not_sent {self.state.limits.cold_withheld}",
             f"kumquatspur_suspected_zones {suspected}",
             f"kumquatspur_searchers_age_seconds {contact_age_s(self.state)}",
             f"kumquatspur_store_up {int(self.state.store_ok)}",
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -30,6 +30,7 @@
     SearcherLimits,
 )
 from kumquatspur.policy.searcher_pauses import SearcherPauses
+from kumquatspur.policy.warmups import Warmups
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.searcher_pool import monotonic_s
 
@@ -53,6 +54,7 @@
         loads: Load and failures of each searcher, by identifier.
         pauses: Searchers that want no requests from this host for a while.
         limits: Requests per second that searchers take from all hosts.
+        warmups: Searchers that are cold, or assumed to be.
         attempt_counts: Attempts at each searcher, for the log.
         zone_health: Tracks zones whose searchers are unreachable.
         peer_zones: Tracks zones whose entry hosts are unreachable.
@@ -84,6 +86,7 @@
     loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
     pauses: SearcherPauses = dataclasses.field(default_factory=SearcherPauses)
     limits: SearcherLimits = dataclasses.field(default_factory=SearcherLimits)
+    warmups: Warmups = dataclasses.field(default_factory=Warmups)
     attempt_counts: AttemptCounts = dataclasses.field(
         default_factory=AttemptCounts
     )
@@ -133,6 +136,20 @@
             self.directory.usable(service, now), now
         )
 
+    def warmup_left_share(self, entry: SearcherEntry, now: float) -> float:
+        """Returns the part of a searcher's warm-up that is left, from 1 to 0.
+
+        Where cold searchers are not limited, only their entries tell, which do
+        not say how much is left.
+        """
+        limit = self.limits.by_searcher.get(entry.searcher_id)
+        if limit is not None and limit.cold is not None:
+            return limit.cold.left_share(now)
+        if entry.warmup_left_s <= 0.0:
+            return 0.0
+        spec = self.table.config.services.get(entry.service)
+        return 0.0 if spec is not None and spec.cold_per_s > 0.0 else 1.0
+
     def resume_at(
         self, service: str, now: float, draw: float = 0.0
     ) -> float | None:
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -33,6 +33,7 @@
     is_newer,
     is_same_era,
 )
+from kumquatspur.wire import warmup_watch
 from kumquatspur.wire.entry_state import ASSUMED_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.peer_calls import CALL_TIMEOUT_S, PeerCalls
@@ -102,6 +103,9 @@
         if self.state.settings.peer is None:
             return
         HttpServer(self.state.settings.peer, self._serve)
+        # Until the first exchange, only the store tells which searchers are
+        # cold, and its entries lag behind.
+        self.exchange_now()
         eventlet.spawn_n(self._run)
 
     def exchange_now(self) -> None:
@@ -193,7 +197,10 @@
         gossip_targets = self.state.peers.gossip_targets(seeds, chance)
         if not gossip_targets:
             return
-        address = self.state.random.choice(gossip_targets)
+        self.exchange_with(self.state.random.choice(gossip_targets))
+
+    def exchange_with(self, address: Address) -> None:
+        """Exchanges state with the host that listens on a peer address."""
         try:
             message = self._post(
                 address, EXCHANGE_PATH, self._exchange_message(), CALL_TIMEOUT_S
@@ -311,6 +318,7 @@
                 for name, departure in leaving
             ),
             limits=self._limit_statements(now),
+            warmups=warmup_watch.statements(self.state, now),
         )
 
     def _limit_statements(self, now: float) -> tuple[LimitStatement, ...]:
@@ -407,6 +415,10 @@
         )
         if message.items is not None and message.age_s < self._contact_age_s():
             self._apply_view(message)
+            # A host that starts learns of the searchers by this view only.
+            warmup_watch.apply_statements(
+                self.state, message.warmups, message.name
+            )
 
     def _apply_searcher_states(self, message: Exchange) -> None:
         """Applies what another host has observed of searchers."""
@@ -429,6 +441,7 @@
                     item.slowness, now - item.age_s
                 )
         self._apply_limits(message, now)
+        warmup_watch.apply_statements(self.state, message.warmups, message.name)
 
     def _apply_limits(self, message: Exchange, now: float) -> None:
         """Applies what another host knows of searchers' limits."""
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -290,6 +290,7 @@
             self.typical_s,
             now,
             self.state.random.random,
+            lambda entry: self.state.warmup_left_share(entry, now),
         )
         ranked = rank_searchers(
             entries, self.state.load, self.state.zone_health, context
--- a/standins/limit_rule.py
+++ b/standins/limit_rule.py
@@ -18,17 +18,20 @@
     return FACTOR * limit_per_s * WINDOW_S + EXTRA_REQUESTS
 
 
-def most_in_window(times: Iterable[float], start: float) -> int:
+def most_in_window(
+    times: Iterable[float], start: float, window_s: float = WINDOW_S
+) -> int:
     """Returns the most requests in a window that begins after a time.
 
     Args:
         times: When requests arrived, in seconds.
         start: When the first window may begin.
+        window_s: Length of a window in seconds.
     """
     later = sorted(at for at in times if at >= start)
     first = most = 0
     for index, at in enumerate(later):
-        while later[first] <= at - WINDOW_S:
+        while later[first] <= at - window_s:
             first += 1
         most = max(most, index - first + 1)
     return most
--- a/standins/limit_simulation.py
+++ b/standins/limit_simulation.py
@@ -1,7 +1,8 @@
 """Simulates hosts that share the limit of one searcher, with a given clock.
 
-Used by tests. Hosts get requests at random times, ask an allocator for parts of
-the limit and may lose it, restart, or be cut off from each other.
+The searcher may be cold instead of naming a limit. Used by tests. Hosts get
+requests at random times, ask an allocator for parts of the limit and may lose
+it, restart, or be cut off from each other.
 """
 
 import dataclasses
@@ -12,13 +13,23 @@
 from kumquatspur.core.routing import SearcherEntry, SearcherState
 from kumquatspur.policy.limit_shares import ShareAsk, ShareLedger
 from kumquatspur.policy.peer_table import ISOLATED_AFTER_S
-from kumquatspur.policy.searcher_limits import UNLEASED_SHARE, SearcherLimits
+from kumquatspur.policy.searcher_limits import (
+    UNLEASED_SHARE,
+    ColdRate,
+    SearcherLimits,
+    cold_aim_per_s,
+)
+from standins.limit_rule import most_in_window
 
 STEP_S = 0.01
 ASK_TIMEOUT_S = 0.5
 BACKOFF_S = 2.0
 # The users' rule counts the requests of a host this long after it was told.
 TOLD_S = 0.5
+# The users' rule for a cold searcher, in any second.
+COLD_WINDOW_S = 1.0
+COLD_FACTOR = 1.5
+COLD_EXTRA_REQUESTS = 5.0
 SEARCHER = SearcherEntry(
     "i", "s", Address("10.0.0.1", 80), "z", 2, SearcherState.READY, 0.0
 )
@@ -61,13 +72,15 @@
         now: The current time in seconds.
         arrivals: When each request reached the searcher, from hosts that had
             been told of the limit.
+        cold: The cold rate of the searcher, which all hosts know; None if it
+            is warm. All its requests are among the arrivals.
         excused: Numbers of hosts whose requests are not among the arrivals.
     """
 
     def __init__(
         self,
         count: int,
-        limit_per_s: float,
+        limit_per_s: float | None,
         rate: Callable[[int, float], float],
         seed: int,
     ):
@@ -76,11 +89,14 @@
         self.random = random.Random(seed)
         self.now = 100.0
         self.arrivals = []
+        self.cold = None
         self.excused = set()
         self.hosts = [self._new_host(number, count) for number in range(count)]
 
     def _new_host(self, number: int, count: int) -> SimulatedHost:
         limits = SearcherLimits(unleased_share=UNLEASED_SHARE / count)
+        if self.cold is not None:
+            limits.set_cold("i", self.cold, self.now)
         return SimulatedHost(number, limits)
 
     def restart(self, number: int) -> None:
@@ -89,6 +105,22 @@
         self.hosts[number] = self._new_host(number, len(self.hosts))
         self.hosts[number].group = group
 
+    def set_cold(self, cold_per_s: float, warmup_s: float) -> None:
+        """Makes the searcher cold, as if it were back."""
+        aim_per_s = cold_aim_per_s(cold_per_s, COLD_FACTOR, COLD_EXTRA_REQUESTS)
+        self.cold = ColdRate(aim_per_s, warmup_s, self.now + warmup_s)
+        for host in self.hosts:
+            host.limits.set_cold("i", self.cold, self.now)
+
+    def most_while_cold(self, since: float) -> int:
+        """Returns the most requests in a second of the warm-up.
+
+        Args:
+            since: When the searcher became cold.
+        """
+        times = [at for at in self.arrivals if at < self.cold.until]
+        return most_in_window(times, since, COLD_WINDOW_S)
+
     def run(self, seconds: float) -> None:
         """Lets time pass."""
         end = self.now + seconds
@@ -115,7 +147,7 @@
         if host.told_at is None:
             host.told_at = self.now
         told = self.now - host.told_at >= TOLD_S
-        if told and host.number not in self.excused:
+        if (told or self.cold) and host.number not in self.excused:
             self.arrivals.append(self.now)
         host.limits.spend("i", self.now)
         host.limits.record("i", self.limit_per_s, self.now)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -42,6 +42,8 @@
 SHARD_WORK_S = 0.005
 SINGLE_WORK_S = 0.02
 GRACE_S = 3
+WARMUP_OVERRUN = 1.5
+WARMUP_SLACK = 5
 
 
 def free_ports(count: int) -> list[int]:
@@ -120,6 +122,8 @@
             "retry_budget_ratio": 0.2,
             "retry_budget_window_s": 10,
             "retry_budget_slack": 400,
+            "warmup_overrun": WARMUP_OVERRUN,
+            "warmup_slack": WARMUP_SLACK,
         },
     }
 
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -16,6 +16,7 @@
 ENDLESS_WRITE_BYTES = 65536
 LATE_COPY_DELAY_S = 0.05
 MAX_REQUESTS_KEPT = 100
+HEALTH_PATH = b"/health"
 _OK_LINE = b"HTTP/1.1 200 OK\r\n"
 # Start and repeated bytes of responses that never end.
 ENDLESS = {
@@ -59,6 +60,17 @@
         arrived_at: When each request arrived, in monotonic time.
         arrived: The same with the identifier of each request.
         received: The headers of the latest requests.
+        cold_until: End of its warm-up, in monotonic time.
+        warmup_value: Value of the warm-up header in place of the true one;
+            None for the true one.
+        states_warmup: Whether all answers state the warm-up, not only those to
+            health checks.
+        crash_per_s: Requests in a second beyond which it crashes while it is
+            cold; None for no number.
+        cold_arrivals: When requests arrived while it was cold, those with
+            another identifier of a searcher left out.
+        crashes: Number of these crashes.
+        health_checks: Number of health checks received.
     """
 
     def __init__(self, searcher_id, service, zone="z", records=(), work_s=0.0):
@@ -73,16 +85,32 @@
         self.starts = 0
         self.pause_value = "1"
         self.limit_per_s = None
+        self.cold_until = 0.0
+        self.warmup_value = None
+        self.states_warmup = False
+        self.crash_per_s = None
+        self.cold_arrivals = []
+        self.crashes = 0
+        self.health_checks = 0
         self.arrived_at = []
         self.arrived = []
         self.received = collections.deque(maxlen=MAX_REQUESTS_KEPT)
         self.deadlines = []
         self.script = collections.deque()
-        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self._listen(0)
+
+    def _listen(self, port: int) -> None:
+        self.listener = eventlet.listen(("127.0.0.1", port))
         self.address = Address(*self.listener.getsockname())
         self.connections = set()
         self.threads = [eventlet.spawn(self._accept)]
 
+    def restart(self, warmup_s: float) -> None:
+        """Starts again at the same address, cold, after `close`."""
+        self.starts += 1
+        self.cold_until = time.monotonic() + warmup_s
+        self._listen(self.address.port)
+
     def store_entry(self, **changes) -> dict:
         """Returns its entry in the store."""
         return {
@@ -145,6 +173,16 @@
                 b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"
             )
             return True
+        if time.monotonic() < self.cold_until and self._is_too_cold():
+            self.crashes += 1
+            self.close()
+            return False
+        if message.target == HEALTH_PATH:
+            self.health_checks += 1
+            lines = ["HTTP/1.1 200 OK", "content-length: 0"]
+            lines.append(self._warmup_line())
+            sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+            return True
         behaviour = self.script.popleft() if self.script else "ok"
         request_id = message.header(b"kumquatspur-attempt-id").decode()
         self.arrived.append((self.arrived_at[-1], request_id))
@@ -176,6 +214,21 @@
         eventlet.sleep(self.work_s)
         return self._send_reply(sock, behaviour, request_id, message)
 
+    def _is_too_cold(self) -> bool:
+        """Counts a request to a cold searcher; returns whether it crashes."""
+        now = self.arrived_at[-1]
+        self.cold_arrivals.append(now)
+        if self.crash_per_s is None:
+            return False
+        recent = sum(now - at < 1.0 for at in self.cold_arrivals)
+        return recent > self.crash_per_s
+
+    def _warmup_line(self) -> str:
+        left_ms = max(0.0, self.cold_until - time.monotonic()) * 1000.0
+        value = self.warmup_value
+        value = f"{left_ms:.0f}" if value is None else value
+        return f"Kumquatspur-Warmup-Ms: {value}"
+
     def _statements(self) -> list[str]:
         """Returns the header lines with which it speaks of itself."""
         lines = []
@@ -183,6 +236,8 @@
             lines.append("Server-Leaving: 1")
         if self.limit_per_s is not None:
             lines.append(f"Server-Limit: {self.limit_per_s}")
+        if self.states_warmup:
+            lines.append(self._warmup_line())
         return lines
 
     def _send_reply(self, sock, behaviour, request_id, message) -> bool:
@@ -255,8 +310,15 @@
     }
 
 
-def make_config(version, routes, **limits) -> dict:
-    """Returns a configuration document as an operator would write it."""
+def make_config(version, routes, service_fields=None, **limits) -> dict:
+    """Returns a configuration document as an operator would write it.
+
+    Args:
+        version: Its version.
+        routes: Its routes.
+        service_fields: Further fields of each service.
+        **limits: Limits for clients that differ from the usual ones.
+    """
     services = set()
     for route in routes:
         services.update(route.get("fanout-services", ()))
@@ -265,7 +327,8 @@
         "config-version": version,
         "routes": routes,
         "services": [
-            {"name": name, "max-connections": 26} for name in sorted(services)
+            {"name": name, "max-connections": 26, **(service_fields or {})}
+            for name in sorted(services)
         ],
         "limits": {
             "header-bytes": 8192,
