--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -141,6 +141,20 @@
     value: bytes | None = pydantic.Field(repr=False)
 
 
+class EvacuationStatement(Message):
+    """The evacuated zones, as of a state of the store.
+
+    Attributes:
+        era: Era of the store that they are from; -1 if unknown.
+        revision: Revision of the store that they are from.
+        zones: Zones with a key in the store.
+    """
+
+    era: int = pydantic.Field(default=-1, ge=-1)
+    revision: int = pydantic.Field(ge=0)
+    zones: tuple[str, ...] = ()
+
+
 class Exchange(_HostFields):
     """State that one host, the sender, sends to another.
 
@@ -157,6 +171,8 @@
         leaving: Searchers that said in answers that they leave.
         limits: What searchers have stated about their limits.
         warmups: Searchers that are cold, or were a short time ago.
+        evacuations: The evacuated zones; None if the sender does not know them
+            or runs an earlier build.
         hosts: Hosts in the sender's peer table.
         incidents: Recent crashes of searchers, with the requests suspected of
             causing them.
@@ -176,6 +192,7 @@
     leaving: tuple[LeavingSearcher, ...] = ()
     limits: tuple[LimitStatement, ...] = ()
     warmups: tuple[WarmupStatement, ...] = ()
+    evacuations: EvacuationStatement | None = None
     slow: tuple[SlowSearcher, ...] = ()
     hosts: tuple[KnownHost, ...] = ()
     incidents: tuple[CrashIncident, ...] = ()
--- a/kumquatspur/core/reason.py
+++ b/kumquatspur/core/reason.py
@@ -34,6 +34,8 @@
         UNKNOWN_KEY: The route needs the key of a client account, and the
             request has none that the configuration contains.
         OVER_QUOTA: The client account has used up its quota.
+        ZONE_EVACUATED: All searchers of a needed shard are in zones that the
+            operator has evacuated.
     """
 
     NO_REPLICA = "no_replica"
@@ -58,3 +60,4 @@
     SEARCHERS_LIMITED = "searchers_limited"
     UNKNOWN_KEY = "unknown_key"
     OVER_QUOTA = "over_quota"
+    ZONE_EVACUATED = "zone_evacuated"
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -23,6 +23,7 @@
 
 CONFIG_KEY = "op/config"
 SEARCHER_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 _PATH_PATTERN = re.compile(r"/[!-~]*")
 _NonEmptyStr = Annotated[
@@ -190,6 +191,13 @@
     born: _NonNegativeInt = 0
 
 
+def evacuated_zone(key: str) -> str:
+    """Returns the zone that a key evacuates; "" if it evacuates none."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return ""
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
 def decode_config(
     value: bytes,
 ) -> tuple[RoutingConfig | None, list[Diagnostic]]:
--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import json
+from collections.abc import Iterable, Mapping
 from urllib.parse import quote
 
 import urllib3
@@ -16,6 +17,8 @@
 READ_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 ERA_HEADER = "Store-Era"
+# Status of a write whose preconditions do not hold.
+PRECONDITION_FAILED = 412
 
 
 class PlatformStoreError(Exception):
@@ -32,6 +35,10 @@
         self.status = status
 
 
+class PreconditionFailedError(PlatformStoreError):
+    """A key of a write was changed by somebody else."""
+
+
 class HistoryUnavailableError(PlatformStoreError):
     """The store no longer has the requested changes."""
 
@@ -164,13 +171,60 @@
                 f"malformed reply to a watch of {prefix}: {error}"
             ) from error
 
-    def _call(self, method, path, timeout_s=READ_TIMEOUT_S) -> tuple[dict, int]:
+    def write(
+        self,
+        preconditions: Iterable[tuple[str, int]],
+        puts: Mapping[str, bytes],
+        removes: Iterable[str] = (),
+    ) -> None:
+        """Writes and removes keys together, or none of them.
+
+        Args:
+            preconditions: Pairs of key and revision; the revision of a key that
+                must not exist is 0.
+            puts: Values to write, by key.
+            removes: Keys to remove.
+
+        Raises:
+            PreconditionFailedError: A key has another revision; nothing was
+                written.
+            PlatformStoreError: The store returned no usable answer, and may
+                have written; or it refuses the write.
+        """
+        document = {
+            "precondition": [
+                {"key": key, "revision": revision}
+                for key, revision in preconditions
+            ],
+            "set-keys": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": 0,
+                }
+                for key, value in puts.items()
+            ],
+            "remove": list(removes),
+        }
+        try:
+            self._call("POST", "/kv-txn", body=json.dumps(document).encode())
+        except PlatformStoreError as error:
+            if error.status == PRECONDITION_FAILED:
+                raise PreconditionFailedError(
+                    str(error), error.status
+                ) from error
+            raise
+
+    def _call(
+        self, method, path, timeout_s=READ_TIMEOUT_S, body=None
+    ) -> tuple[dict, int]:
         """Returns the reply's JSON object and the store's era."""
         self.calls += 1
         try:
             response = self._pool.urlopen(
                 method,
                 path,
+                body=body,
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(
--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -12,9 +12,10 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from kumquatspur.core.routing import SearcherEntry, SearcherState
+from kumquatspur.policy.evacuations import Evacuations
 
 # Entries that expired during an outage are back within 2 s of its end, and this
 # host receives the change up to 0.3 s later.
@@ -73,6 +74,7 @@
         leaving: Searchers that said in an answer that they leave.
         departed: Searchers whose entry was removed a short time ago.
         on_put: Called with each entry that was written, and the time.
+        evacuations: The evacuated zones, whose searchers get no new work.
     """
 
     drain_s: float
@@ -91,6 +93,7 @@
     leaving: dict[str, Departure] = dataclasses.field(default_factory=dict)
     departed: dict[str, Departure] = dataclasses.field(default_factory=dict)
     on_put: Callable[[SearcherEntry, float], None] | None = None
+    evacuations: Evacuations = dataclasses.field(default_factory=Evacuations)
 
     def record_store_contact(self, asked_at: float, now: float) -> None:
         """Records that the state is current, and detects the end of an outage.
@@ -287,18 +290,33 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The searchers that are ready. If there are none, those that were
-            retired a short time ago.
+            The searchers that are ready, outside of evacuated zones. If there
+            are none, those that were retired a short time ago.
         """
-        ready = self.by_service.get(service)
+        ready = self.without_evacuated(self.by_service.get(service, {}))
         if ready:
-            return list(ready.values())
+            return ready
         return [
             entry
-            for searcher_id, entry in self.retired.get(service, {}).items()
-            if now - self.retired_at[searcher_id] < self.drain_s * DRAIN_SHARE
+            for entry in self.without_evacuated(self.retired.get(service, {}))
+            if now - self.retired_at[entry.searcher_id]
+            < self.drain_s * DRAIN_SHARE
         ]
 
+    def without_evacuated(
+        self, entries: Mapping[str, SearcherEntry]
+    ) -> list[SearcherEntry]:
+        """Returns the searchers that are not in an evacuated zone."""
+        evacuated = self.evacuations.active
+        if not evacuated:
+            return list(entries.values())
+        return [e for e in entries.values() if e.zone not in evacuated]
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether all searchers of a service are evacuated."""
+        known = self.by_service.get(service) or self.retired.get(service, {})
+        return bool(known) and not self.without_evacuated(known)
+
     def _retire(self, entry: SearcherEntry, now: float) -> None:
         self.retired_at.setdefault(entry.searcher_id, now)
         self.by_service.get(entry.service, {}).pop(entry.searcher_id, None)
--- a/kumquatspur/scripts/kumquatspur.py
+++ b/kumquatspur/scripts/kumquatspur.py
@@ -16,6 +16,7 @@
     burn_command,
     config_commands,
     day_command,
+    evacuate_command,
     file_commands,
     limits_command,
     query_commands,
@@ -324,6 +325,35 @@
         return accounts_command.run_accounts(self)
 
 
+@cappa.command(name="evacuate")
+@dataclass
+class EvacuateCommand:
+    """Stops all requests to the searchers of an availability zone.
+
+    Without a zone, lists the evacuated zones.
+
+    Example: kumquatspur evacuate oslo-1 --store 127.0.0.1:21000
+    """
+
+    zone: Annotated[str, cappa.Arg(help="The availability zone.")] = ""
+    store: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            required=True,
+            help="IP address and port of the platform's metadata store.",
+        ),
+    ] = ""
+    undo: Annotated[bool, cappa.Arg(long=True, help="End the evacuation.")] = (
+        False
+    )
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        return evacuate_command.run_evacuate(self)
+
+
 @cappa.command(name="limits")
 @dataclass
 class LimitsCommand:
@@ -358,7 +388,11 @@
     """Queries, configures and observes kumquatspur."""
 
     command: cappa.Subcommands[
-        QueryCommand | ConfigCommand | StatusCommand | ReportCommand
+        QueryCommand
+        | ConfigCommand
+        | StatusCommand
+        | ReportCommand
+        | EvacuateCommand
     ] = field()
 
 
--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -126,6 +126,8 @@
         if self.route.repeatable:
             self.state.call_threads[key] = eventlet.getcurrent()
         try:
+            if entry.zone in self.state.evacuations.active:
+                raise CallError(f"zone {entry.zone} is evacuated", sent=False)
             message = self.pool.call(
                 entry.searcher_id,
                 entry.address,
--- a/kumquatspur/wire/crash_detector.py
+++ b/kumquatspur/wire/crash_detector.py
@@ -98,7 +98,9 @@
         """Returns whether a connection to another searcher can be opened."""
         others = [
             other
-            for other in self.state.directory.by_id.values()
+            for other in self.state.directory.without_evacuated(
+                self.state.directory.by_id
+            )
             if other.searcher_id != entry.searcher_id
         ]
         count = min(MAX_OTHERS_TRIED, len(others))
@@ -113,7 +115,8 @@
             entry
         )
         fingerprints = self._broken_fingerprints.pop(entry.searcher_id)
-        if not crashed:
+        # Searchers of an evacuated zone are stopped by the operator.
+        if not crashed or entry.zone in self.state.evacuations.active:
             return
         now = monotonic_s()
         self._crashes += 1
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -337,7 +337,7 @@
         state = self.state
         if state.stopping:
             return "stopping"
-        if state.table is None or not self._accepts_version(delegated):
+        if not state.is_configured() or not self._accepts_version(delegated):
             return "configuration"
         if route is None or not (route.shards or delegated.is_rerouted()):
             return "route"
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -13,7 +13,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
-from kumquatspur.wire import probes, warmup_watch
+from kumquatspur.wire import evacuation_sync, probes, warmup_watch
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.delegator import Delegator
@@ -128,6 +128,7 @@
                 self.state.log.write(
                     "searcher_pause_ended", searcher=searcher_id
                 )
+            evacuation_sync.expire(self.state)
             if now - services_probed_at >= SERVICE_PROBE_INTERVAL_S:
                 services_probed_at = now
                 probes.probe_lost_services(self.state, now)
@@ -140,7 +141,7 @@
                 self._report_accounts()
             if now - pruned_at >= PRUNE_INTERVAL_S:
                 pruned_at = now
-                self.pool.prune(now, self.state.directory.by_id)
+                self._prune_searchers(now)
                 self.state.limits.prune(self.state.directory.by_id, now)
                 self.delegator.prune(now)
             if self._reload or now - checked_at >= SETTINGS_CHECK_INTERVAL_S:
@@ -149,6 +150,15 @@
         self.state.log.write("stop", True, in_flight=self.state.in_flight)
         self.state.log.flush()
 
+    def _prune_searchers(self, now: float) -> None:
+        """Closes idle connections, and all to evacuated zones."""
+        directory = self.state.directory
+        kept = {
+            entry.searcher_id
+            for entry in directory.without_evacuated(directory.by_id)
+        }
+        self.pool.prune(now, kept)
+
     def _report_limits(self) -> None:
         """Logs this host's attempts at searchers that name a limit."""
         attempts = self.state.attempt_counts.end_interval(
@@ -281,6 +291,7 @@
             f"kumquatspur_requests_in_flight {self.state.in_flight}",
             f"kumquatspur_log_lines_dropped {self.state.log.dropped}",
         ]
+        lines += evacuation_sync.metric_lines(self.state)
         for route, histogram in sorted(self.state.histograms.items()):
             label = json.dumps(route)
             for quantile in (50.0, 90.0, 99.0, 99.9):
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -14,6 +14,7 @@
 from kumquatspur.policy.client_timing import ClientTiming
 from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.delegation import Delegate
+from kumquatspur.policy.evacuations import Evacuations
 from kumquatspur.policy.extra_attempts import ExtraAttempts
 from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.latency_histogram import new_histogram
@@ -66,6 +67,7 @@
             repeated, by number.
         client_timing: Time that passes between clients and this host.
         counters: Counts since the start, by name.
+        evacuations_reported: The evacuated zones that were last logged.
         histograms: Latency histograms in microseconds by route.
         store_ok: Whether the last call to the store succeeded.
         stopping: Whether a stop was requested.
@@ -110,6 +112,7 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    evacuations_reported: frozenset[str] = frozenset()
     histograms: dict = dataclasses.field(default_factory=dict)
     store_ok: bool = False
     stopping: bool = False
@@ -121,6 +124,19 @@
         default_factory=random_numbers.Random
     )
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated zones."""
+        return self.directory.evacuations
+
+    def is_configured(self) -> bool:
+        """Returns whether this host knows enough to serve requests.
+
+        At its start, it may get the searchers from a host of an earlier build,
+        and then has to ask the store first for the evacuated zones.
+        """
+        return self.table is not None and self.evacuations.settled
+
     def load(self, searcher_id: str) -> SearcherLoad:
         """Returns the load record of a searcher; creates it if missing."""
         load = self.loads.get(searcher_id)
@@ -272,7 +288,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether this host should get new clients."""
-        known = self.table is not None and bool(self.directory.by_id)
+        known = self.is_configured() and bool(self.directory.by_id)
         return known and not self.stopping
 
 
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -60,7 +60,7 @@
             request: The request.
         """
         table = self.state.table
-        if table is None:
+        if not self.state.is_configured():
             return self.refuse(request, None, 503, Reason.NO_CONFIGURATION)
         route = table.find(request.host, request.path)
         if route is None:
@@ -192,6 +192,7 @@
             config=self.state.table and self.state.table.config.version,
             status=status,
             reason=reason,
+            evacuated_zones=sorted(self.state.evacuations.active),
             silent_zones=self.state.zone_health.suspected_zones(monotonic_s()),
             retry_after_s=round(retry_after_s, 3),
         )
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -33,7 +33,7 @@
     is_newer,
     is_same_era,
 )
-from kumquatspur.wire import warmup_watch
+from kumquatspur.wire import evacuation_sync, warmup_watch
 from kumquatspur.wire.entry_state import ASSUMED_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
 from kumquatspur.wire.peer_calls import CALL_TIMEOUT_S, PeerCalls
@@ -153,6 +153,10 @@
                 f"view is of era {message.era}, the copy of era {own.era}",
             )
             return False
+        if message.evacuations is None:
+            # A host of an earlier build does not pass evacuations on.
+            self._back_off_from(peer, "tells no evacuations")
+            return False
         self._record_followed(peer.name)
         self._apply_searcher_states(message)
         self._apply_view(message)
@@ -319,6 +323,7 @@
             ),
             limits=self._limit_statements(now),
             warmups=warmup_watch.statements(self.state, now),
+            evacuations=evacuation_sync.statement(self.state),
         )
 
     def _limit_statements(self, now: float) -> tuple[LimitStatement, ...]:
@@ -421,7 +426,8 @@
             )
 
     def _apply_searcher_states(self, message: Exchange) -> None:
-        """Applies what another host has observed of searchers."""
+        """Applies what another host knows of searchers and their zones."""
+        evacuation_sync.apply_statement(self.state, message)
         now = monotonic_s()
         directory = self.state.directory
         for item in message.leaving:
--- a/kumquatspur/wire/probes.py
+++ b/kumquatspur/wire/probes.py
@@ -2,6 +2,9 @@
 
 Requests for it are rejected or go elsewhere, so no request would notice. A
 probe sends nothing: it takes no slot of a searcher, and no client waits for it.
+
+Searchers of evacuated zones are not probed. They get no requests whatever a
+probe finds, and their machines may be off for hours.
 """
 
 import eventlet
@@ -49,6 +52,8 @@
     """
     state.zone_health.record_late_calls(state.open_calls.values(), now)
     for zone in state.zone_health.zones_to_probe(now):
+        if zone in state.evacuations.active:
+            continue
         entries = [e for e in state.directory.by_id.values() if e.zone == zone]
         if entries:
             entry = state.random.choice(entries)
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -222,6 +222,8 @@
         if any(state.pauses.is_paused(e.searcher_id, now) for e in lost):
             reason = Reason.SEARCHERS_PAUSED
         at = servable_at(resume_times, self.plan.needed)
+        if at is None and self._evacuated_shards():
+            reason = Reason.ZONE_EVACUATED
         return self.forwarder.refuse(
             self.request,
             self.route,
@@ -230,6 +232,17 @@
             0.0 if at is None else at - now,
         )
 
+    def _evacuated_shards(self) -> list[str]:
+        """Returns the missing shards whose searchers are all evacuated."""
+        if not self.state.evacuations.active:
+            return []
+        is_evacuated = self.state.directory.is_evacuated
+        return [
+            shard
+            for shard in self.plan.shards
+            if shard not in self.parts and is_evacuated(shard)
+        ]
+
     def _pause_left_s(self, now: float) -> float:
         """Returns when enough shards take work again, in seconds from now.
 
@@ -455,6 +468,7 @@
             target_ms=round(self.route.target_latency_s * 1000),
             parts=f"{len(self.parts)}/{len(self.plan.shards)}",
             missing=[s for s in self.plan.shards if s not in self.parts],
+            evacuated=self._evacuated_shards(),
             attempts=[
                 describe(attempt, self.request.received_at)
                 for attempt in self.attempts
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -10,6 +10,7 @@
     PlatformStoreError,
 )
 from kumquatspur.policy.store_position import is_same_era
+from kumquatspur.wire import evacuation_sync
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import monotonic_s
 from kumquatspur.wire.store_mirror import StoreMirror
@@ -97,10 +98,12 @@
                 raise PlatformStoreError(
                     f"store is in era {view.era}, the copy in {self.mirror.era}"
                 )
+            evacuation_sync.apply_full_read(self.state, view)
             self.mirror.replace(view, requested_at, monotonic_s(), "store")
             self._history_lost = False
             self._record_contact()
             return
+        evacuation_sync.catch_up(self.state, self.store, self.mirror.position())
         # After an error the first call returns at once, to check quickly
         # whether the store is available again.
         wait_s = WATCH_WAIT_S if self.state.store_ok else 0.0
@@ -110,6 +113,7 @@
             raise HistoryUnavailableError(
                 f"store is in era {view.era}, the copy in {self.mirror.era}"
             )
+        evacuation_sync.apply_changes(self.state, view)
         self.mirror.apply(view, requested_at, monotonic_s(), "store")
         self._record_contact()
         if view.changes:
@@ -127,6 +131,8 @@
 
     def _record_error(self, error: PlatformStoreError) -> None:
         self.state.counters["store_errors"] += 1
+        # Evacuations that are not known by now cannot be learned at present.
+        self.state.evacuations.settled = True
         if self.state.store_ok:
             self.state.store_ok = False
             self.state.log.write(
--- a/standins/http_helpers.py
+++ b/standins/http_helpers.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import urllib.request
 
 import eventlet
 import eventlet.wsgi
@@ -60,3 +61,15 @@
         eventlet.wsgi.server(
             listener, application, log_output=False, custom_pool=pool
         )
+
+
+def fetch_text(port: int, path: str = "/") -> str:
+    """Returns a page of a server on loopback.
+
+    Raises:
+        OSError: The server did not answer.
+    """
+    with urllib.request.urlopen(
+        f"http://127.0.0.1:{port}{path}", timeout=1.0
+    ) as response:
+        return response.read().decode()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's metadata store: range reads and watches."""
+"""Stand-in for the platform's metadata store: reads, watches and writes."""
 
 import base64
 import collections
@@ -9,6 +9,7 @@
 import eventlet.wsgi
 
 from kumquatspur.core.records import Address
+from standins.http_helpers import read_json
 
 PAGE_ITEMS = 50
 MAX_HISTORY_EVENTS = 500
@@ -24,6 +25,7 @@
         items: Value and revision by key.
         calls: Number of calls by path.
         refuse_with: HTTP status with which all calls are refused; 0 for none.
+        forbids_writes: Whether writes are refused with status 403.
         unresponsive: Whether calls wait without an answer.
         era: Number of the store's era, sent with all answers; None to send
             none.
@@ -36,6 +38,7 @@
         self.items = {}
         self.calls = collections.Counter()
         self.refuse_with = 0
+        self.forbids_writes = False
         self.unresponsive = False
         self.era = 1
         self._events = collections.deque(maxlen=MAX_HISTORY_EVENTS)
@@ -91,7 +94,9 @@
 
     def _serve(self, environ, start_response):
         path = environ["PATH_INFO"]
-        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
+        query = dict(
+            urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""), True)
+        )
         self.calls[path] += 1
         while self.unresponsive:
             eventlet.sleep(POLL_S)
@@ -102,6 +107,8 @@
             status, body = 200, self._range(query)
         elif path == "/kv-watch":
             status, body = self._watch(query)
+        elif path == "/kv-txn":
+            status, body = self._write(read_json(environ))
         fields = [("Content-Type", "application/json")]
         if self.era is not None:
             fields.append(("Store-Era", str(self.era)))
@@ -144,6 +151,18 @@
         ]
         return 200, {"events": events, "current-rev": self.revision}
 
+    def _write(self, document) -> tuple[int, dict]:
+        if self.forbids_writes:
+            return 403, {"error": "forbidden"}
+        for row in document["precondition"]:
+            if self.items.get(row["key"], (b"", 0))[1] != row["revision"]:
+                return 412, {"items": []}
+        for item in document["set-keys"]:
+            self.put(item["key"], base64.b64decode(item["value"]))
+        for key in document["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
     def _item(self, key, value, revision) -> dict:
         return {
             "key": key,
