End the loops of a host with the host; larger port regions for tests

Hosts started by tests kept their loops and ports until the process ended.

Change: the loops of a host end when it ends; a region has 2,000 ports.

--- a/kumquatspur/scripts/evacuate_command_test.py
+++ b/kumquatspur/scripts/evacuate_command_test.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from kumquatspur.platform.documents import SEARCHER_PREFIX
 from kumquatspur.platform.store import PlatformStore
 from kumquatspur.scripts.evacuate_command import run_evacuate
 from kumquatspur.scripts.kumquatspur import EvacuateCommand
@@ -50,7 +51,7 @@
 
     def test_evacuation_of_a_zone_that_lost_its_searchers_can_end(self):
         self.run_tool()
-        self.store.remove("servers/i-1")
+        self.store.remove(SEARCHER_PREFIX + "i-1")
         self.assertEqual(self.run_tool(undo=True)[0], 0)
         self.assertNotIn(KEY, self.store.items)
 
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -96,6 +96,12 @@
 
     def run(self) -> None:
         """Serves until a requested stop has finished."""
+        try:
+            self._serve_until_stopped()
+        finally:
+            self.state.ended = True
+
+    def _serve_until_stopped(self) -> None:
         self.state.log.start()
         self.state.log.write("start", True, zone=self.settings.zone)
         self._text = self._read_settings_text()
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -71,6 +71,7 @@
         histograms: Latency histograms in microseconds by route.
         store_ok: Whether the last call to the store succeeded.
         stopping: Whether a stop was requested.
+        ended: Whether the host has ended, so that its loops end too.
         answer_by: When the last requests must be answered because the process
             exits; infinite unless it is stopping.
         in_flight: Number of client requests in flight.
@@ -116,6 +117,7 @@
     histograms: dict = dataclasses.field(default_factory=dict)
     store_ok: bool = False
     stopping: bool = False
+    ended: bool = False
     answer_by: float = math.inf
     in_flight: int = 0
     scattered_shards: int = 0
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -175,7 +175,7 @@
         )
 
     def _run(self) -> None:
-        while True:
+        while not self.state.ended:
             urgent = (
                 self._contact_age_s() > STALE_VIEW_S
                 or not self.state.peers.peers
--- a/kumquatspur/wire/quota_exchange.py
+++ b/kumquatspur/wire/quota_exchange.py
@@ -140,7 +140,7 @@
         )
 
     def _run(self) -> None:
-        while True:
+        while not self.state.ended:
             eventlet.sleep(CHECK_INTERVAL_S)
             now = monotonic_s()
             peers = self.state.peers
--- a/kumquatspur/wire/quota_exchange_test.py
+++ b/kumquatspur/wire/quota_exchange_test.py
@@ -14,6 +14,7 @@
     HostCapacity,
     RoutingConfig,
 )
+from kumquatspur.platform import headers
 from kumquatspur.policy.peer_table import Peer
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.wire.entry_state import new_state
@@ -174,7 +175,7 @@
             path,
             (
                 (b"Host", b"shop.example"),
-                (b"Kumquatspur-Attempt-Id", f"r{number}".encode()),
+                (headers.REQUEST_ID, f"r{number}".encode()),
             ),
             b"",
             f"r{number}",
--- a/kumquatspur/wire/share_exchange.py
+++ b/kumquatspur/wire/share_exchange.py
@@ -80,7 +80,7 @@
         return packing.pack(self._allocate(request))
 
     def _run(self) -> None:
-        while True:
+        while not self.state.ended:
             eventlet.sleep(CHECK_INTERVAL_S)
             now = monotonic_s()
             self.ledger.expire(now)
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -7,7 +7,7 @@
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import Exchange, StoreItem
-from kumquatspur.platform.documents import SEARCHER_PREFIX
+from kumquatspur.platform.documents import CONFIG_KEY, SEARCHER_PREFIX
 from kumquatspur.platform.store import StoreChange, StoreView
 from kumquatspur.wire.store_mirror import StoreMirror
 from standins.platform_deployment import new_test_state
@@ -90,7 +90,7 @@
         with self.assertRaises(ValueError) as raised:
             exchange_codec.decode(data)
         self.assertNotIn("secret", str(raised.exception))
-        item = StoreItem(key="op/config", revision=1, value=b"secret")
+        item = StoreItem(key=CONFIG_KEY, revision=1, value=b"secret")
         self.assertNotIn("secret", repr(item))
 
     def test_damaged_messages_are_refused(self):
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -56,7 +56,7 @@
         """Watches the store; does not return."""
         if self.state.settings.waits_for_peers():
             self._wait_for_first_view()
-        while True:
+        while not self.state.ended:
             if self.follow():
                 continue
             try:
--- a/kumquatspur/wire/warmup_watch.py
+++ b/kumquatspur/wire/warmup_watch.py
@@ -255,7 +255,7 @@
 
     def run(self) -> None:
         """Runs until the process ends."""
-        while True:
+        while not self.state.ended:
             eventlet.sleep(STEP_S)
             try:
                 self._step(monotonic_s())
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -45,8 +45,8 @@
     """
 
     FIRST = 10_000
-    SIZE = 1_000
-    COUNT = 22
+    SIZE = 2_000
+    COUNT = 11
 
     def __init__(self):
         self._guard = socket.socket()
@@ -99,7 +99,7 @@
     """Allocates consecutive free TCP ports on loopback for this process.
 
     Args:
-        count: The number of ports, at most 999.
+        count: The number of ports, at most 1,999.
 
     Returns:
         The first port.
