--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -21,9 +21,8 @@
 
 from kumquatspur.core.routing import Route
 from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.answer_margin import MERGE_S
 
-# Time reserved to merge and send the answer.
-ANSWER_MARGIN_S = 0.003
 # Time assumed to pass on the way from and to the client, as a share of the
 # target latency and a fixed part, while it is not known.
 DEFAULT_LEAD_S = 0.002
@@ -78,6 +77,7 @@
         hedge_timer_start: From when the hedge delay counts: the start of the
             last attempt, or when a hedge was postponed.
         may_hedge: Whether the attempt in progress may be hedged.
+        waiting: Whether an attempt waits for a searcher with room.
     """
 
     sent_attempts: int = 0
@@ -88,6 +88,7 @@
     verdicts: list[Verdict] = dataclasses.field(default_factory=list)
     hedge_timer_start: float = 0.0
     may_hedge: bool = False
+    waiting: bool = False
 
     def is_open(self) -> bool:
         """Returns whether the shard's result may still arrive."""
@@ -147,6 +148,7 @@
         deadline: float,
         hedge_delay_s: float,
         lead_s: float | None = None,
+        margin_s: float = MERGE_S,
     ):
         target = route.target_latency_s
         if lead_s is None:
@@ -156,7 +158,7 @@
         self.needed = min_results(route, len(shards))
         self.answered = 0
         self.target_at = started + target - lead_s
-        self.answer_at = self.target_at - ANSWER_MARGIN_S
+        self.answer_at = self.target_at - margin_s
         self.late_until = started + target * LATE_ANSWER_MULTIPLE
         self.deadline = deadline - DEADLINE_MARGIN_S
         self.hedge_delay_s = hedge_delay_s
@@ -214,7 +216,8 @@
         """Updates the counts after the progress of a shard has changed."""
         progress = self.shards[shard]
         self.open_count += progress.is_open() - was_open
-        if progress.done or progress.closed or progress.in_flight:
+        busy = progress.in_flight or progress.waiting
+        if progress.done or progress.closed or busy:
             self._unasked.pop(shard, None)
         else:
             self._unasked[shard] = None
@@ -248,6 +251,24 @@
             self._start_hedge_timer(shard, now)
         self._update(shard, was_open)
 
+    def may_omit(self, shard: str) -> bool:
+        """Returns whether the request can be answered without a shard."""
+        possible = self.answered + self.open_count
+        if self.shards[shard].is_open():
+            possible -= 1
+        return possible >= self.needed
+
+    def record_waiting(self, shard: str) -> None:
+        """Records that an attempt waits for a searcher with room."""
+        self.shards[shard].waiting = True
+        self._unasked.pop(shard, None)
+
+    def record_resumed(self, shard: str) -> None:
+        """Records that an attempt waits no more."""
+        progress = self.shards[shard]
+        progress.waiting = False
+        self._update(shard, progress.is_open())
+
     def record_unavailable(self, shard: str, kind: AttemptKind, now: float):
         """Records that there is no searcher or no budget for an attempt.
 
--- a/kumquatspur/policy/searcher_choice.py
+++ b/kumquatspur/policy/searcher_choice.py
@@ -61,6 +61,9 @@
 # after this time at least.
 LATE_MULTIPLE = 2.0
 MIN_LATE_S = 0.1
+# A searcher with room is preferred to a better one without if it costs at most
+# this multiple.
+MAX_DETOUR = 2.0
 # Range of the random tie-breaking term, relative to the typical latency.
 JITTER_COST = 0.1
 
@@ -420,13 +423,13 @@
     return cost + JITTER_COST * context.random()
 
 
-def rank_searchers(
+def searcher_costs(
     entries: Iterable[SearcherEntry],
     loads: Callable[[str], SearcherLoad],
     zones: ZoneHealth,
     context: ChoiceContext,
-) -> list[SearcherEntry]:
-    """Returns searchers in order of their expected cost, the lowest first.
+) -> list[tuple[float, SearcherEntry]]:
+    """Returns searchers with their expected costs, the lowest first.
 
     Args:
         entries: The searchers that may be used.
@@ -440,4 +443,23 @@
         cost = expected_cost(entry, loads(entry.searcher_id), suspect, context)
         costs.append((cost, index, entry))
     costs.sort()
-    return [entry for _, _, entry in costs]
+    return [(cost, entry) for cost, _, entry in costs]
+
+
+def choose_with_room(
+    costs: list[tuple[float, SearcherEntry]],
+    has_room: Callable[[SearcherEntry], bool],
+) -> list[SearcherEntry]:
+    """Returns the searchers that may get an attempt now, the best first.
+
+    A searcher that costs much more than the best one is no alternative while
+    the best one has no room: waiting for that one is faster.
+
+    Args:
+        costs: Searchers and their expected costs, the lowest first.
+        has_room: Returns whether a searcher may get one more attempt.
+    """
+    found = [(cost, entry) for cost, entry in costs if has_room(entry)]
+    if found and found[0][0] > MAX_DETOUR * costs[0][0]:
+        return []
+    return [entry for _, entry in found]
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -13,7 +13,7 @@
     SearcherLoad,
     ZoneHealth,
     late_at,
-    rank_searchers,
+    searcher_costs,
     slow_searchers,
 )
 
@@ -41,7 +41,7 @@
 
     def choose(self, now, entries=None):
         context = ChoiceContext("a", TYPICAL_S, now, self.random.random)
-        found, *_ = rank_searchers(
+        (_, found), *_ = searcher_costs(
             entries or self.entries,
             self.loads.__getitem__,
             self.zones,
--- a/kumquatspur/scripts/platform_daemon.py
+++ b/kumquatspur/scripts/platform_daemon.py
@@ -5,12 +5,22 @@
 
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
+from kumquatspur.platform.environment import settings_path  # noqa: E402
+from kumquatspur.wire.early_listener import open_early_listener  # noqa: E402
+
+# The platform starts this program without arguments. What follows takes long
+# to load.
+EARLY_LISTENER = (
+    open_early_listener(settings_path())
+    if __name__ == "__main__" and len(sys.argv) == 1
+    else None
+)
+
 import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
 
 from kumquatspur.border.entry_settings import read_entry_settings  # noqa: E402
-from kumquatspur.platform.environment import settings_path  # noqa: E402
 from kumquatspur.scripts.logs import configure_logging  # noqa: E402
 from kumquatspur.wire.entry_host import EntryHost  # noqa: E402
 
@@ -40,7 +50,7 @@
     if settings is None:
         return EXIT_BAD_SETTINGS
     configure_logging(log_level)
-    host = EntryHost(settings, path)
+    host = EntryHost(settings, path, EARLY_LISTENER)
     # The handlers may interrupt any green thread, so they only set flags.
     signal.signal(signal.SIGTERM, lambda *_: host.request_stop())
     signal.signal(signal.SIGINT, lambda *_: host.request_stop())
--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -116,7 +116,6 @@
         load = self.state.load(entry.searcher_id)
         key = id(attempt)
         started_at = attempt.started_at
-        load.in_flight[key] = started_at
         self.state.open_calls[key] = OpenCall(
             entry.searcher_id,
             entry.zone,
@@ -196,6 +195,13 @@
         self.state.zone_health.record_response(entry.zone, now)
         if result.load is not None:
             load.record_load(result.load, now)
+        self.state.rooms.record_report(
+            entry,
+            result.load,
+            len(load.in_flight),
+            self.state.max_connections(entry.service),
+            now,
+        )
         if result.status == headers.MISDIRECTED_REQUEST:
             load.record_unreachable(now)
             return
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -55,7 +55,7 @@
         front: The server for clients; None before the start.
     """
 
-    def __init__(self, settings: EntrySettings, path: str):
+    def __init__(self, settings: EntrySettings, path: str, listener=None):
         self.settings = settings
         self.state = new_state(settings, DecisionLog(settings.name))
         self.pool = TargetPool(settings.machine.memory_mb)
@@ -83,6 +83,7 @@
         self._path = pathlib.Path(path)
         self._text = ""
         self.front = None
+        self._listener = listener
         self._stop_at = None
         self._reload = False
 
@@ -108,7 +109,10 @@
         HttpServer(self.settings.ready, self._ready_page)
         self._serve_metrics()
         front = self.front = FrontServer(
-            self.state, self.settings.front, self.forwarder.serve
+            self.state,
+            self.settings.front,
+            self.forwarder.serve,
+            listener=self._listener,
         )
         if self.settings.relay is not None:
             FrontServer(
@@ -149,6 +153,7 @@
                 pruned_at = now
                 self._prune_searchers(now)
                 self.state.limits.prune(self.state.directory.by_id, now)
+                self.state.rooms.prune(self.state.directory.by_id)
                 self.delegator.prune(now)
             if self._reload or now - checked_at >= SETTINGS_CHECK_INTERVAL_S:
                 checked_at, self._reload = now, False
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -10,7 +10,9 @@
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.routing import Route, RoutingConfig, SearcherEntry
 from kumquatspur.policy.account_quotas import AccountQuotas
+from kumquatspur.policy.answer_margin import AnswerMargin
 from kumquatspur.policy.attempt_counts import AttemptCounts
+from kumquatspur.policy.attempt_queue import AttemptQueues
 from kumquatspur.policy.client_timing import ClientTiming
 from kumquatspur.policy.crash_suspects import CrashSuspects
 from kumquatspur.policy.delegation import Delegate
@@ -32,6 +34,7 @@
     SearcherLimits,
 )
 from kumquatspur.policy.searcher_pauses import SearcherPauses
+from kumquatspur.policy.searcher_room import SearcherRooms
 from kumquatspur.policy.warmups import Warmups
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.searcher_pool import monotonic_s
@@ -57,6 +60,8 @@
         loads: Load and failures of each searcher, by identifier.
         pauses: Searchers that want no requests from this host for a while.
         limits: Requests per second that searchers take from all hosts.
+        rooms: This host's limits of attempts in flight at searchers.
+        queues: Attempts that wait until a searcher has room.
         warmups: Searchers that are cold, or assumed to be.
         attempt_counts: Attempts at each searcher, for the log.
         zone_health: Tracks zones whose searchers are unreachable.
@@ -66,6 +71,7 @@
         call_threads: Green threads of the open calls whose requests may be
             repeated, by number.
         client_timing: Time that passes between clients and this host.
+        answer_margin: Time that is planned for sending answers.
         counters: Counts since the start, by name.
         evacuations_reported: The evacuated zones that were last logged.
         histograms: Latency histograms in microseconds by route.
@@ -94,6 +100,8 @@
     loads: dict[str, SearcherLoad] = dataclasses.field(default_factory=dict)
     pauses: SearcherPauses = dataclasses.field(default_factory=SearcherPauses)
     limits: SearcherLimits = dataclasses.field(default_factory=SearcherLimits)
+    rooms: SearcherRooms = dataclasses.field(default_factory=SearcherRooms)
+    queues: AttemptQueues = dataclasses.field(default_factory=AttemptQueues)
     warmups: Warmups = dataclasses.field(default_factory=Warmups)
     attempt_counts: AttemptCounts = dataclasses.field(
         default_factory=AttemptCounts
@@ -110,6 +118,9 @@
     client_timing: ClientTiming = dataclasses.field(
         default_factory=ClientTiming
     )
+    answer_margin: AnswerMargin = dataclasses.field(
+        default_factory=AnswerMargin
+    )
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -159,6 +170,32 @@
             self.directory.usable(service, now), now
         )
 
+    def reachable_searchers(
+        self, service: str, now: float
+    ) -> list[SearcherEntry]:
+        """Returns the searchers that an attempt for a service may be sent to.
+
+        If there is one outside of suspected zones and not in backoff, the
+        others are left out.
+        """
+        entries = self.usable_searchers(service, now)
+        reached = [
+            entry
+            for entry in self.zone_health.reachable(entries, now)
+            if self.load(entry.searcher_id).backoff_until <= now
+        ]
+        return reached or entries
+
+    def has_room(self, entry: SearcherEntry) -> bool:
+        """Returns whether a searcher may get one more attempt."""
+        in_flight = len(self.load(entry.searcher_id).in_flight)
+        return self.rooms.has_room(entry, in_flight)
+
+    def max_connections(self, service: str) -> float:
+        """Returns how many connections a searcher of a service accepts."""
+        spec = self.table.config.services.get(service)
+        return spec.max_connections if spec else math.inf
+
     def warmup_left_share(self, entry: SearcherEntry, now: float) -> float:
         """Returns the part of a searcher's warm-up that is left, from 1 to 0.
 
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -32,6 +32,10 @@
 # How long input is discarded after an error reply, so that the client can read
 # the reply before the connection closes.
 LINGER_S = 0.5
+# A host that starts reads the configuration within this time, if the store is
+# well. Requests wait that long before they are refused.
+FIRST_CONFIGURATION_WAIT_S = 0.2
+FIRST_CONFIGURATION_POLL_S = 0.005
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -64,17 +68,21 @@
         address: Address,
         serve: Callable[[ClientRequest], ClientReply],
         is_for_hosts: bool = False,
+        listener=None,
     ):
         self.state = state
         self.is_for_hosts = is_for_hosts
         self.serve = serve
         self.connections = set()
         self.accepting = True
-        self._listener = eventlet.listen(
-            (address.host, address.port),
-            backlog=LISTEN_BACKLOG,
-            reuse_port=False,
-        )
+        if listener is not None:
+            self._listener = eventlet.greenio.GreenSocket(listener)
+        else:
+            self._listener = eventlet.listen(
+                (address.host, address.port),
+                backlog=LISTEN_BACKLOG,
+                reuse_port=False,
+            )
         self._accept_thread = eventlet.spawn(self._accept)
 
     def stop_accepting(self) -> None:
@@ -100,6 +108,8 @@
             connection.close_if_idle()
 
     def _accept(self) -> None:
+        if not self.is_for_hosts:
+            self._wait_for_configuration()
         while True:
             try:
                 sock, _ = self._listener.accept()
@@ -109,6 +119,12 @@
                 continue
             self._serve_connection(sock)
 
+    def _wait_for_configuration(self) -> None:
+        """Waits a moment until requests need not be refused any more."""
+        end = monotonic_s() + FIRST_CONFIGURATION_WAIT_S
+        while not self.state.is_configured() and monotonic_s() < end:
+            eventlet.sleep(FIRST_CONFIGURATION_POLL_S)
+
     def _serve_connection(self, sock) -> None:
         connection = _ClientConnection(self, sock)
         self.connections.add(connection)
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -1,5 +1,7 @@
 """One client request: its attempts at searchers, and the answer from them."""
 
+import math
+
 import eventlet
 import eventlet.semaphore
 
@@ -15,17 +17,13 @@
 from kumquatspur.platform import headers
 from kumquatspur.policy.records_merge import greatest_records
 from kumquatspur.policy.request_plan import (
-    AttemptKind,
     PlanOutcome,
     RequestPlan,
     hedge_delay_s,
 )
 from kumquatspur.policy.route_table import RouteTable
-from kumquatspur.policy.searcher_choice import (
-    ChoiceContext,
-    rank_searchers,
-)
 from kumquatspur.policy.searcher_pauses import servable_at
+from kumquatspur.wire.attempt_starter import AttemptStarter
 from kumquatspur.wire.attempts import (
     Attempt,
     AttemptCaller,
@@ -46,8 +44,6 @@
 TYPICAL_QUANTILE = 0.5
 # Assumed typical latency, as a share of the target, until latencies are known.
 DEFAULT_TYPICAL_SHARE = 0.2
-# Share of the extra attempts that hedges leave for retries of failed attempts.
-HEDGE_RESERVE_SHARE = 0.15
 # How long an attempt may continue after the request was answered, so that its
 # connection can be kept.
 SURPLUS_ATTEMPT_TIMEOUT_S = 0.3
@@ -70,9 +66,8 @@
         key_removed: Whether its key was removed while it was in flight.
         version: Version of the configuration that routed it.
         plan: Schedule of its attempts.
-        draw: Its random number in (0, 1] for the limits of searchers.
         caller: Calls the searchers.
-        attempts: All attempts so far.
+        starter: Starts its attempts.
         parts: The accepted responses by shard.
         failure: The last failure that a searcher answered with; None if none.
         finished: Whether the outcome is decided or the client has left.
@@ -106,8 +101,8 @@
             self.deadline,
             hedge_delay_s(route.target_latency_s, late_latency_s),
             request.lead_s,
+            self.state.answer_margin.margin_s(route.target_latency_s),
         )
-        self.draw = 1.0 - self.state.random.random()
         self.late_latency_s = late_latency_s or self.plan.hedge_delay_s
         typical = self.window.quantile(TYPICAL_QUANTILE)
         self.typical_s = typical or (
@@ -122,8 +117,15 @@
             CallTiming(self.deadline, self.typical_s, self.late_latency_s),
         )
         self.wake = eventlet.semaphore.Semaphore(0)
+        self.starter = AttemptStarter(
+            self.state,
+            self.plan,
+            self.typical_s,
+            self._has_valid_key,
+            self._call,
+            self.wake.release,
+        )
         self.finished = False
-        self.attempts = []
         self.parts = {}
         self.failure = None
 
@@ -136,7 +138,8 @@
                 self.request, self.route, 503, Reason.LEAVING
             )
         resume_times = [
-            state.resume_at(shard, now, self.draw) for shard in self.plan.shards
+            state.resume_at(shard, now, self.starter.draw)
+            for shard in self.plan.shards
         ]
         if resume_times.count(now) < self.plan.needed:
             attempts = self.route.max_attempts
@@ -191,7 +194,7 @@
         """Returns how many attempts another host may make for each shard."""
         never_sent = all(
             isinstance(attempt.result, CallError) and not attempt.result.sent
-            for attempt in self.attempts
+            for attempt in self.starter.attempts
         )
         if not self.route.repeatable and not never_sent:
             return 0
@@ -250,7 +253,7 @@
         """
         at = servable_at(
             (
-                self.state.resume_at(shard, now, self.draw)
+                self.state.resume_at(shard, now, self.starter.draw)
                 for shard in self.plan.shards
             ),
             self.plan.needed,
@@ -258,16 +261,21 @@
         return 0.0 if at is None else at - now
 
     def _wait(self) -> PlanOutcome:
+        wake_at = math.inf
         while True:
             now = monotonic_s()
+            if wake_at == self.plan.answer_at and now >= wake_at:
+                self.state.answer_margin.record_delay(now - wake_at)
             # A stop may begin while the request is in flight.
             self.plan.deadline = min(self.plan.deadline, self.state.answer_by)
             for shard, kind in self.plan.due_attempts(now):
-                self._start(shard, kind, now)
+                self.starter.start(shard, kind, now)
+            self.starter.give_up_late(now)
             outcome = self.plan.outcome(now)
             if outcome is not None:
                 return outcome
-            wait = max(MIN_WAIT_S, self.plan.wake_at(now) - now)
+            wake_at = min(self.plan.wake_at(now), self.starter.wake_at())
+            wait = max(MIN_WAIT_S, wake_at - now)
             self.wake.acquire(timeout=min(wait, MAX_WAIT_S))
 
     def _has_valid_key(self) -> bool:
@@ -288,48 +296,6 @@
                 self.caller.replace_request(checked)
         return not self.key_removed
 
-    def _start(self, shard: str, kind: AttemptKind, now: float) -> None:
-        if not self._has_valid_key():
-            self.plan.record_unavailable(shard, kind, now)
-            return
-        progress = self.plan.shards[shard]
-        entries = [
-            entry
-            for entry in self.state.usable_searchers(shard, now)
-            if entry.searcher_id not in progress.tried
-        ]
-        context = ChoiceContext(
-            self.state.settings.zone,
-            self.typical_s,
-            now,
-            self.state.random.random,
-            lambda entry: self.state.warmup_left_share(entry, now),
-        )
-        ranked = rank_searchers(
-            entries, self.state.load, self.state.zone_health, context
-        )
-        limits = self.state.limits
-        entry = limits.first_admitted(
-            ranked, self.draw, now, kind is AttemptKind.HEDGE
-        )
-        # A retry after an attempt that was never sent is not an extra attempt.
-        extra = kind is not AttemptKind.FIRST and progress.sent_attempts > 0
-        if entry is None or (extra and not self._charge(shard, kind, now)):
-            self.plan.record_unavailable(shard, kind, now)
-            return
-        limits.spend(entry.searcher_id, now)
-        self.plan.record_start(shard, entry.searcher_id, now)
-        attempt = Attempt(shard, entry, kind, now, extra)
-        self.attempts.append(attempt)
-        self.state.attempt_counts.add(entry.searcher_id, kind)
-        attempt.thread = eventlet.spawn(self._call, attempt)
-
-    def _charge(self, shard: str, kind: AttemptKind, now: float) -> bool:
-        reserve = HEDGE_RESERVE_SHARE if kind is AttemptKind.HEDGE else 0.0
-        charged = self.state.extra_attempts.spend(shard, now, reserve)
-        self.state.counters[f"{kind}_{'sent' if charged else 'unpaid'}"] += 1
-        return charged
-
     def _call(self, attempt: Attempt) -> None:
         self.caller.call(attempt)
         if not self.finished:
@@ -385,7 +351,8 @@
         return result.status < 500
 
     def _stop_attempts(self) -> None:
-        for attempt in self.attempts:
+        self.starter.withdraw()
+        for attempt in self.starter.attempts:
             if attempt.result is not None:
                 continue
             if self.finished:
@@ -444,7 +411,7 @@
             route=self.route.name,
             config=self.version,
             ms=round((monotonic_s() - self.request.received_at) * 1000, 1),
-            in_flight=sum(a.result is None for a in self.attempts),
+            in_flight=sum(a.result is None for a in self.starter.attempts),
         )
 
     def _log(self, outcome: PlanOutcome, reply: ClientReply) -> None:
@@ -471,7 +438,7 @@
             evacuated=self._evacuated_shards(),
             attempts=[
                 describe(attempt, self.request.received_at)
-                for attempt in self.attempts
+                for attempt in self.starter.attempts
                 if not is_usual(attempt, self.plan.hedge_delay_s)
             ],
         )
