--- a/kumquatspur/policy/searcher_room.py
+++ b/kumquatspur/policy/searcher_room.py
@@ -97,12 +97,6 @@
         elif in_flight + 1 >= int(room.limit):
             room.limit = min(max_limit, room.limit + 1.0 / room.limit)
 
-    def record_overflow(
-        self, entry: SearcherEntry, in_flight: int, now: float
-    ) -> None:
-        """Records that a searcher takes no more connections than are open."""
-        self._room(entry).reduce(max(MIN_LIMIT, in_flight), now)
-
     def prune(self, known: Container[str]) -> None:
         """Forgets searchers that no longer exist."""
         for searcher_id in [s for s in self.by_searcher if s not in known]:
