--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -2,39 +2,36 @@
 
 from typing import Annotated
 
-import pydantic
+import msgspec
 
-from kumquatspur.border.validation import read_json_file
+from kumquatspur.border.structs import read_json_struct
 from kumquatspur.core.records import Address, Diagnostic
 from kumquatspur.core.routing import HostCapacity
 
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+_PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+_Factor = Annotated[float, msgspec.Meta(ge=1)]
+_NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+# Written as HOST:PORT, and parsed when the settings are read.
+HostPort = Address | str
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
+class _Settings(msgspec.Struct, frozen=True):
+    """Base of the settings; unknown fields are ignored."""
 
-def _parse_address(value) -> Address:
+
+def _parse_address(field: str, value: HostPort) -> Address:
     if isinstance(value, Address):
         return value
-    host, _, port = str(value).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("is not HOST:PORT")
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{field}: {value!r} is not HOST:PORT")
     return Address(host, int(port))
 
 
-HostPort = Annotated[Address, pydantic.BeforeValidator(_parse_address)]
-
-
-def _none_to_empty(value):
-    return () if value is None else value
-
-
-Seeds = Annotated[
-    tuple[HostPort, ...], pydantic.BeforeValidator(_none_to_empty)
-]
-
-
-class Bounds(_Model):
+class Bounds(_Settings, kw_only=True):
     """Limits set by the operator; the suffix of a name is its unit.
 
     Attributes:
@@ -57,21 +54,21 @@
         quota_slack: Requests per window beyond that, per account.
     """
 
-    drain_ms: float = pydantic.Field(gt=0)
-    grace_s: float = pydantic.Field(gt=0)
-    config_apply_ms: float = pydantic.Field(gt=0)
-    retry_budget_ratio: float = pydantic.Field(ge=0)
-    retry_budget_window_s: float = pydantic.Field(gt=0)
-    retry_budget_slack: float = pydantic.Field(ge=0)
-    evacuation_ms: float = pydantic.Field(5000.0, gt=0)
-    warmup_overrun: float = pydantic.Field(1.0, ge=1)
-    warmup_slack: float = pydantic.Field(0.0, ge=0)
-    quota_window_s: float = pydantic.Field(5.0, gt=0)
-    quota_overrun: float = pydantic.Field(0.0, ge=0)
-    quota_slack: float = pydantic.Field(0.0, ge=0)
-
-
-class Machine(_Model):
+    drain_ms: _Positive
+    grace_s: _Positive
+    config_apply_ms: _Positive
+    retry_budget_ratio: _NonNegative
+    retry_budget_window_s: _Positive
+    retry_budget_slack: _NonNegative
+    evacuation_ms: _Positive = 5000.0
+    warmup_overrun: _Factor = 1.0
+    warmup_slack: _NonNegative = 0.0
+    quota_window_s: _Positive = 5.0
+    quota_overrun: _NonNegative = 0.0
+    quota_slack: _NonNegative = 0.0
+
+
+class Machine(_Settings, kw_only=True):
     """Resources of the machine.
 
     Attributes:
@@ -83,18 +80,18 @@
         link_mbps: Bandwidth of the network link, in Mbit/s.
     """
 
-    cpu_share: float = pydantic.Field(gt=0)
-    cores: float = pydantic.Field(gt=0)
-    memory_mb: float = pydantic.Field(gt=0)
-    max_fds: int = pydantic.Field(gt=0)
-    link_mbps: float = pydantic.Field(gt=0)
+    cpu_share: _Positive
+    cores: _Positive
+    memory_mb: _Positive
+    max_fds: _PositiveInt
+    link_mbps: _Positive
 
     def capacity(self) -> HostCapacity:
         """Returns the capacity record that load decisions use."""
         return HostCapacity(self.link_mbps, self.cpu_share * self.cores)
 
 
-class EntrySettings(_Model):
+class EntrySettings(_Settings, kw_only=True):
     """Settings of one entry host.
 
     Attributes:
@@ -116,22 +113,31 @@
         bounds: Limits set by the operator.
     """
 
-    name: str = pydantic.Field(min_length=1)
-    zone: str = pydantic.Field(min_length=1)
+    name: _NonEmptyStr
+    zone: _NonEmptyStr
     region: str = ""
     zones: dict[str, str] = {}
     front: HostPort
     ready: HostPort
     peer: HostPort | None = None
     relay: HostPort | None = None
-    seeds: Seeds = ()
-    metrics_port: int = pydantic.Field(ge=1, le=65535)
+    seeds: tuple[HostPort, ...] | None = ()
+    metrics_port: _Port
     store: HostPort
-    heartbeat_ms: float = pydantic.Field(gt=0)
+    heartbeat_ms: _Positive
     first_start: bool = False
     machine: Machine
     bounds: Bounds
 
+    def __post_init__(self):
+        for field in ("front", "ready", "peer", "relay", "store"):
+            value = getattr(self, field)
+            if value is not None:
+                address = _parse_address(field, value)
+                msgspec.structs.force_setattr(self, field, address)
+        seeds = tuple(_parse_address("seeds", s) for s in self.seeds or ())
+        msgspec.structs.force_setattr(self, "seeds", seeds)
+
     def waits_for_peers(self) -> bool:
         """Returns whether to wait for other hosts before reading the store."""
         # On the first start, the seeds read the store and the other hosts get
@@ -151,4 +157,4 @@
     Returns:
         The settings, or None, and the errors found.
     """
-    return read_json_file(path, EntrySettings)
+    return read_json_struct(path, EntrySettings)
--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -1,12 +1,22 @@
 """Messages in which entry hosts on the platform exchange their state."""
 
-import pydantic
+from typing import Annotated
+
+import msgspec
 
 from kumquatspur.border import packing
-from kumquatspur.border.packing import Message
+from kumquatspur.border.packing import (
+    Count,
+    Message,
+    NonEmptyStr,
+    NonNegative,
+    Positive,
+)
+
+Era = Annotated[int, msgspec.Meta(ge=-1)]
 
 
-class _HostFields(Message):
+class _HostFields(Message, kw_only=True):
     """Fields that describe an entry host.
 
     Attributes:
@@ -24,28 +34,28 @@
             accounts. Earlier builds do not send it.
     """
 
-    name: str = pydantic.Field(min_length=1)
+    name: NonEmptyStr
     zone: str
     ip: str
     port: int
     relay_port: int = 0
-    link_mbps: float = pydantic.Field(gt=0)
-    cores: float = pydantic.Field(gt=0)
+    link_mbps: Positive
+    cores: Positive
     cut_off: bool = False
     knows_accounts: bool = False
 
 
-class KnownHost(_HostFields):
+class KnownHost(_HostFields, kw_only=True):
     """Another host that the sender has in its peer table.
 
     Attributes:
         age_s: Time since the host's last message to any host.
     """
 
-    age_s: float = pydantic.Field(ge=0)
+    age_s: NonNegative
 
 
-class CrashIncident(Message):
+class CrashIncident(Message, kw_only=True):
     """The crash of a searcher while a request was in flight there.
 
     Attributes:
@@ -62,10 +72,10 @@
     searcher: str
     shard: str
     alone: bool
-    age_s: float = pydantic.Field(ge=0)
+    age_s: NonNegative
 
 
-class SlowSearcher(Message):
+class SlowSearcher(Message, kw_only=True):
     """A searcher that is slower than usual.
 
     Attributes:
@@ -75,11 +85,11 @@
     """
 
     searcher: str
-    slowness: float = pydantic.Field(ge=0)
-    age_s: float = pydantic.Field(ge=0)
+    slowness: NonNegative
+    age_s: NonNegative
 
 
-class LeavingSearcher(Message):
+class LeavingSearcher(Message, kw_only=True):
     """A searcher that said in an answer that it leaves.
 
     Attributes:
@@ -89,11 +99,11 @@
     """
 
     searcher: str
-    started_unix_ms: int = pydantic.Field(ge=0)
-    age_s: float = pydantic.Field(ge=0)
+    started_unix_ms: Count
+    age_s: NonNegative
 
 
-class LimitStatement(Message):
+class LimitStatement(Message, kw_only=True):
     """What a searcher has stated about its limit.
 
     Attributes:
@@ -104,11 +114,11 @@
     """
 
     searcher: str
-    per_s: float | None = pydantic.Field(ge=0, allow_inf_nan=False)
-    age_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    per_s: NonNegative | None
+    age_s: NonNegative
 
 
-class WarmupStatement(Message):
+class WarmupStatement(Message, kw_only=True):
     """What a host knows of a searcher's warm-up.
 
     Attributes:
@@ -121,12 +131,12 @@
     """
 
     searcher: str
-    left_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    left_s: NonNegative
     kind: str
-    age_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    age_s: NonNegative
 
 
-class StoreItem(Message):
+class StoreItem(Message, kw_only=True):
     """An item of the platform's metadata store.
 
     Attributes:
@@ -138,10 +148,13 @@
     key: str
     revision: int
     # May contain the keys of accounts, which must not get into logs.
-    value: bytes | None = pydantic.Field(repr=False)
+    value: bytes | None
+
+    def __repr__(self):
+        return f"StoreItem(key={self.key!r}, revision={self.revision})"
 
 
-class EvacuationStatement(Message):
+class EvacuationStatement(Message, kw_only=True):
     """The evacuated zones, as of a state of the store.
 
     Attributes:
@@ -150,12 +163,12 @@
         zones: Zones with a key in the store.
     """
 
-    era: int = pydantic.Field(default=-1, ge=-1)
-    revision: int = pydantic.Field(ge=0)
+    era: Era = -1
+    revision: Count
     zones: tuple[str, ...] = ()
 
 
-class Exchange(_HostFields):
+class Exchange(_HostFields, kw_only=True):
     """State that one host, the sender, sends to another.
 
     Attributes:
@@ -184,9 +197,9 @@
             sent.
     """
 
-    revision: int = pydantic.Field(ge=0)
-    age_s: float = pydantic.Field(ge=0)
-    era: int = pydantic.Field(default=-1, ge=-1)
+    revision: Count
+    age_s: NonNegative
+    era: Era = -1
     config_version: int | None = None
     config: StoreItem | None = None
     leaving: tuple[LeavingSearcher, ...] = ()
--- a/kumquatspur/border/packing.py
+++ b/kumquatspur/border/packing.py
@@ -3,13 +3,12 @@
 A message is msgpack, compressed with zlib, and is validated when decoded.
 """
 
+import sys
 import zlib
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgpack
-import pydantic
-
-from kumquatspur.border.validation import validation_diagnostics
+import msgspec
 
 # Limits the memory that a compressed message can occupy.
 MAX_UNPACKED_BYTES = 8 * 1024 * 1024
@@ -17,10 +16,18 @@
 COMPRESSION_LEVEL = 1
 
 
-class Message(pydantic.BaseModel):
-    """A message, or a part of one."""
+# msgpack decodes these types itself.
+_NATIVE_TYPES = (bytes,)
+
+
+class Message(msgspec.Struct, frozen=True):
+    """A message, or a part of one; unknown fields are ignored."""
+
 
-    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=sys.float_info.max)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=sys.float_info.max)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 MessageT = TypeVar("MessageT", bound=Message)
@@ -28,7 +35,8 @@
 
 def pack(message: Message) -> bytes:
     """Encodes a message."""
-    return zlib.compress(msgpack.packb(message.model_dump()), COMPRESSION_LEVEL)
+    fields = msgspec.to_builtins(message, builtin_types=_NATIVE_TYPES)
+    return zlib.compress(msgpack.packb(fields), COMPRESSION_LEVEL)
 
 
 def unpack(data: bytes, message_type: type[MessageT]) -> MessageT:
@@ -46,12 +54,13 @@
         packed = decompressor.decompress(data, MAX_UNPACKED_BYTES)
         if not decompressor.eof:
             raise ValueError("message cut short, or too long")
-        return message_type.model_validate(msgpack.unpackb(packed))
-    except pydantic.ValidationError as error:
-        # The text of the error itself contains the input, which may have the
+        return msgspec.convert(
+            msgpack.unpackb(packed), message_type, builtin_types=_NATIVE_TYPES
+        )
+    except msgspec.ValidationError as error:
+        # The text names types and fields, not the input, which may have the
         # keys of accounts.
-        found = validation_diagnostics(message_type.__name__, error)[0]
-        raise ValueError(f"{found.source}: {found.message}"[:200]) from None
+        raise ValueError(f"{message_type.__name__}: {error}"[:200]) from None
     except (zlib.error, msgpack.UnpackException) as error:
         # Shortened because the text is sent to the peer.
         raise ValueError(str(error)[:200]) from error
--- a/kumquatspur/border/share_codec.py
+++ b/kumquatspur/border/share_codec.py
@@ -1,11 +1,24 @@
 """Messages in which entry hosts divide limits and quotas."""
 
-import pydantic
+from typing import Annotated
 
-from kumquatspur.border.packing import Message
+import msgspec
 
+from kumquatspur.border.packing import (
+    Count,
+    Message,
+    NonEmptyStr,
+    NonNegative,
+)
 
-class ShareNeed(Message):
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+# Longest time of a lease, or until a message, in seconds.
+MAX_WAIT_S = 600
+Wait = Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)]
+Interval = Annotated[float, msgspec.Meta(gt=0, le=MAX_WAIT_S)]
+
+
+class ShareNeed(Message, kw_only=True):
     """What a host needs of a searcher.
 
     Attributes:
@@ -15,11 +28,11 @@
     """
 
     searcher: str
-    per_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
-    held: float = pydantic.Field(ge=0, le=1)
+    per_s: NonNegative
+    held: Share
 
 
-class AccountNeed(Message):
+class AccountNeed(Message, kw_only=True):
     """What a host needs of a client account.
 
     Attributes:
@@ -32,14 +45,14 @@
     """
 
     account: str
-    per_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
-    held: int = pydantic.Field(default=0, ge=0)
-    waiting: int = pydantic.Field(default=0, ge=0)
-    charged: int = pydantic.Field(default=0, ge=0)
-    returned: int = pydantic.Field(default=0, ge=0)
+    per_s: NonNegative
+    held: Count = 0
+    waiting: Count = 0
+    charged: Count = 0
+    returned: Count = 0
 
 
-class ShareRequest(Message):
+class ShareRequest(Message, kw_only=True):
     """A host asks an allocator for parts of limits.
 
     Attributes:
@@ -49,13 +62,13 @@
         earlier_builds: Hosts that were left out since they run one.
     """
 
-    host: str = pydantic.Field(min_length=1)
+    host: NonEmptyStr
     needs: tuple[ShareNeed, ...]
     accounts: tuple[AccountNeed, ...] = ()
     earlier_builds: tuple[str, ...] = ()
 
 
-class LeasedShare(Message):
+class LeasedShare(Message, kw_only=True):
     """A part of a searcher's limit that was leased to the asking host.
 
     Attributes:
@@ -64,10 +77,10 @@
     """
 
     searcher: str
-    share: float = pydantic.Field(ge=0, le=1)
+    share: Share
 
 
-class AccountGrant(Message):
+class AccountGrant(Message, kw_only=True):
     """Requests of an account that were granted to the asking host.
 
     Attributes:
@@ -78,12 +91,12 @@
     """
 
     account: str
-    granted: int = pydantic.Field(ge=0)
-    renew_s: float = pydantic.Field(default=1.0, gt=0, le=600)
-    wait_s: float = pydantic.Field(default=0.0, ge=0, le=600)
+    granted: Count
+    renew_s: Interval = 1.0
+    wait_s: Wait = 0.0
 
 
-class ShareReply(Message):
+class ShareReply(Message, kw_only=True):
     """An allocator's answer.
 
     Attributes:
@@ -96,7 +109,7 @@
     """
 
     declined: str = ""
-    lease_s: float = pydantic.Field(default=0.0, ge=0, le=600)
-    renew_s: float = pydantic.Field(default=0.0, ge=0, le=600)
+    lease_s: Wait = 0.0
+    renew_s: Wait = 0.0
     shares: tuple[LeasedShare, ...] = ()
     accounts: tuple[AccountGrant, ...] | None = None
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -2,13 +2,12 @@
 
 import hashlib
 import ipaddress
-import json
 import re
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-import pydantic
+import msgspec
 
-from kumquatspur.border.validation import validation_diagnostics
+from kumquatspur.border.structs import decode_json
 from kumquatspur.core.records import Address, Diagnostic
 from kumquatspur.core.routing import (
     Account,
@@ -26,15 +25,15 @@
 EVACUATION_PREFIX = "op/evacuate/"
 
 _PATH_PATTERN = re.compile(r"/[!-~]*")
-_NonEmptyStr = Annotated[
-    str, pydantic.StringConstraints(strict=True, min_length=1)
-]
-_NonNegativeInt = Annotated[int, pydantic.Field(strict=True, ge=0)]
-_PositiveFloat = Annotated[float, pydantic.Field(strict=True, gt=0)]
+_NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
+_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+_PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+_PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+_NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
-def _parse_address(value) -> Address:
-    host, _, port = str(value).rpartition(":")
+def _parse_address(value: str) -> Address:
+    host, _, port = value.rpartition(":")
     if not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"{value!r} is not an IPv4 address with a port")
     return Address(str(ipaddress.IPv4Address(host)), int(port))
@@ -54,51 +53,40 @@
     return name.replace("_", "-")
 
 
-class _Document(pydantic.BaseModel):
+class _Document(msgspec.Struct, frozen=True, rename=_hyphenated):
     """Base of the platform's documents; unknown fields are ignored."""
 
-    model_config = pydantic.ConfigDict(
-        alias_generator=_hyphenated,
-        extra="ignore",
-        frozen=True,
-        allow_inf_nan=False,
-    )
-
 
-class _WeightedService(_Document):
+class _WeightedService(_Document, kw_only=True):
     service: _NonEmptyStr
-    weight: float = pydantic.Field(ge=0)
+    weight: _NonNegativeFloat
 
 
-class _Route(_Document):
+class _Route(_Document, kw_only=True):
     name: _NonEmptyStr
     host: _NonEmptyStr
-    prefix: Annotated[
-        _NonEmptyStr, pydantic.StringConstraints(pattern="^/(.*/)?$")
-    ]
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z")]
     # Decides whether a request may be repeated; the HTTP method does not.
     route_type: Literal["idempotent", "non_idempotent"]
     timeout_ms: _PositiveFloat
     target_latency_ms: _PositiveFloat
     # Counts all searchers that get the request, not only retries.
-    max_attempts: int = pydantic.Field(1, ge=1)
+    max_attempts: _PositiveInt = 1
     # 0 is the highest priority.
     priority: int = 0
     service: _NonEmptyStr | None = None
     traffic_split: tuple[_WeightedService, ...] = ()
     # Each of these services holds one shard.
     fanout_services: tuple[_NonEmptyStr, ...] = ()
-    result_limit: int = pydantic.Field(0, ge=0)
-    min_shard_ratio: float = pydantic.Field(0.0, ge=0, le=1)
+    result_limit: _NonNegativeInt = 0
+    min_shard_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     auth_exempt: bool = False
 
-    @pydantic.model_validator(mode="after")
-    def _has_target(self):
+    def __post_init__(self):
         if not (self.service or self.traffic_split or self.fanout_services):
             raise ValueError(
                 "has none of service, traffic-split and fanout-services"
             )
-        return self
 
     def to_route(self) -> Route:
         targets = tuple(
@@ -124,30 +112,30 @@
         )
 
 
-class _Service(_Document):
+class _Service(_Document, kw_only=True):
     name: _NonEmptyStr
     # Limit per searcher, in total over all hosts that connect to it.
-    max_connections: int = pydantic.Field(ge=1)
-    warmup_s: float = pydantic.Field(0.0, ge=0)
+    max_connections: _PositiveInt
+    warmup_s: _NonNegativeFloat = 0.0
     # 0: a cold searcher's requests are not limited.
-    cold_per_s: float = pydantic.Field(0.0, ge=0)
+    cold_per_s: _NonNegativeFloat = 0.0
     # Answers to GET of this path state the remaining warm-up time.
-    health_path: Annotated[str, pydantic.BeforeValidator(_parse_path)] = ""
+    health_path: Any = ""
 
 
-class _Account(_Document):
+class _Account(_Document, kw_only=True):
     # Sent in a header, where control characters would end the line.
     name: Annotated[
-        _NonEmptyStr,
-        pydantic.StringConstraints(
-            pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$"
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z"
         ),
     ]
     api_keys: tuple[_NonEmptyStr, ...] = ()
     priority: int | None = None
     # 0: the account's requests are not limited.
-    rate_per_s: float = pydantic.Field(0.0, ge=0)
-    burst_size: float = pydantic.Field(0.0, ge=0)
+    rate_per_s: _NonNegativeFloat = 0.0
+    burst_size: _NonNegativeFloat = 0.0
 
     def to_account(self) -> Account:
         return Account(
@@ -161,16 +149,16 @@
         )
 
 
-class _Limits(_Document):
-    header_bytes: int = pydantic.Field(gt=0)
-    max_body_bytes: int = pydantic.Field(ge=0)
+class _Limits(_Document, kw_only=True):
+    header_bytes: _PositiveInt
+    max_body_bytes: _NonNegativeInt
     header_timeout_ms: _PositiveFloat
     # Longest pause while a request's body arrives, between two requests, and
     # before the first request of a connection.
     idle_timeout_ms: _PositiveFloat
 
 
-class _Config(_Document):
+class _Config(_Document, kw_only=True):
     config_version: _NonNegativeInt
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
@@ -178,15 +166,15 @@
     tenants: tuple[_Account, ...] | None = None
 
 
-class _Searcher(_Document):
+class _Searcher(_Document, kw_only=True):
     service: _NonEmptyStr
-    address: Annotated[Address, pydantic.BeforeValidator(_parse_address)]
+    address: str
     zone: _NonEmptyStr
     # Version of the searcher's software, not of the operator's configuration.
     config_version: _NonEmptyStr
-    slots: Annotated[int, pydantic.Field(strict=True, ge=1)]
+    slots: _PositiveInt
     state: Literal["ready", "draining"]
-    warmup_left_ms: Annotated[float, pydantic.Field(strict=True, ge=0)]
+    warmup_left_ms: _NonNegativeFloat
     sequence: _NonNegativeInt
     born: _NonNegativeInt = 0
 
@@ -209,12 +197,9 @@
     Returns:
         The configuration, or None, and the errors found.
     """
-    try:
-        document = _Config.model_validate(json.loads(value))
-    except pydantic.ValidationError as error:
-        return None, validation_diagnostics(CONFIG_KEY, error)
-    except (ValueError, RecursionError) as error:
-        return None, [Diagnostic(CONFIG_KEY, f"is not JSON: {error}")]
+    document, errors = decode_json(CONFIG_KEY, value, _Config)
+    if document is None:
+        return None, errors
     accounts = document.tenants
     if accounts is not None:
         accounts = tuple(account.to_account() for account in accounts)
@@ -236,7 +221,7 @@
                     service.max_connections,
                     service.warmup_s,
                     service.cold_per_s,
-                    service.health_path,
+                    _parse_path(service.health_path),
                 )
                 for service in document.services
             },
@@ -259,17 +244,18 @@
     Returns:
         The entry, or None, and the errors found.
     """
+    document, errors = decode_json(key, value, _Searcher)
+    if document is None:
+        return None, errors
     try:
-        document = _Searcher.model_validate(json.loads(value))
-    except pydantic.ValidationError as error:
-        return None, validation_diagnostics(key, error)
-    except (ValueError, RecursionError) as error:
-        return None, [Diagnostic(key, f"is not JSON: {error}")]
+        address = _parse_address(document.address)
+    except ValueError as error:
+        return None, [Diagnostic(f"{key}: address", str(error))]
     return (
         SearcherEntry(
             searcher_id=key.removeprefix(SEARCHER_PREFIX),
             service=document.service,
-            address=document.address,
+            address=address,
             zone=document.zone,
             slots=document.slots,
             state=SearcherState(document.state),
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import eventlet
+import msgspec
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import (
@@ -260,7 +261,7 @@
         if stale or (behind and exchange.age_s > 1.0):
             update = self._view_for(exchange)
         update["config"] = self._config_for(exchange)
-        return self._exchange_message().model_copy(update=update)
+        return msgspec.structs.replace(self._exchange_message(), **update)
 
     def _view_for(self, exchange: Exchange) -> dict:
         """Returns the message fields that update another host's view."""
@@ -278,11 +279,10 @@
         if is_same_era(exchange.era, self.mirror.era):
             changes = self.mirror.changes_after(exchange.revision)
         if changes is None or exchange.whole:
-            return self._exchange_header().model_copy(
-                update=self._view_for(exchange)
-            )
-        return self._exchange_header().model_copy(
-            update={"changes": _encode_items(changes)}
+            view = self._view_for(exchange)
+            return msgspec.structs.replace(self._exchange_header(), **view)
+        return msgspec.structs.replace(
+            self._exchange_header(), changes=_encode_items(changes)
         )
 
     def _exchange_header(self) -> Exchange:
@@ -359,11 +359,11 @@
 
     def _exchange_message(self) -> Exchange:
         now = monotonic_s()
-        update = {
-            "hosts": self._known_hosts(now),
-            "incidents": self._crash_incidents(now),
-        }
-        return self._exchange_header().model_copy(update=update)
+        return msgspec.structs.replace(
+            self._exchange_header(),
+            hosts=self._known_hosts(now),
+            incidents=self._crash_incidents(now),
+        )
 
     def _known_hosts(self, now: float) -> tuple[KnownHost, ...]:
         return tuple(
--- a/kumquatspur/wire/quota_exchange_test.py
+++ b/kumquatspur/wire/quota_exchange_test.py
@@ -3,6 +3,7 @@
 import unittest
 
 import eventlet
+import msgspec
 
 from kumquatspur.border import packing
 from kumquatspur.border.share_codec import ShareReply, ShareRequest
@@ -40,16 +41,18 @@
     def setUp(self):
         super().setUp()
         self.wait_ready()
-        bounds = self.host.settings.bounds.model_copy(
-            update={"quota_overrun": 0.1, "quota_slack": 20.0}
+        bounds = msgspec.structs.replace(
+            self.host.settings.bounds, quota_overrun=0.1, quota_slack=20.0
+        )
+        self.settings = msgspec.structs.replace(
+            self.host.settings, bounds=bounds
         )
-        self.settings = self.host.settings.model_copy(update={"bounds": bounds})
         self.hosts = {}
         self.calls = []
         self.down = set()
 
     def add_host(self, name, zone="z"):
-        settings = self.settings.model_copy(update={"name": name, "zone": zone})
+        settings = msgspec.structs.replace(self.settings, name=name, zone=zone)
         state = new_state(settings, NoLog())
         config = RoutingConfig(1, (), {}, ClientLimits(), (ACCOUNT,))
         state.apply_config(config, "store")
--- a/kumquatspur/wire/warmup_watch_test.py
+++ b/kumquatspur/wire/warmup_watch_test.py
@@ -2,6 +2,7 @@
 import zlib
 
 import msgpack
+import msgspec
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import Exchange, WarmupStatement
@@ -109,7 +110,7 @@
         self.assertEqual(self.cold(state), ["i"])
 
     def test_messages_of_other_builds_are_understood(self):
-        fields = Exchange(
+        exchange = Exchange(
             name="a",
             zone="z",
             ip="10.0.0.1",
@@ -118,7 +119,8 @@
             cores=1.0,
             revision=0,
             age_s=0.0,
-        ).model_dump()
+        )
+        fields = msgspec.to_builtins(exchange)
         del fields["warmups"]
         older = exchange_codec.decode(zlib.compress(msgpack.packb(fields)))
         self.assertEqual(older.warmups, ())
--- a/standins/account_keys_test.py
+++ b/standins/account_keys_test.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import eventlet
+import msgspec
 
 from kumquatspur.platform import documents
 from kumquatspur.wire.delegator import ACCOUNT_HEADER, KEY_DIGEST_HEADER
@@ -220,7 +221,9 @@
         port = self.host.settings.peer.port
         fast = self.start_host("fast", seeds=(port,), link_mbps=100_000.0)
         self.hosts.append(fast)
-        self.host.settings.machine.__dict__["link_mbps"] = 0.05
+        msgspec.structs.force_setattr(
+            self.host.settings.machine, "link_mbps", 0.05
+        )
         self.wait_ready(fast)
         wait_until(lambda: "fast" in self.host.state.peers.peers)
         return fast
@@ -259,7 +262,9 @@
 
     def test_requests_from_other_hosts(self):
         """An earlier build names no account and passes the key on."""
-        self.host.settings.__dict__["front"] = self.host.settings.relay
+        msgspec.structs.force_setattr(
+            self.host.settings, "front", self.host.settings.relay
+        )
         for status, *lines in (
             (421,),
             (421, NAMED),
--- a/standins/evacuation_test.py
+++ b/standins/evacuation_test.py
@@ -10,6 +10,7 @@
 import unittest
 
 import eventlet
+import msgspec
 
 from kumquatspur.scripts.evacuate_command import run_evacuate
 from kumquatspur.scripts.kumquatspur import EvacuateCommand
@@ -156,7 +157,9 @@
     def test_delegated_requests_stay_out_of_the_zone(self):
         second = self.start_second()
         self.wait_ready(second)
-        self.host.settings.machine.__dict__["link_mbps"] = 0.05
+        msgspec.structs.force_setattr(
+            self.host.settings.machine, "link_mbps", 0.05
+        )
         wait_until(
             lambda: (
                 self.send("/all/x")[0] == 200
@@ -194,8 +197,8 @@
     def as_earlier_build(self, host):
         """Makes a host's messages lack evacuations, as earlier builds do."""
         header = host.exchange._exchange_header
-        host.exchange._exchange_header = lambda: header().model_copy(
-            update={"evacuations": None}
+        host.exchange._exchange_header = lambda: msgspec.structs.replace(
+            header(), evacuations=None
         )
 
     def test_follower_of_an_earlier_build_reads_the_store(self):
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -5,6 +5,7 @@
 import unittest
 
 import eventlet
+import msgspec
 
 from kumquatspur.wire.crash_detector import SETTLE_S
 from kumquatspur.wire.searcher_pool import monotonic_s as now
@@ -246,7 +247,7 @@
     def test_faster_host_without_searchers_declines(self):
         """The other host, which is slow, gives it all scattered requests."""
         slow = self.host
-        slow.settings.machine.__dict__["link_mbps"] = 0.05
+        msgspec.structs.force_setattr(slow.settings.machine, "link_mbps", 0.05)
         self.assertEqual(self.count_served(slow, "/all/x"), REQUESTS)
         self.assertGreater(slow.state.counters["handed_over"], 0)
         self.wait_cut_off(self.cut_host)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -14,6 +14,7 @@
 import time
 
 import eventlet
+import msgspec
 
 from kumquatspur.border.entry_settings import EntrySettings
 from kumquatspur.core.records import Address
@@ -132,7 +133,7 @@
     """Returns the state of an entry host without starting the host."""
     ports = (1, 2, 3, 4, 5)
     fields = host_settings("own", "z", ports, Address(LOOPBACK, 6), ())
-    settings = EntrySettings.model_validate(fields)
+    settings = msgspec.convert(fields, EntrySettings)
     return new_state(settings, DecisionLog(settings.name))
 
 
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -3,6 +3,7 @@
 import unittest
 
 import eventlet
+import msgspec
 
 from kumquatspur.core.records import Address
 from standins.platform_deployment import (
@@ -333,7 +334,9 @@
         """Starts a host whose link is so fast that it is given requests."""
         port = self.host.settings.peer.port
         fast = self.start_host("fast", seeds=(port,), link_mbps=100_000.0)
-        self.host.settings.machine.__dict__["link_mbps"] = 0.05
+        msgspec.structs.force_setattr(
+            self.host.settings.machine, "link_mbps", 0.05
+        )
         self.wait_ready(fast)
         self.wait_ready()
         wait_until(lambda: "fast" in self.host.state.peers.peers)
@@ -401,7 +404,9 @@
         fast = self.start_fast_host()
         port = free_ports(1)[0]
         # The other host announces the port, so that no exchange undoes it.
-        fast.settings.__dict__["relay"] = Address("127.0.0.1", port)
+        msgspec.structs.force_setattr(
+            fast.settings, "relay", Address("127.0.0.1", port)
+        )
         peers = self.host.state.peers.peers
         wait_until(lambda: peers["fast"].relay_port == port)
         self.host.exchange.exchange_now = lambda: None
@@ -418,7 +423,9 @@
         port = unresponsive.getsockname()[1]
         # The other host announces this port itself, so that an exchange between
         # the hosts at any moment leaves it in the table of peers.
-        fast.settings.__dict__["relay"] = Address("127.0.0.1", port)
+        msgspec.structs.force_setattr(
+            fast.settings, "relay", Address("127.0.0.1", port)
+        )
         peers = self.host.state.peers.peers
         wait_until(lambda: peers["fast"].relay_port == port)
         table = self.host.state.table
