--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -20,6 +20,7 @@
 from kumquatspur.policy.extra_attempts import ExtraAttempts
 from kumquatspur.policy.hedging import LatencyWindow
 from kumquatspur.policy.latency_histogram import new_histogram
+from kumquatspur.policy.outages import Outages
 from kumquatspur.policy.peer_table import PeerTable
 from kumquatspur.policy.request_plan import min_results
 from kumquatspur.policy.route_table import RouteTable
@@ -71,6 +72,7 @@
         call_threads: Green threads of the open calls whose requests may be
             repeated, by number.
         client_timing: Time that passes between clients and this host.
+        outages: Routes that this host cannot serve.
         answer_margin: Time that is planned for sending answers.
         counters: Counts since the start, by name.
         evacuations_reported: The evacuated zones that were last logged.
@@ -118,6 +120,7 @@
     client_timing: ClientTiming = dataclasses.field(
         default_factory=ClientTiming
     )
+    outages: Outages = dataclasses.field(default_factory=Outages)
     answer_margin: AnswerMargin = dataclasses.field(
         default_factory=AnswerMargin
     )
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -145,6 +145,7 @@
             attempts = self.route.max_attempts
             rerouted = self._reroute(attempts)
             return rerouted or self._refuse_unservable(resume_times, now)
+        state.outages.record_servable(self.route.name)
         for shard in self.plan.shards:
             self.state.extra_attempts.record_request(shard, now)
         scattered = len(self.route.shards)
@@ -225,6 +226,7 @@
         if any(state.pauses.is_paused(e.searcher_id, now) for e in lost):
             reason = Reason.SEARCHERS_PAUSED
         at = servable_at(resume_times, self.plan.needed)
+        outage_left_s = state.outages.record_rejection(self.route.name, now)
         if at is None and self._evacuated_shards():
             reason = Reason.ZONE_EVACUATED
         return self.forwarder.refuse(
@@ -232,7 +234,7 @@
             self.route,
             503,
             reason,
-            0.0 if at is None else at - now,
+            outage_left_s if at is None else at - now,
         )
 
     def _evacuated_shards(self) -> list[str]:
