--- a/kumquatspur/policy/request_plan_test.py
+++ b/kumquatspur/policy/request_plan_test.py
@@ -39,6 +39,23 @@
             [(shard, AttemptKind.FIRST) for shard in SHARDS],
         )
 
+    def test_shard_that_waits_for_room_is_open_and_not_asked_again(self):
+        plan = self.new_plan()
+        plan.record_waiting("s0")
+        due = [shard for shard, _ in plan.due_attempts(0.0)]
+        self.assertEqual(due, list(SHARDS[1:]))
+        self.assertEqual(plan.open_count, len(SHARDS))
+        plan.record_resumed("s0")
+        self.assertIn(("s0", AttemptKind.FIRST), plan.due_attempts(0.0))
+
+    def test_only_so_many_shards_may_be_omitted(self):
+        plan = self.new_plan()
+        self.assertTrue(plan.may_omit("s0"))
+        plan.record_unavailable("s1", AttemptKind.FIRST, 0.0)
+        self.assertFalse(plan.may_omit("s0"))
+        # A shard that is lost already makes no difference.
+        self.assertTrue(plan.may_omit("s1"))
+
     def test_complete_answer_is_sent_at_once(self):
         plan = self.new_plan()
         self.start_all(plan)
--- a/kumquatspur/policy/searcher_choice_test.py
+++ b/kumquatspur/policy/searcher_choice_test.py
@@ -12,6 +12,7 @@
     OpenCall,
     SearcherLoad,
     ZoneHealth,
+    choose_with_room,
     late_at,
     searcher_costs,
     slow_searchers,
@@ -52,6 +53,17 @@
     def test_own_zone_is_preferred(self):
         self.assertEqual({self.choose(1.0) for _ in range(50)}, {"near"})
 
+    def test_searcher_with_room_is_preferred_unless_it_is_much_slower(self):
+        near, far, slow = self.entries
+        costs = [(1.0, near), (1.4, far), (6.0, slow)]
+        self.assertEqual(choose_with_room(costs, lambda e: True)[0], near)
+        found = choose_with_room(costs, lambda e: e is not near)
+        self.assertEqual(found, [far, slow])
+        # Waiting for the best one is faster.
+        self.assertEqual(choose_with_room(costs, lambda e: e is slow), [])
+        self.assertEqual(choose_with_room(costs, lambda e: False), [])
+        self.assertEqual(choose_with_room([], lambda e: True), [])
+
     def test_slow_searcher_is_avoided_until_the_slowness_decays(self):
         for at in (1.0, 1.1, 1.2):
             self.loads["near"].record_latency(8.0, at)
--- a/kumquatspur/wire/early_listener.py
+++ b/kumquatspur/wire/early_listener.py
@@ -51,25 +51,23 @@
         timeout_s: The longest time to wait, in seconds.
     """
     end = time.monotonic() + timeout_s
-    poller, pending = select.poll(), {}
+    pending = set()
     try:
         for address in addresses:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            pending.add(sock)
             sock.setblocking(False)
-            pending[sock.fileno()] = sock
             sock.connect_ex(address)
-            poller.register(sock, select.POLLOUT)
         while pending and (left_s := end - time.monotonic()) > 0:
-            for number, _ in poller.poll(left_s * 1000):
-                sock = pending.pop(number)
-                poller.unregister(number)
+            for sock in select.select((), pending, (), left_s)[1]:
                 error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-                sock.close()
                 if not error:
                     return True
+                pending.remove(sock)
+                sock.close()
         return False
     finally:
-        for sock in pending.values():
+        for sock in pending:
             sock.close()
 
 
