--- a/kumquatspur/wire/early_listener_test.py
+++ b/kumquatspur/wire/early_listener_test.py
@@ -45,8 +45,9 @@
         return listener
 
     def serve_other(self):
-        other = socket.create_server((HOST, self.other))
-        self.addCleanup(other.close)
+        # A green socket is closed when nothing refers to it any more.
+        self.server = socket.create_server((HOST, self.other))
+        self.addCleanup(self.server.close)
 
     def test_clients_can_connect_if_no_other_host_runs(self):
         listener = self.open()
