--- a/kumquatspur/wire/attempt_starter.py
+++ b/kumquatspur/wire/attempt_starter.py
@@ -33,6 +33,7 @@
         wake: Wakes the request, whose plan has changed.
         attempts: All attempts so far.
         waiting: The attempts that wait for room, by shard.
+        without_room: Shards given up because no searcher had room in time.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.wake = wake
         self.attempts = []
         self.waiting = {}
+        self.without_room = []
 
     def start(self, shard: str, kind: AttemptKind, now: float) -> None:
         """Starts an attempt, or queues it until a searcher has room."""
@@ -133,8 +135,7 @@
             self.typical_s,
         )
         if now + wait_s > useful_until:
-            state.counters["attempts_without_room"] += 1
-            plan.record_unavailable(shard, kind, now)
+            self._give_up(shard, kind, now)
             return
         state.counters["attempts_queued"] += 1
         plan.record_waiting(shard)
@@ -167,14 +168,19 @@
             if self.plan.may_omit(shard) or waiting.required:
                 del self.waiting[shard]
                 self.plan.record_resumed(shard)
-                self.plan.record_unavailable(shard, AttemptKind.FIRST, now)
-                self.state.counters["attempts_without_room"] += 1
+                self._give_up(shard, AttemptKind.FIRST, now)
                 continue
             # Other shards were lost meanwhile, so a late part helps as well.
             waiting.required = True
             waiting.useful_until = self._useful_until(True, now)
             self.state.queues.add(waiting)
 
+    def _give_up(self, shard: str, kind: AttemptKind, now: float) -> None:
+        """Closes a shard whose searchers have no room in time."""
+        self.state.counters["attempts_without_room"] += 1
+        self.without_room.append(shard)
+        self.plan.record_unavailable(shard, kind, now)
+
     def wake_at(self) -> float:
         """Returns when the next waiting attempt is too late."""
         return min(
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -14,8 +14,6 @@
     SearcherReply,
 )
 from kumquatspur.core.verdict import Verdict
-from kumquatspur.platform import headers
-from kumquatspur.policy.records_merge import greatest_records
 from kumquatspur.policy.request_plan import (
     PlanOutcome,
     RequestPlan,
@@ -32,12 +30,13 @@
     is_usual,
 )
 from kumquatspur.wire.entry_state import contact_age_s
-from kumquatspur.wire.error_replies import NOT_RUN_STATUSES, error_reply
+from kumquatspur.wire.error_replies import error_reply
 from kumquatspur.wire.key_check import check_key
 from kumquatspur.wire.searcher_pool import (
     CallError,
     monotonic_s,
 )
+from kumquatspur.wire.searcher_replies import answer_reply, failure_reply
 
 # An attempt that takes longer than this quantile of the latency is hedged.
 HEDGE_QUANTILE = 0.9
@@ -365,46 +364,19 @@
                 attempt.thread.kill()
 
     def _reply(self, outcome: PlanOutcome) -> ClientReply:
-        if outcome is PlanOutcome.FAIL:
-            return self._failure()
-        if self.route.shards:
+        if outcome is PlanOutcome.ANSWER:
             missing = len(self.plan.shards) - len(self.parts)
-            return headers.merged_reply(
-                [part.signature for part in self.parts.values()],
-                missing,
-                greatest_records(
-                    (part.body for part in self.parts.values()),
-                    self.route.result_limit,
-                ),
-            )
-        (part,) = self.parts.values()
-        return ClientReply(part.status, part.headers, part.body)
+            return answer_reply(self.route, list(self.parts.values()), missing)
+        now = monotonic_s()
+        if self._combined_verdict() is Verdict.NOT_RUN:
+            wait_s = self.forwarder.retry_after_s(self._pause_left_s(now))
+            return error_reply(503, Reason.OVERLOADED, wait_s)
+        failure = self.failure if not self.route.shards else None
+        return failure_reply(failure, now >= self.plan.deadline)
 
     def _combined_verdict(self) -> Verdict:
         return verdicts.combine(self.plan.verdicts())
 
-    def _failure(self) -> ClientReply:
-        if self._combined_verdict() is Verdict.NOT_RUN:
-            wait_s = self._pause_left_s(monotonic_s())
-            return error_reply(
-                503, Reason.OVERLOADED, self.forwarder.retry_after_s(wait_s)
-            )
-        # A forwarded request gets the error response of its searcher, unless
-        # the status of that response would say that nothing ran.
-        if (
-            self.failure is not None
-            and not self.route.shards
-            and self.failure.signature
-            and not self.failure.has_content_encoding
-            and self.failure.status not in NOT_RUN_STATUSES
-        ):
-            return ClientReply(
-                self.failure.status, self.failure.headers, self.failure.body
-            )
-        if monotonic_s() >= self.plan.deadline:
-            return error_reply(504, Reason.TIMED_OUT)
-        return error_reply(502, Reason.UPSTREAM_FAILED)
-
     def _log_client_disconnect(self) -> None:
         self.state.log.write(
             "client_left",
@@ -438,6 +410,7 @@
             parts=f"{len(self.parts)}/{len(self.plan.shards)}",
             missing=[s for s in self.plan.shards if s not in self.parts],
             evacuated=self._evacuated_shards(),
+            without_room=self.starter.without_room,
             attempts=[
                 describe(attempt, self.request.received_at)
                 for attempt in self.starter.attempts
