--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -148,6 +148,7 @@
         process: The latest process; None before the first start.
         settings_path: Its settings file.
         log_path: The file that receives its standard output and error.
+        source: Folder with the package of another build; None for this one.
     """
 
     def __init__(self, name: str, zone: str, folder: pathlib.Path):
@@ -155,6 +156,7 @@
         self.zone = zone
         self.ports = free_ports(5)
         self.process = None
+        self.source = None
         self.settings_path = folder / f"{name}.json"
         self.log_path = folder / "logs" / f"{name}.log"
 
@@ -172,7 +174,10 @@
         ]
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                command, stdout=log, stderr=subprocess.STDOUT
+                command,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                cwd=self.source,
             )
 
     def is_running(self) -> bool:
