--- a/kumquatspur/wire/attempt_starter.py
+++ b/kumquatspur/wire/attempt_starter.py
@@ -67,9 +67,7 @@
             for entry in self.state.reachable_searchers(shard, now)
             if entry.searcher_id not in progress.tried
         ]
-        cut_off = not self.state.zone_health.reachable(entries, now)
-        if cut_off and (not entries or self.plan.may_omit(shard)):
-            # Probes notice when its zone can be reached again.
+        if not entries or self._is_cut_off_and_optional(shard, entries, now):
             self.plan.record_unavailable(shard, kind, now)
             return
         admitted = self._with_room(shard, kind, entries, now)
@@ -95,6 +93,16 @@
         # Also called if the thread is killed before it runs.
         attempt.thread.link(self._release, attempt)
 
+    def _is_cut_off_and_optional(
+        self, shard: str, entries: list[SearcherEntry], now: float
+    ) -> bool:
+        """Returns whether to answer without a shard that cannot be reached.
+
+        Probes notice when its zone can be reached again.
+        """
+        reachable = self.state.zone_health.reachable(entries, now)
+        return not reachable and self.plan.may_omit(shard)
+
     def _with_room(
         self,
         shard: str,
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -3,6 +3,7 @@
 import functools
 import json
 import pathlib
+import socket
 
 import eventlet
 
@@ -49,13 +50,21 @@
 class EntryHost:
     """One entry host.
 
+    `listener` is a socket that listens for clients already; without one, the
+    host opens it when it runs.
+
     Attributes:
         settings: The settings.
         state: The state of this host.
         front: The server for clients; None before the start.
     """
 
-    def __init__(self, settings: EntrySettings, path: str, listener=None):
+    def __init__(
+        self,
+        settings: EntrySettings,
+        path: str,
+        listener: socket.socket | None = None,
+    ):
         self.settings = settings
         self.state = new_state(settings, DecisionLog(settings.name))
         self.pool = TargetPool(settings.machine.memory_mb)
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -54,6 +54,9 @@
 class FrontServer:
     """Accepts connections and answers the requests on them.
 
+    It takes over `listener`, a plain socket that listens already, if there is
+    one.
+
     Attributes:
         state: The state of this host.
         serve: Returns the answer to a request.
@@ -68,7 +71,7 @@
         address: Address,
         serve: Callable[[ClientRequest], ClientReply],
         is_for_hosts: bool = False,
-        listener=None,
+        listener: socket.socket | None = None,
     ):
         self.state = state
         self.is_for_hosts = is_for_hosts
