Accept whole numbers with a decimal point as before (configuration, settings)

Cause: msgspec rejects 2.0 for a whole number, and numbers written as text in the settings, which pydantic took.

Change: such fields of the configuration are checked and converted; settings are decoded leniently. Result: the two new tests fail without the change.

--- a/kumquatspur/border/entry_settings_test.py
+++ b/kumquatspur/border/entry_settings_test.py
@@ -54,6 +54,14 @@
         self.assertEqual(settings.seeds, ())
         self.assertIsNone(settings.peer)
 
+    def test_numbers_may_be_text_or_have_a_decimal_point(self):
+        changed = {**SETTINGS, "metrics_port": "9464", "heartbeat_ms": "1200"}
+        changed["machine"] = {**SETTINGS["machine"], "max_fds": 4100.0}
+        settings, errors = self.read(json.dumps(changed))
+        self.assertEqual(errors, [])
+        self.assertEqual(settings.metrics_port, 9464)
+        self.assertEqual(settings.machine.max_fds, 4100)
+
     def test_errors_name_the_invalid_field(self):
         for field, value in {
             "front": "10.0.0.1",
--- a/kumquatspur/border/structs.py
+++ b/kumquatspur/border/structs.py
@@ -43,7 +43,7 @@
 
 
 def decode_json(
-    source: str, data: bytes, struct: type[StructT]
+    source: str, data: bytes, struct: type[StructT], strict: bool = True
 ) -> tuple[StructT | None, list[Diagnostic]]:
     """Decodes and validates JSON.
 
@@ -51,12 +51,14 @@
         source: Name of the input, for errors.
         data: The bytes.
         struct: Type of the content.
+        strict: Whether numbers must not be written as text, nor whole numbers
+            as 2.0.
 
     Returns:
         The content, or None, and the errors found.
     """
     try:
-        return msgspec.json.decode(data, type=struct), []
+        return msgspec.json.decode(data, type=struct, strict=strict), []
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         return None, [struct_diagnostic(source, error)]
 
@@ -64,7 +66,7 @@
 def read_json_struct(
     path: str, struct: type[StructT]
 ) -> tuple[StructT | None, list[Diagnostic]]:
-    """Reads and validates a JSON file.
+    """Reads and validates a JSON file, whose numbers may be text.
 
     Args:
         path: Path of the file.
@@ -77,4 +79,4 @@
         data = pathlib.Path(path).read_bytes()
     except OSError as error:
         return None, [Diagnostic(path, f"cannot be read: {error}")]
-    return decode_json(path, data, struct)
+    return decode_json(path, data, struct, strict=False)
--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -29,9 +29,25 @@
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 _PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+_AtLeastOne = Annotated[float, msgspec.Meta(ge=1)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
+def _make_whole(document: msgspec.Struct, *fields: str) -> None:
+    """Converts fields to int: the configuration may state 2 as 2.0.
+
+    Raises:
+        ValueError: A field is not a whole number.
+    """
+    for field in fields:
+        value = getattr(document, field)
+        if value is None:
+            continue
+        if value != int(value):
+            raise ValueError(f"{field}: {value} is not a whole number")
+        msgspec.structs.force_setattr(document, field, int(value))
+
+
 def _parse_address(value: str) -> Address:
     host, _, port = value.rpartition(":")
     if not port.isdecimal() or not 0 < int(port) < 65536:
@@ -71,18 +87,19 @@
     timeout_ms: _PositiveFloat
     target_latency_ms: _PositiveFloat
     # Counts all searchers that get the request, not only retries.
-    max_attempts: _PositiveInt = 1
+    max_attempts: _AtLeastOne = 1
     # 0 is the highest priority.
-    priority: int = 0
+    priority: float = 0
     service: _NonEmptyStr | None = None
     traffic_split: tuple[_WeightedService, ...] = ()
     # Each of these services holds one shard.
     fanout_services: tuple[_NonEmptyStr, ...] = ()
-    result_limit: _NonNegativeInt = 0
+    result_limit: _NonNegativeFloat = 0
     min_shard_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     auth_exempt: bool = False
 
     def __post_init__(self):
+        _make_whole(self, "max_attempts", "priority", "result_limit")
         if not (self.service or self.traffic_split or self.fanout_services):
             raise ValueError(
                 "has none of service, traffic-split and fanout-services"
@@ -115,13 +132,16 @@
 class _Service(_Document, kw_only=True):
     name: _NonEmptyStr
     # Limit per searcher, in total over all hosts that connect to it.
-    max_connections: _PositiveInt
+    max_connections: _AtLeastOne
     warmup_s: _NonNegativeFloat = 0.0
     # 0: a cold searcher's requests are not limited.
     cold_per_s: _NonNegativeFloat = 0.0
     # Answers to GET of this path state the remaining warm-up time.
     health_path: Any = ""
 
+    def __post_init__(self):
+        _make_whole(self, "max_connections")
+
 
 class _Account(_Document, kw_only=True):
     # Sent in a header, where control characters would end the line.
@@ -132,11 +152,14 @@
         ),
     ]
     api_keys: tuple[_NonEmptyStr, ...] = ()
-    priority: int | None = None
+    priority: float | None = None
     # 0: the account's requests are not limited.
     rate_per_s: _NonNegativeFloat = 0.0
     burst_size: _NonNegativeFloat = 0.0
 
+    def __post_init__(self):
+        _make_whole(self, "priority")
+
     def to_account(self) -> Account:
         return Account(
             name=self.name,
@@ -150,13 +173,16 @@
 
 
 class _Limits(_Document, kw_only=True):
-    header_bytes: _PositiveInt
-    max_body_bytes: _NonNegativeInt
+    header_bytes: _AtLeastOne
+    max_body_bytes: _NonNegativeFloat
     header_timeout_ms: _PositiveFloat
     # Longest pause while a request's body arrives, between two requests, and
     # before the first request of a connection.
     idle_timeout_ms: _PositiveFloat
 
+    def __post_init__(self):
+        _make_whole(self, "header_bytes", "max_body_bytes")
+
 
 class _Config(_Document, kw_only=True):
     config_version: _NonNegativeInt
--- a/kumquatspur/platform/documents_test.py
+++ b/kumquatspur/platform/documents_test.py
@@ -190,6 +190,18 @@
                 self.assertIsNone(config)
                 self.assertIn(field, errors[0].source)
 
+    def test_whole_numbers_may_have_a_decimal_point(self):
+        route = {**ROUTE, "max-attempts": 2.0, "priority": 1.0}
+        config, errors = decode_config(encode_document(CONFIG, routes=[route]))
+        self.assertEqual(errors, [])
+        (decoded,) = config.routes
+        self.assertEqual((decoded.max_attempts, decoded.priority), (2, 1))
+        self.assertIsInstance(decoded.max_attempts, int)
+        route["max-attempts"] = 2.5
+        config, errors = decode_config(encode_document(CONFIG, routes=[route]))
+        self.assertIsNone(config)
+        self.assertIn("max_attempts", str(errors[0]))
+
     def test_malformed_bytes(self):
         config, errors = decode_config(b"\xff")
         self.assertIsNone(config)
