--- a/kumquatspur/policy/quota_ledger.py
+++ b/kumquatspur/policy/quota_ledger.py
@@ -148,6 +148,31 @@
     hears_first: Callable[[str], bool]
 
 
+@dataclasses.dataclass(slots=True)
+class AccountAllocation:
+    """What an allocator has done with one account since the last report.
+
+    Attributes:
+        granted: Requests that it granted.
+        charged: Requests that hosts reported as admitted without a grant.
+        returned: Granted requests that hosts gave back.
+        earned: Requests that it added at the account's rate.
+        level: Requests that it may still grant.
+        unused: Grants that may be unused.
+        hosts: Hosts that asked recently.
+        is_first: Whether it was the first choice for the account.
+    """
+
+    granted: int = 0
+    charged: int = 0
+    returned: int = 0
+    earned: float = 0.0
+    level: float = 0.0
+    unused: int = 0
+    hosts: int = 0
+    is_first: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class _AccountEntry:
     """The token bucket of one account, and the grants of the hosts.
@@ -159,6 +184,7 @@
         granted: Sum of the grants that may be unused.
         by_host: Granted requests and the lease's end by host.
         asked_at: When each host last asked.
+        allocation: What was done since the last report.
     """
 
     level: float
@@ -169,6 +195,9 @@
         default_factory=dict
     )
     asked_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    allocation: AccountAllocation = dataclasses.field(
+        default_factory=AccountAllocation
+    )
 
     def put(self, host: str, count: int, until: float) -> None:
         """Replaces what a host may have in hand."""
@@ -205,6 +234,7 @@
             began = now
         earned = account.rate_per_s * fraction * max(0.0, now - began)
         self.at = now
+        self.allocation.earned += earned
         room = max(0.0, terms.depth(account) * fraction - self.granted)
         if now < self.starts_at + LEASE_S:
             room = min(room, terms.start_credit(account) + earned)
@@ -316,6 +346,28 @@
             if entry.level + earned >= terms.depth(account):
                 del self.entries[name]
 
+    def take_allocations(
+        self, allocator: Allocator
+    ) -> dict[str, AccountAllocation]:
+        """Returns what was done with the accounts that hosts asked for.
+
+        Args:
+            allocator: What this host knows of itself.
+        """
+        found = {}
+        for name, entry in self.entries.items():
+            done = entry.allocation
+            if not (done.granted or done.charged or done.returned):
+                continue
+            entry.allocation = AccountAllocation()
+            done.level = round(entry.level, 2)
+            done.earned = round(done.earned, 2)
+            done.unused = entry.granted
+            done.hosts = len(entry.asked_at)
+            done.is_first = allocator.is_first(name)
+            found[name] = done
+        return found
+
     def record_update(self, now: float) -> None:
         """Notes that this host runs, in place of `expire` without entries."""
         self._check_frozen(now)
@@ -343,6 +395,8 @@
     returned = min(ask.returned, max(0, known - ask.held))
     entry.put(host, ask.held, now + LEASE_S)
     entry.level += returned - ask.charged
+    entry.allocation.returned += returned
+    entry.allocation.charged += ask.charged
     entry.add_credit(account, terms, allocator, now)
     available = max(0, math.floor(entry.level))
     waiting = min(ask.waiting, available)
@@ -352,6 +406,7 @@
     ahead = max(0, min(ahead, math.floor(room - entry.granted)))
     granted = waiting + ahead
     entry.level -= granted
+    entry.allocation.granted += granted
     # Waiting requests are sent on arrival of the answer, or their grants drop.
     entry.put(host, ask.held + ahead, now + LEASE_S)
     wait_s = 0.0
--- a/kumquatspur/policy/quota_ledger_test.py
+++ b/kumquatspur/policy/quota_ledger_test.py
@@ -122,6 +122,14 @@
         reply = self.ask(100.0 + FROZEN_S + 8.0, waiting=100)
         self.assertLessEqual(reply.granted, TERMS.start_credit(ACCOUNT))
 
+    def test_allocations_are_reported_once(self):
+        self.ask(100.0, waiting=2)
+        self.ask(101.0, "other", charged=1)
+        done = self.ledger.take_allocations(FIRST)["a"]
+        self.assertEqual((done.granted, done.charged), (2, 1))
+        self.assertTrue(done.is_first)
+        self.assertEqual(self.ledger.take_allocations(FIRST), {})
+
     def test_unknown_account_gets_no_answer(self):
         self.assertIsNone(self.ask(100.0, accounts=(), waiting=1))
 
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -189,6 +189,7 @@
 
     def _report_accounts(self) -> None:
         """Logs this host's requests of accounts that have a quota."""
+        self.shares.quotas.report_allocations()
         used = self.state.quotas.take_used()
         if used:
             bounds = self.state.settings.bounds
--- a/kumquatspur/wire/quota_exchange.py
+++ b/kumquatspur/wire/quota_exchange.py
@@ -139,6 +139,19 @@
             for name, grant in granted.items()
         )
 
+    def report_allocations(self) -> None:
+        """Logs what this host has granted as an allocator."""
+        done = self.ledger.take_allocations(self._as_allocator())
+        if done:
+            self.state.log.write(
+                "account_allocated",
+                True,
+                accounts={
+                    name: dataclasses.asdict(item)
+                    for name, item in done.items()
+                },
+            )
+
     def _run(self) -> None:
         while not self.state.ended:
             eventlet.sleep(CHECK_INTERVAL_S)
