--- a/kumquatspur/policy/quota_ledger_test.py
+++ b/kumquatspur/policy/quota_ledger_test.py
@@ -232,6 +232,23 @@
                         most = most_in_window(simulation.sent["big"])
                         self.assertLessEqual(most, allowed(*quota))
 
+    def test_hosts_that_hear_of_zones_late_ask_several_allocators(self):
+        for seed in SEEDS:
+            rate, burst = 32.0, 32.0
+            account = Account("big", rate_per_s=rate, burst=burst)
+            simulation = QuotaSimulation(68, (account,), seed)
+            simulation.late_age_s = 3.0
+            hosts = range(68)
+
+            def choose(simulation=simulation, hosts=hosts):
+                return simulation.random.choice(hosts)
+
+            simulation.load("big", rate / 1.6, choose, 100.0, 108.0)
+            simulation.load("big", rate * 4.9, choose, 108.0, 114.5)
+            simulation.run(16.0)
+            most = most_in_window(simulation.sent["big"])
+            self.assertLessEqual(most, allowed(rate, burst))
+
     def test_quota_is_used_up(self):
         for quota in QUOTAS:
             simulation = self.run_burst(quota, 20, "none", 3)
--- a/standins/quota_simulation.py
+++ b/standins/quota_simulation.py
@@ -28,6 +28,9 @@
 BACKOFF_S = 2.0
 # Age of the last message from a host that can be reached.
 MESSAGE_AGE_S = 1.0
+# Part of the hosts that hear of another zone late, for a time of this length.
+LATE_PART = 0.25
+LATE_S = 6.0
 # A host is heard if its last message is not older.
 HEARD_S = 2.0
 # After this time the hosts of a lost zone have expired.
@@ -85,10 +88,14 @@
         sent: When requests were sent, by account.
         refused: When requests were refused, by account.
         waited: Requests that waited for an allocator.
+        late_age_s: Age of the last message that some hosts have of another
+            zone. In a large fleet, messages take seconds to reach all hosts.
     """
 
     def __init__(self, count, accounts, seed, zones=3):
         self.random = random.Random(seed)
+        self.late_age_s = MESSAGE_AGE_S
+        self._age_seed = seed
         self.now = 100.0
         self.zones = zones
         self.accounts = {account.name: account for account in accounts}
@@ -260,7 +267,7 @@
         for number in self._rank(name):
             other = self.hosts[number]
             silent = (
-                other.side != host.side
+                other.zone != host.zone
                 and self._silent_s(host, other) > HEARD_S
             )
             if self.now >= host.backoff_until.get(number, 0.0) and not silent:
@@ -334,13 +341,24 @@
                 self.changed_at.get(other.zone, 0.0),
             )
             return self.now - since + MESSAGE_AGE_S
-        return MESSAGE_AGE_S
+        return self._message_age_s(host, other)
+
+    def _message_age_s(self, host, other):
+        """Returns how old the news of another host's zone is at a host."""
+        if other.zone == host.zone:
+            return MESSAGE_AGE_S
+        period = int(self.now / LATE_S)
+        draw = random.Random(
+            f"{self._age_seed} {host.number} {other.zone} {period}"
+        )
+        is_late = draw.random() < LATE_PART
+        return self.late_age_s if is_late else MESSAGE_AGE_S
 
     def _fraction(self, host):
         """Returns the part of the hosts whose zones a host hears."""
         lost = sum(
             self._silent_s(host, self.hosts[zone]) > HEARD_S
             for zone in range(self.zones)
-            if self.hosts[zone].side != host.side
+            if zone != host.zone
         )
         return 1.0 - lost / self.zones
