--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -32,6 +32,8 @@
         cut_off: Whether the host reaches no searchers.
         knows_accounts: Whether the host's build checks the keys of client
             accounts. Earlier builds do not send it.
+        lends_quotas: Whether the host's build holds and lends parts of the
+            quotas of client accounts. Earlier builds do not send it.
     """
 
     name: NonEmptyStr
@@ -43,6 +45,7 @@
     cores: Positive
     cut_off: bool = False
     knows_accounts: bool = False
+    lends_quotas: bool = False
 
 
 class KnownHost(_HostFields, kw_only=True):
@@ -176,6 +179,7 @@
             none.
         age_s: Time since the sender's view was current.
         era: Era of the store that the view is from; -1 if unknown.
+        running_s: Time since the sender's start; 0 from an earlier build.
         config_version: Version of the configuration in force; -1 if none is,
             None from a host that does not tell it.
         config: The sender's configuration, if the receiver has an older one
@@ -200,6 +204,7 @@
     revision: Count
     age_s: NonNegative
     era: Era = -1
+    running_s: NonNegative = 0.0
     config_version: int | None = None
     config: StoreItem | None = None
     leaving: tuple[LeavingSearcher, ...] = ()
--- a/kumquatspur/border/share_codec.py
+++ b/kumquatspur/border/share_codec.py
@@ -52,6 +52,20 @@
     returned: Count = 0
 
 
+class LoanNeed(Message, kw_only=True):
+    """What an allocator wants to borrow of a client account.
+
+    Attributes:
+        account: The account's name.
+        count: Requests that it wants.
+        unused: Requests borrowed before that may still be unused.
+    """
+
+    account: str
+    count: NonNegative
+    unused: NonNegative = 0.0
+
+
 class ShareRequest(Message, kw_only=True):
     """A host asks an allocator for parts of limits.
 
@@ -60,12 +74,15 @@
         needs: What it needs.
         accounts: What it needs of client accounts. Earlier builds ignore it.
         earlier_builds: Hosts that were left out since they run one.
+        loans: What the asking allocator wants to borrow. Earlier builds ignore
+            it.
     """
 
     host: NonEmptyStr
     needs: tuple[ShareNeed, ...]
     accounts: tuple[AccountNeed, ...] = ()
     earlier_builds: tuple[str, ...] = ()
+    loans: tuple[LoanNeed, ...] = ()
 
 
 class LeasedShare(Message, kw_only=True):
@@ -96,6 +113,20 @@
     wait_s: Wait = 0.0
 
 
+class Loan(Message, kw_only=True):
+    """Requests of an account that were lent to another allocator.
+
+    Attributes:
+        account: The account's name.
+        count: Requests that it may grant.
+        left: Requests that the lender still has.
+    """
+
+    account: str
+    count: NonNegative
+    left: NonNegative
+
+
 class ShareReply(Message, kw_only=True):
     """An allocator's answer.
 
@@ -106,6 +137,8 @@
         shares: The leased parts.
         accounts: The granted requests of accounts; None from an earlier build,
             which does not allocate them.
+        loans: The lent requests of accounts; None from an earlier build, which
+            lends none.
     """
 
     declined: str = ""
@@ -113,3 +146,4 @@
     renew_s: Wait = 0.0
     shares: tuple[LeasedShare, ...] = ()
     accounts: tuple[AccountGrant, ...] | None = None
+    loans: tuple[Loan, ...] | None = None
--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -6,7 +6,8 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
@@ -29,9 +30,23 @@
 # within this time, since hosts that became unreachable may still spend their
 # part.
 CAPACITY_WINDOW_S = 30.0
-# Hosts of each zone that may allocate an account's quota. With the first four
+# A zone is silent if no message from its hosts has arrived for this time,
+# directly or by way of others. News takes up to three seconds in a fleet.
+SILENT_ZONE_AFTER_S = 4.0
+# Hosts of each zone that hold a part of an account's quota. With the first four
 # of all zones, a fifth of the accounts would have none in a partitioned zone.
-ACCOUNT_ALLOCATORS_PER_ZONE = 3
+ACCOUNT_ALLOCATORS_PER_ZONE = 2
+# Part of an account's quota that the second allocator of a zone holds, which
+# serves while the first one of its zone does not.
+SECOND_ALLOCATOR_PART = 0.04
+# The first allocators of the zones hold the rest in equal parts, except that
+# the one that all hosts ask holds more, by this factor.
+FIRST_ALLOCATOR_WEIGHT = 1.6
+# A host holds a larger part of a quota only when all hosts have learned of the
+# change of the fleet that gave it that part.
+SETTLE_S = 4.0
+# A host joins others if one of them has run for so much longer.
+JOIN_DIFFERENCE_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +62,8 @@
         relay_port: Port where it accepts delegated requests; 0 for none.
         cut_off: Whether it told that it reaches no searchers.
         knows_accounts: Whether it told that it checks the keys of accounts.
+        lends_quotas: Whether it holds and lends parts of accounts' quotas.
+            Hosts of earlier builds do not.
     """
 
     name: str
@@ -57,6 +74,7 @@
     relay_port: int = 0
     cut_off: bool = False
     knows_accounts: bool = False
+    lends_quotas: bool = True
 
 
 @dataclasses.dataclass
@@ -73,9 +91,15 @@
             observed and the total.
         known_counts: Numbers of known hosts, as pairs of the same kind.
         silent_zones: Zones of which no host was heard recently, as found by
-            `reached_fraction`.
+            `update_silent_zones`.
+        removed: Peers removed within `SETTLE_S`, by name, and when.
+        removed_at: When a peer was last removed.
+        joined: Whether another host had run for some time when this one
+            started.
         account_ranks: Names of the allocators by account, until the known
             names change: at 2,600 hosts a ranking takes about a millisecond.
+        settled_parts: This host's part by account among the hosts that lend
+            quotas, with those in `removed`.
     """
 
     own_name: str
@@ -90,20 +114,32 @@
     )
 
     silent_zones: set[str] = dataclasses.field(default_factory=set)
+    removed: dict[str, tuple[Peer, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    removed_at: float = -math.inf
+    joined: bool = False
     account_ranks: dict[str, list[str]] = dataclasses.field(
         default_factory=dict
     )
+    settled_parts: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def merge_peer(self, peer: Peer) -> None:
         """Adds or updates a peer unless a newer entry is known."""
         known = self.peers.get(peer.name)
         if peer.name == self.own_name:
             return
-        if known is None:
-            self.account_ranks.clear()
+        if known is None or known.lends_quotas != peer.lends_quotas:
+            self.removed.pop(peer.name, None)
+            self._clear_ranks()
         if known is None or known.last_received_at < peer.last_received_at:
             self.peers[peer.name] = peer
 
+    def record_running(self, theirs_s: float, own_s: float) -> None:
+        """Records how long another host and this one have run, in seconds."""
+        if theirs_s > own_s + JOIN_DIFFERENCE_S:
+            self.joined = True
+
     def watchers(self) -> list[Peer | None]:
         """Returns the hosts of this zone that watch the store for the others.
 
@@ -157,21 +193,76 @@
         Returns:
             The first ones in order of preference; None for this host.
         """
+        return [self.peers.get(name) for name in self._account_rank(account)]
+
+    def _account_rank(self, account: str) -> list[str]:
         chosen = self.account_ranks.get(account)
         if chosen is None:
-            chosen = self._rank_for_account(account)
+            chosen = self._rank_for_account(account, self.peers)
             self.account_ranks[account] = chosen
-        return [self.peers.get(name) for name in chosen]
+        return chosen
+
+    def account_lenders(self, account: str) -> dict[str, float]:
+        """Returns the other hosts that hold parts of an account's quota.
+
+        Returns:
+            Their parts, by name.
+        """
+        zones = {
+            name: self.peers[name].zone if name in self.peers else self.own_zone
+            for name in self._account_rank(account)
+            if name not in self.peers or self.peers[name].lends_quotas
+        }
+        parts = _parts(zones)
+        parts.pop(self.own_name, None)
+        return parts
+
+    def account_part(self, account: str, now: float) -> float:
+        """Returns the part of an account's quota that this host holds.
+
+        The parts of all hosts are one together at most, also while they do not
+        know the same peers: a peer that was removed keeps its part until all
+        hosts have removed it, and hosts that lost each other divide the whole
+        by the number of hosts before.
+
+        Args:
+            account: The account's name.
+            now: Monotonic time in seconds.
+        """
+        ended = [k for k, v in self.removed.items() if now - v[1] >= SETTLE_S]
+        for name in ended:
+            del self.removed[name]
+            self.settled_parts.clear()
+        part = self.settled_parts.get(account)
+        if part is None:
+            known = (*self._removed_peers(), *self.peers.values())
+            lending = {peer.name: peer for peer in known if peer.lends_quotas}
+            zones = {
+                name: lending[name].zone if name in lending else self.own_zone
+                for name in self._rank_for_account(account, lending)
+            }
+            part = _parts(zones).get(self.own_name, 0.0)
+            self.settled_parts[account] = part
+        if not part:
+            return 0.0
+        # Hosts of earlier builds allocate whole quotas, without parts.
+        lending = 1 + sum(
+            peer.lends_quotas
+            for peer in (*self.peers.values(), *self._removed_peers())
+        )
+        return part * lending / self.most_known(now)
 
-    def _rank_for_account(self, account: str) -> list[str]:
+    def _rank_for_account(
+        self, account: str, peers: Mapping[str, Peer]
+    ) -> list[str]:
         ranked = sorted(
-            (self.own_name, *self.peers),
+            (self.own_name, *peers),
             key=lambda name: _name_hash(f"{account}/{name}"),
         )
         left = {}
         chosen = []
         for name in ranked:
-            peer = self.peers.get(name)
+            peer = peers.get(name)
             zone = peer.zone if peer else self.own_zone
             count = left.setdefault(zone, ACCOUNT_ALLOCATORS_PER_ZONE)
             if count:
@@ -179,36 +270,51 @@
                 chosen.append(name)
         return chosen
 
-    def reached_fraction(self, now: float) -> float:
-        """Returns the part of the hosts whose zones this host hears.
+    def _removed_peers(self) -> list[Peer]:
+        return [peer for peer, _ in self.removed.values()]
+
+    def _clear_ranks(self) -> None:
+        self.account_ranks.clear()
+        self.settled_parts.clear()
+
+    def update_silent_zones(self, now: float) -> None:
+        """Finds the zones of which no host was heard recently.
 
-        The hosts of a silent zone may go on with their part of an account's
-        quota. A host that is lost alone counts until it expires: within that
-        time it cannot be told from one whose messages are late.
+        Hosts of such a zone are not asked for quotas, which saves the time of
+        asks that fail.
 
         Args:
             now: Monotonic time in seconds.
-
-        Returns:
-            The part of the most hosts known within `CAPACITY_WINDOW_S`.
         """
         heard = {self.own_zone: now}
         for peer in self.peers.values():
             at = heard.get(peer.zone, peer.last_received_at)
             heard[peer.zone] = max(at, peer.last_received_at)
-        silent = {z for z, at in heard.items() if now - at > ISOLATED_AFTER_S}
-        self.silent_zones = silent
-        reached = 1 + sum(
-            peer.zone not in silent for peer in self.peers.values()
-        )
-        known = 1 + len(self.peers)
-        counts = [
+        self.silent_zones = {
+            zone for zone, at in heard.items() if now - at > SILENT_ZONE_AFTER_S
+        }
+
+    def most_known(self, now: float) -> int:
+        """Returns the most hosts known within `CAPACITY_WINDOW_S`.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._update_known_counts(now)
+        return max(count for _, count in self.known_counts)
+
+    def _update_known_counts(self, now: float) -> int:
+        """Records and returns the number of known hosts."""
+        known = 1 + len(self.peers) + len(self.removed)
+        counts = self.known_counts
+        if counts and counts[-1] == (now, known):
+            return known
+        self.known_counts = [
             item
-            for item in self.known_counts
+            for item in counts
             if now - item[0] < CAPACITY_WINDOW_S and item[1] > known
-        ]
-        self.known_counts = [*counts, (now, known)]
-        return reached / max(count for _, count in self.known_counts)
+        ] + [(now, known)]
+        return known
 
     def is_isolated(self, now: float) -> bool:
         """Returns whether this host is cut off from all hosts that it knows.
@@ -240,8 +346,9 @@
             if now - peer.last_received_at > expiry_s
         ]
         for name in expired:
-            del self.peers[name]
-            self.account_ranks.clear()
+            self.removed[name] = self.peers.pop(name), now
+            self.removed_at = now
+            self._clear_ranks()
         return expired
 
     def gossip_targets(
@@ -305,5 +412,25 @@
         return max(known for _, known in self.capacity_totals)
 
 
+def _parts(zones: Mapping[str, str]) -> dict[str, float]:
+    """Returns the parts of a quota that allocators hold.
+
+    Args:
+        zones: Their zones by name, in order of preference.
+    """
+    weights = {}
+    for name, zone in zones.items():
+        if zone not in (zones[other] for other in weights):
+            weights[name] = 1.0 if weights else FIRST_ALLOCATOR_WEIGHT
+    rest = 1.0 - SECOND_ALLOCATOR_PART * (len(zones) - len(weights))
+    total = sum(weights.values())
+    return {
+        name: weights[name] / total * rest
+        if name in weights
+        else SECOND_ALLOCATOR_PART
+        for name in zones
+    }
+
+
 def _name_hash(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
--- a/kumquatspur/policy/peer_table_test.py
+++ b/kumquatspur/policy/peer_table_test.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 import unittest
 
@@ -8,6 +9,8 @@
     ISOLATED_AFTER_S,
     MAX_PEERS_PER_MESSAGE,
     PEER_EXPIRY_S,
+    SETTLE_S,
+    SILENT_ZONE_AFTER_S,
     WATCHERS_PER_ZONE,
     Peer,
     PeerTable,
@@ -82,25 +85,84 @@
         names = [p and p.name for p in self.table.account_allocators("shop")]
         self.assertNotIn(first.name, names)
 
-    def test_silent_zone_lowers_the_reached_fraction(self):
-        """Its hosts may go on with their part of the quotas."""
+    def tables(self, names, zones="xyz"):
+        """Returns the tables of hosts that all know each other."""
+        peers = [
+            Peer(name, zones[number % len(zones)], address(1), 100.0, CAPACITY)
+            for number, name in enumerate(names)
+        ]
+        tables = {}
+        for own in peers:
+            table = PeerTable(own.name, own.zone, CAPACITY)
+            for peer in peers:
+                table.merge_peer(peer)
+            tables[own.name] = table
+        return tables
+
+    def sum_of_parts(self, tables, now):
+        return sum(t.account_part("shop", now) for t in tables.values())
+
+    def test_parts_of_a_quota_are_one_together(self):
+        names = [f"h{number}" for number in range(30)]
+        tables = self.tables(names)
+        self.assertAlmostEqual(self.sum_of_parts(tables, 100.0), 1.0)
+        first = tables["h0"].account_allocators("shop")[0]
+        lenders = tables[names[-1]].account_lenders("shop")
+        part = tables[first.name].account_part("shop", 100.0)
+        self.assertAlmostEqual(part, lenders[first.name])
+
+    def test_silent_zone_is_found_but_keeps_its_parts(self):
+        """Its hosts may go on with their parts of the quotas."""
         for number in range(3):
-            self.merge_peer(f"a{number}", address(number), 100.0)
-            self.merge_peer(f"b{number}", address(number), 98.0, "y")
-        self.assertEqual(self.table.reached_fraction(100.0), 1.0)
-        self.assertAlmostEqual(self.table.reached_fraction(100.5), 4 / 7)
+            self.merge_peer(f"a{number}", address(number), 106.0)
+            self.merge_peer(f"b{number}", address(number), 100.0, "y")
+        part = self.table.account_part("shop", 100.0)
+        self.table.update_silent_zones(100.0 + SILENT_ZONE_AFTER_S)
+        self.assertEqual(self.table.silent_zones, set())
+        self.table.update_silent_zones(100.1 + SILENT_ZONE_AFTER_S)
         self.assertEqual(self.table.silent_zones, {"y"})
-        # It holds on when the hosts have expired.
-        for number in range(3):
-            del self.table.peers[f"b{number}"]
-        self.assertAlmostEqual(self.table.reached_fraction(109.0), 4 / 7)
-        later = 109.0 + CAPACITY_WINDOW_S
-        self.assertEqual(self.table.reached_fraction(later), 1.0)
+        self.assertEqual(self.table.account_part("shop", 106.0), part)
 
     def test_lost_host_of_a_heard_zone_leaves_its_part(self):
         self.merge_peer("b0", address(0), 90.0, "y")
         self.merge_peer("b1", address(1), 100.0, "y")
-        self.assertEqual(self.table.reached_fraction(100.5), 1.0)
+        before = self.table.account_part("shop", 100.5)
+        self.table.update_silent_zones(100.5)
+        self.assertEqual(self.table.silent_zones, set())
+        self.assertEqual(self.table.account_part("shop", 100.6), before)
+
+    def test_parts_are_never_more_than_one_while_hosts_are_removed(self):
+        """A zone is cut off, and each host removes the others by itself."""
+        rng = random.Random(3)
+        names = [f"h{number}" for number in range(30)]
+        tables = self.tables(names)
+        steps = []
+        for own, table in tables.items():
+            for name in table.peers:
+                if (table.own_zone == "x") != (table.peers[name].zone == "x"):
+                    steps.append((110.0 + 3.0 * rng.random(), own, name))
+        for now, own, name in sorted(steps):
+            table = tables[own]
+            table.removed[name] = table.peers.pop(name), now
+            table.removed_at = now
+            table._clear_ranks()
+            self.assertLessEqual(self.sum_of_parts(tables, now), 1.0 + 1e-9)
+        later = 113.0 + SETTLE_S
+        self.assertLessEqual(self.sum_of_parts(tables, later), 1.0 + 1e-9)
+        self.assertGreater(self.sum_of_parts(tables, later), 0.95)
+
+    def test_host_of_an_earlier_build_holds_no_part(self):
+        for number in range(4):
+            self.merge_peer(f"h{number}", address(number), 100.0)
+        for name in list(self.table.peers):
+            peer = dataclasses.replace(
+                self.table.peers[name],
+                lends_quotas=False,
+                last_received_at=101.0,
+            )
+            self.table.merge_peer(peer)
+        self.assertEqual(self.table.account_lenders("shop"), {})
+        self.assertEqual(self.table.account_part("shop", 101.0), 0.2)
 
     def test_hosts_rank_the_allocators_of_a_zone_alike(self):
         names = [f"h{number}" for number in range(6)]
--- a/kumquatspur/policy/quota_ledger_test.py
+++ b/kumquatspur/policy/quota_ledger_test.py
@@ -2,11 +2,14 @@
 import unittest
 
 from kumquatspur.core.routing import Account
+from kumquatspur.policy.peer_table import SETTLE_S
 from kumquatspur.policy.quota_ledger import (
-    FALLBACK_START_S,
     FROZEN_S,
     LEASE_S,
+    LOAN_S,
+    START_VIEW_S,
     Allocator,
+    LoanNeed,
     QuotaAsk,
     QuotaLedger,
     QuotaTerms,
@@ -16,9 +19,16 @@
 
 TERMS = QuotaTerms(5.0, 0.1, 20.0)
 ACCOUNT = Account("a", rate_per_s=10.0, burst=20.0)
-FIRST = Allocator(1.0, lambda name: True, lambda name: False)
-FALLBACK = Allocator(1.0, lambda name: False, lambda name: False)
-OUTRANKED = Allocator(1.0, lambda name: False, lambda name: True)
+
+
+def holder_of(part, *lenders):
+    """Returns an allocator that holds a part of each account's quota."""
+    return Allocator(
+        lambda name: part, lambda name: dict.fromkeys(lenders, part)
+    )
+
+
+WHOLE = holder_of(1.0)
 SEEDS = range(2)
 
 
@@ -26,7 +36,7 @@
     def setUp(self):
         self.ledger = QuotaLedger(started_at=0.0)
 
-    def ask(self, now, host="h", allocator=FIRST, accounts=(ACCOUNT,), **ask):
+    def ask(self, now, host="h", allocator=WHOLE, accounts=(ACCOUNT,), **ask):
         known = {account.name: account for account in accounts}
         asks = {"a": QuotaAsk(**{"per_s": 0.0, **ask})}
         grants = self.ledger.renew(host, asks, known, TERMS, allocator, now)
@@ -72,43 +82,120 @@
         """Several fallbacks within one window once exceeded the quota."""
         granted = 0
         for _ in range(3):
-            self.ledger = QuotaLedger(started_at=0.0)
-            reply = self.ask(100.0, waiting=100, allocator=OUTRANKED)
+            self.ledger = QuotaLedger(started_at=99.0)
+            reply = self.ask(100.0, waiting=100, allocator=holder_of(1 / 3))
             granted += reply.granted
         self.assertLessEqual(granted, TERMS.start_credit(ACCOUNT))
 
+    def test_allocators_used_at_the_same_time_add_the_rate_once(self):
+        """Hosts that hear of a zone late ask others than the rest does."""
+        granted = 0
+        ledgers = [QuotaLedger(started_at=0.0) for _ in range(3)]
+        for step in range(50):
+            for ledger in ledgers:
+                self.ledger = ledger
+                reply = self.ask(
+                    100.0 + step / 10.0, waiting=9, allocator=holder_of(1 / 3)
+                )
+                granted += reply.granted
+        self.assertLessEqual(granted, TERMS.depth(ACCOUNT) + 4.9 * 10.0)
+        self.assertGreater(granted, TERMS.depth(ACCOUNT) + 4.9 * 10.0 - 4.0)
+
     def test_new_allocator_starts_with_little(self):
         """It does not know what the hosts have used before."""
+        early = self.ask(0.9 * START_VIEW_S, waiting=100)
+        self.assertEqual(early.granted, 0)
         start = TERMS.start_credit(ACCOUNT)
         first = self.ask(1.0, waiting=100).granted
         self.assertLessEqual(first, start)
-        again = self.ask(1.9, waiting=100)
+        again = self.ask(1.0 + LEASE_S, waiting=100)
         self.assertEqual(again.granted, 0)
         self.assertGreater(again.wait_s, 0.0)
-        self.assertGreater(self.ask(4.0, waiting=100).granted, 0)
-
-    def test_fallback_waits_until_a_lost_zone_is_noticed(self):
-        self.ask(100.0, allocator=FALLBACK, waiting=100)
-        later = 100.0 + FALLBACK_START_S - 0.1
-        reply = self.ask(later, allocator=FALLBACK, waiting=100)
-        self.assertEqual(reply.granted, 0)
-        reply = self.ask(later + 1.1, allocator=FALLBACK, waiting=100)
-        self.assertGreater(reply.granted, 5)
+        later = self.ask(SETTLE_S + 1.0, waiting=100)
+        self.assertGreater(later.granted, 0)
 
-    def test_fallback_adds_nothing_while_it_hears_the_first_one(self):
-        self.ask(100.0, allocator=OUTRANKED, waiting=100)
-        for now in range(101, 120):
-            reply = self.ask(float(now), allocator=OUTRANKED, waiting=9)
+    def test_host_that_holds_no_part_grants_nothing_of_its_own(self):
+        for now in range(100, 120):
+            reply = self.ask(float(now), allocator=holder_of(0.0), waiting=9)
             self.assertEqual(reply.granted, 0)
 
+    def test_host_that_is_given_a_part_has_no_credit_of_before(self):
+        """The host that held the part may have granted it just before."""
+        given = Allocator(lambda name: 1.0, lambda name: {}, changed_at=99.0)
+        reply = self.ask(99.0 + SETTLE_S, allocator=given, waiting=100)
+        self.assertEqual(reply.granted, 0)
+        reply = self.ask(100.0 + SETTLE_S, allocator=given, waiting=100)
+        self.assertEqual(reply.granted, 10)
+
     def test_partition_divides_rate_and_depth(self):
-        half = Allocator(0.5, lambda name: True, lambda name: False)
+        half = holder_of(0.5)
         granted = sum(
             self.ask(100.0 + step / 10.0, allocator=half, waiting=50).granted
             for step in range(50)
         )
         self.assertLessEqual(granted, TERMS.depth(ACCOUNT) / 2 + 4.9 * 5.0)
 
+    def borrow(self, now, asks, lender, allocator=None):
+        """Lets the ledger borrow from another one, named "lender"."""
+        allocator = allocator or holder_of(0.5, "lender")
+        known = {"a": ACCOUNT}
+        plans = self.ledger.plan_loans(asks, known, TERMS, allocator, now)
+        for name, needs in plans.items():
+            loans = lender.lend(
+                "borrower", needs, known, TERMS, holder_of(0.5), now
+            )
+            self.ledger.record_loans(name, loans, now, now)
+        return plans
+
+    def test_loans_are_used_up(self):
+        lender = QuotaLedger(started_at=0.0)
+        granted = 0
+        for step in range(50):
+            now = 100.0 + step / 10.0
+            asks = {"a": QuotaAsk(0.0, waiting=50)}
+            self.borrow(now, asks, lender)
+            reply = self.ask(now, waiting=50, allocator=holder_of(0.5))
+            granted += reply.granted
+        self.assertLessEqual(granted, TERMS.depth(ACCOUNT) + 4.9 * 10.0)
+        self.assertGreater(granted, TERMS.depth(ACCOUNT) + 4.9 * 10.0 - 8.0)
+
+    def test_unused_loans_leave_no_room_at_the_lender(self):
+        """Borrower and lender together store no more than the depth."""
+        lender = QuotaLedger(started_at=0.0)
+        asks = {"a": QuotaAsk(40.0, waiting=1)}
+        self.borrow(100.0, asks, lender)
+        held = self.ask(100.0, per_s=40.0, allocator=holder_of(0.5)).granted
+        for now in (101.0, 101.9):
+            need = {"a": LoanNeed(0.0, TERMS.depth(ACCOUNT))}
+            lender.lend("x", need, {"a": ACCOUNT}, TERMS, holder_of(0.5), now)
+            self.ask(now, held=held, allocator=holder_of(0.5))
+            stored = sum(
+                ledger.entries["a"].level + ledger.entries["a"].granted
+                for ledger in (lender, self.ledger)
+            )
+            self.assertLessEqual(stored, TERMS.depth(ACCOUNT) + 1e-6)
+
+    def test_lender_stores_again_after_a_loan_was_used(self):
+        lender = QuotaLedger(started_at=0.0)
+        self.borrow(100.0, {"a": QuotaAsk(0.0, waiting=50)}, lender)
+        self.ask(100.0, waiting=50, allocator=holder_of(0.5))
+        self.borrow(103.0, {"a": QuotaAsk(0.0, waiting=50)}, lender)
+        lent = lender.entries["a"].lent["borrower"][0]
+        self.assertAlmostEqual(lent, 15.0, delta=1.0)
+
+    def test_lost_answer_of_a_lender_is_no_credit_for_long(self):
+        lender = QuotaLedger(started_at=0.0)
+        need = {"a": LoanNeed(10.0, 0.0)}
+        known = {"a": ACCOUNT}
+        whole = holder_of(1.0)
+        lender.lend("x", need, known, TERMS, whole, 100.0)
+        lender.lend("x", {}, known, TERMS, whole, 100.0)
+        entry = lender.entries["a"]
+        entry.update(ACCOUNT, TERMS, 1.0, 100.0 + LOAN_S - 0.1)
+        self.assertAlmostEqual(entry.level, TERMS.depth(ACCOUNT) - 10.0)
+        entry.update(ACCOUNT, TERMS, 1.0, 101.0 + LOAN_S)
+        self.assertAlmostEqual(entry.level, TERMS.depth(ACCOUNT))
+
     def test_lower_limit_takes_effect_at_once(self):
         self.ask(100.0, waiting=1)
         lower = Account("a", rate_per_s=1.0, burst=1.0)
@@ -117,18 +204,20 @@
 
     def test_frozen_allocator_starts_anew(self):
         """Another host has granted the rate meanwhile."""
-        self.ledger.expire({"a": ACCOUNT}, TERMS, FIRST, 100.0)
+        self.ledger.expire({"a": ACCOUNT}, TERMS, WHOLE, 100.0)
         self.ask(100.0, waiting=100)
-        reply = self.ask(100.0 + FROZEN_S + 8.0, waiting=100)
+        woken_at = 100.0 + FROZEN_S + 8.0
+        reply = self.ask(woken_at, waiting=100)
         self.assertLessEqual(reply.granted, TERMS.start_credit(ACCOUNT))
+        self.assertEqual(self.ask(woken_at + 3.9, waiting=100).granted, 0)
 
     def test_allocations_are_reported_once(self):
         self.ask(100.0, waiting=2)
         self.ask(101.0, "other", charged=1)
-        done = self.ledger.take_allocations(FIRST)["a"]
+        done = self.ledger.take_allocations()["a"]
         self.assertEqual((done.granted, done.charged), (2, 1))
-        self.assertTrue(done.is_first)
-        self.assertEqual(self.ledger.take_allocations(FIRST), {})
+        self.assertEqual(done.part, 1.0)
+        self.assertEqual(self.ledger.take_allocations(), {})
 
     def test_unknown_account_gets_no_answer(self):
         self.assertIsNone(self.ask(100.0, accounts=(), waiting=1))
@@ -137,7 +226,7 @@
         for now in range(100, 120):
             if now == 100:
                 self.ask(100.0, waiting=2)
-            self.ledger.expire({"a": ACCOUNT}, TERMS, FIRST, float(now))
+            self.ledger.expire({"a": ACCOUNT}, TERMS, WHOLE, float(now))
         self.assertEqual(self.ledger.entries, {})
 
     def test_grants_end_with_the_lease(self):
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -304,6 +304,8 @@
             cores=capacity.cores,
             cut_off=self.state.is_cut_off(now),
             knows_accounts=True,
+            lends_quotas=True,
+            running_s=max(0.0, now - self.state.quotas.started_at),
             revision=self.mirror.revision or 0,
             era=self.mirror.era,
             config_version=table.config.version if table else -1,
@@ -378,6 +380,7 @@
                 cores=peer.capacity.cores,
                 cut_off=peer.cut_off,
                 knows_accounts=peer.knows_accounts,
+                lends_quotas=peer.lends_quotas,
             )
             for peer in self.state.peers.sample_peers(self.state.random.sample)
         )
@@ -400,6 +403,8 @@
         now = monotonic_s()
         peers = self.state.peers
         peers.merge_peer(_decode_peer(message, now))
+        own_running_s = now - self.state.quotas.started_at
+        peers.record_running(message.running_s, own_running_s)
         for host in message.hosts:
             peers.merge_peer(_decode_peer(host, now - host.age_s))
         self._apply_searcher_states(message)
@@ -533,6 +538,7 @@
         host.relay_port,
         host.cut_off,
         host.knows_accounts,
+        host.lends_quotas,
     )
 
 
--- a/kumquatspur/wire/quota_exchange.py
+++ b/kumquatspur/wire/quota_exchange.py
@@ -10,8 +10,9 @@
 
 import eventlet
 import eventlet.event
+import eventlet.semaphore
 
-from kumquatspur.border import packing
+from kumquatspur.border import packing, share_codec
 from kumquatspur.border.share_codec import (
     AccountGrant,
     AccountNeed,
@@ -20,9 +21,13 @@
 )
 from kumquatspur.core.routing import Account
 from kumquatspur.policy.account_quotas import ADMITTED, Admission
-from kumquatspur.policy.peer_table import ISOLATED_AFTER_S, Peer
+from kumquatspur.policy.peer_table import Peer
 from kumquatspur.policy.quota_ledger import (
+    MAX_LOAN_ROUNDS,
+    START_VIEW_S,
     Allocator,
+    Loan,
+    LoanNeed,
     QuotaAsk,
     QuotaGrant,
     QuotaLedger,
@@ -38,8 +43,12 @@
 # An ask is given up after this time, so that the next host of the ranking can
 # answer while the request waits.
 ASK_TIMEOUT_S = 0.12
-# How long a host is not asked after a failure.
+# Another allocator that has not answered for this time lends nothing. The host
+# that asked for grants is still answered in time.
+LOAN_TIMEOUT_S = 0.04
+# How long a host is not asked after a failure, for grants and for loans.
 BACKOFF_S = 2.0
+LOAN_BACKOFF_S = 1.0
 # How long a host is known to run an earlier build, which allocates no accounts.
 EARLIER_BUILD_S = 30.0
 PRUNE_INTERVAL_S = 1.0
@@ -63,12 +72,14 @@
         self.state = state
         self.call = call
         self.ledger = QuotaLedger(monotonic_s())
-        self._fraction = 1.0
+        self._loan_lock = eventlet.semaphore.Semaphore(1)
         self._accounts_of = None
         self._accounts = {}
         self._asking = set()
         self._waiters = collections.defaultdict(list)
         self._backoff_until = {}
+        self._zone_backoff_until = {}
+        self._loan_backoff_until = {}
         self._earlier_until = {}
         self._pruned_at = 0.0
 
@@ -84,6 +95,7 @@
         """
         if account is None or account.rate_per_s <= 0.0:
             return ADMITTED
+        self._wait_for_fleet()
         quotas = self.state.quotas
         draw = 1.0 - self.state.random.random()
         result = quotas.admit(account, monotonic_s(), draw)
@@ -105,13 +117,27 @@
                 self._waiters[account.name].remove(answered)
         return quotas.end_wait(account, monotonic_s())
 
+    def _wait_for_fleet(self) -> None:
+        """Waits a moment if no host grants anything yet after a common start.
+
+        The first requests would all be refused, although they can be served
+        shortly after.
+        """
+        age_s = monotonic_s() - self.state.quotas.started_at
+        peers = self.state.peers
+        if age_s < START_VIEW_S and peers.peers and not peers.joined:
+            eventlet.sleep(START_VIEW_S - age_s)
+
     def refund(self, account: Account | None) -> None:
         """Returns the credit of an admitted request that ran nowhere."""
         if account is not None:
             self.state.quotas.refund(account, monotonic_s())
 
     def allocate(self, request: ShareRequest) -> tuple[AccountGrant, ...]:
-        """Grants requests of accounts to a host, which may be this one."""
+        """Grants requests of accounts to a host, which may be this one.
+
+        It borrows from other allocators first if it lacks requests.
+        """
         now = monotonic_s()
         for name in request.earlier_builds:
             if name in self.state.peers.peers:
@@ -126,22 +152,100 @@
             )
             for need in request.accounts
         }
-        granted = self.ledger.renew(
+        known = (self._known_accounts(), self._terms(), self._as_allocator())
+        self.ledger.record_asks(request.host, asks, *known, now)
+        self._borrow(asks)
+        granted = self.ledger.grant(request.host, asks, *known, monotonic_s())
+        return tuple(
+            AccountGrant(account=name, **dataclasses.asdict(grant))
+            for name, grant in granted.items()
+        )
+
+    def lend(self, request: ShareRequest) -> tuple[share_codec.Loan, ...]:
+        """Lends requests of accounts to another allocator."""
+        needs = {
+            need.account: LoanNeed(need.count, need.unused)
+            for need in request.loans
+        }
+        loans = self.ledger.lend(
             request.host,
-            asks,
+            needs,
             self._known_accounts(),
             self._terms(),
             self._as_allocator(),
-            now,
+            monotonic_s(),
         )
         return tuple(
-            AccountGrant(account=name, **dataclasses.asdict(grant))
-            for name, grant in granted.items()
+            share_codec.Loan(account=name, **dataclasses.asdict(loan))
+            for name, loan in loans.items()
+        )
+
+    def _borrow(self, asks: dict[str, QuotaAsk]) -> None:
+        """Borrows what asks need, one set of loans after the other.
+
+        A loan in flight is not known to be unused yet, so the same lender must
+        not be asked again before its answer.
+        """
+        if not self._plan_loans(asks):
+            return
+        end = monotonic_s() + LOAN_TIMEOUT_S
+        if not self._loan_lock.acquire(timeout=LOAN_TIMEOUT_S):
+            return
+        try:
+            for _ in range(MAX_LOAN_ROUNDS):
+                plans = self._plan_loans(asks)
+                if not plans or monotonic_s() > end:
+                    break
+                calls = [
+                    eventlet.spawn(self._borrow_from, lender, needs)
+                    for lender, needs in plans.items()
+                ]
+                for call in calls:
+                    call.wait()
+        finally:
+            self._loan_lock.release()
+
+    def _plan_loans(
+        self, asks: dict[str, QuotaAsk]
+    ) -> dict[str, dict[str, LoanNeed]]:
+        return self.ledger.plan_loans(
+            asks,
+            self._known_accounts(),
+            self._terms(),
+            self._as_allocator(),
+            monotonic_s(),
+        )
+
+    def _borrow_from(self, lender: str, needs: dict[str, LoanNeed]) -> None:
+        peer = self.state.peers.peers.get(lender)
+        if peer is None:
+            return
+        asked_at = monotonic_s()
+        request = ShareRequest(
+            host=self.state.settings.name,
+            needs=(),
+            loans=tuple(
+                share_codec.LoanNeed(account=name, **dataclasses.asdict(need))
+                for name, need in needs.items()
+            ),
         )
+        self.state.counters["quota_loans"] += 1
+        reply, error = self._call(peer, request, LOAN_TIMEOUT_S)
+        now = monotonic_s()
+        if error or reply.loans is None:
+            self._loan_backoff_until[lender] = now + LOAN_BACKOFF_S
+            self.state.counters["quota_loans_failed"] += 1
+            return
+        loans = {
+            loan.account: Loan(loan.count, loan.left)
+            for loan in reply.loans
+            if loan.account in needs
+        }
+        self.ledger.record_loans(lender, loans, asked_at, now)
 
     def report_allocations(self) -> None:
         """Logs what this host has granted as an allocator."""
-        done = self.ledger.take_allocations(self._as_allocator())
+        done = self.ledger.take_allocations()
         if done:
             self.state.log.write(
                 "account_allocated",
@@ -157,10 +261,10 @@
             eventlet.sleep(CHECK_INTERVAL_S)
             now = monotonic_s()
             peers = self.state.peers
-            self._fraction = peers.reached_fraction(now)
+            peers.update_silent_zones(now)
             quotas = self.state.quotas
             quotas.terms = self._terms()
-            known = max(count for _, count in peers.known_counts)
+            known = peers.most_known(now)
             quotas.hosts = known if peers.peers else ASSUMED_HOSTS
             if self.ledger.entries:
                 self.ledger.expire(
@@ -195,20 +299,23 @@
         )
 
     def _as_allocator(self) -> Allocator:
-        return Allocator(self._fraction, self._is_first, self._hears_first)
-
-    def _is_first(self, account: str) -> bool:
-        ranked = self._ranked(account, monotonic_s())
-        return bool(ranked) and ranked[0] is None
-
-    def _hears_first(self, account: str) -> bool:
+        peers = self.state.peers
         now = monotonic_s()
-        for peer in self._ranked(account, now):
-            if peer is None:
-                return False
-            if now - peer.last_received_at <= ISOLATED_AFTER_S:
-                return True
-        return False
+        own = self.state.settings.peer
+        is_alone = not peers.peers and peers.most_known(now) == 1
+        if is_alone and any(s != own for s in self.state.settings.seeds):
+            # It has not heard of the others yet.
+            return Allocator(lambda account: 0.0, lambda account: {})
+        return Allocator(
+            lambda account: peers.account_part(account, now),
+            lambda account: {
+                name: part
+                for name, part in peers.account_lenders(account).items()
+                if now >= self._loan_backoff_until.get(name, 0.0)
+            },
+            peers.removed_at,
+            peers.joined,
+        )
 
     def _ranked(self, account: str, now: float) -> list[Peer | None]:
         """Returns the hosts that may allocate an account, the first one first.
@@ -228,14 +335,32 @@
             LookupError: No allocator can be asked.
         """
         peers = self.state.peers
-        if not peers.is_isolated(now):
-            for peer in self._ranked(account, now):
-                if peer is None:
-                    return peer
-                backoff_until = self._backoff_until.get(peer.name, 0.0)
-                if now >= backoff_until and peer.zone not in peers.silent_zones:
-                    return peer
-        raise LookupError(account)
+        if peers.is_isolated(now):
+            # A host that is cut off from all others grants its own part.
+            if peers.account_part(account, now) > 0.0:
+                return None
+            raise LookupError(account)
+        found = [
+            peer
+            for peer in self._ranked(account, now)
+            if peer is None
+            or (
+                now >= self._backoff_until.get(peer.name, 0.0)
+                and peer.zone not in peers.silent_zones
+            )
+        ]
+        if not found:
+            raise LookupError(account)
+        # After a failure, a host of another zone is more likely to answer.
+        return next(
+            (
+                peer
+                for peer in found
+                if peer is None
+                or now >= self._zone_backoff_until.get(peer.zone, 0.0)
+            ),
+            found[0],
+        )
 
     def _ask_soon(self, account: str) -> None:
         """Starts an ask for an account, unless one is on its way."""
@@ -243,19 +368,18 @@
             peer = self._allocator(account, monotonic_s())
         except LookupError:
             return
-        if peer is None:
-            self._ask(None)
-        elif peer.name not in self._asking:
-            self._asking.add(peer.name)
-            eventlet.spawn_n(self._ask_peer, peer)
+        name = peer.name if peer else self.state.settings.name
+        if name not in self._asking:
+            self._asking.add(name)
+            eventlet.spawn_n(self._ask_allocator, name, peer)
 
-    def _ask_peer(self, peer: Peer) -> None:
+    def _ask_allocator(self, name: str, peer: Peer | None) -> None:
         """Asks until no request waits that the last answer does not cover."""
         try:
             while self._ask(peer):
                 pass
         finally:
-            self._asking.discard(peer.name)
+            self._asking.discard(name)
 
     def _ask(self, peer: Peer | None) -> bool:
         """Asks an allocator for all accounts that are due.
@@ -274,7 +398,7 @@
         granted = (
             self.allocate(request)
             if peer is None
-            else self._call(peer, request)
+            else self._ask_for_grants(peer, request)
         )
         if granted is None:
             quotas.record_unanswered(asks)
@@ -317,27 +441,35 @@
             earlier_builds=tuple(earlier),
         )
 
-    def _call(
+    def _ask_for_grants(
         self, peer: Peer, request: ShareRequest
     ) -> tuple[AccountGrant, ...] | None:
         """Returns an allocator's grants; None if it is unfit."""
-        try:
-            data = self.call(
-                peer.address, SHARES_PATH, packing.pack(request), ASK_TIMEOUT_S
-            )
-            reply = packing.unpack(data, ShareReply)
-            error = reply.declined
-            if not error and reply.accounts is None:
-                error = "earlier build"
-                until = monotonic_s() + EARLIER_BUILD_S
-                self._earlier_until[peer.name] = until
-        except (OSError, ValueError) as failure:
-            error = str(failure)
-        if not error:
+        reply, error = self._call(peer, request, ASK_TIMEOUT_S)
+        if not error and reply.accounts is not None:
             return reply.accounts
-        self._backoff_until[peer.name] = monotonic_s() + BACKOFF_S
+        now = monotonic_s()
+        if not error:
+            error = "earlier build"
+            self._earlier_until[peer.name] = now + EARLIER_BUILD_S
+        self._backoff_until[peer.name] = now + BACKOFF_S
+        if peer.zone != self.state.settings.zone:
+            self._zone_backoff_until[peer.zone] = now + BACKOFF_S
         self.state.counters["quota_asks_failed"] += 1
         self.state.log.write(
             "allocator_unfit", True, allocator=peer.name, error=error[:120]
         )
         return None
+
+    def _call(
+        self, peer: Peer, request: ShareRequest, timeout_s: float
+    ) -> tuple[ShareReply | None, str]:
+        """Returns another host's answer, and an error or ""."""
+        try:
+            data = self.call(
+                peer.address, SHARES_PATH, packing.pack(request), timeout_s
+            )
+            reply = packing.unpack(data, ShareReply)
+        except (OSError, ValueError) as failure:
+            return None, str(failure) or type(failure).__name__
+        return reply, reply.declined
--- a/kumquatspur/wire/quota_exchange_test.py
+++ b/kumquatspur/wire/quota_exchange_test.py
@@ -16,7 +16,11 @@
     RoutingConfig,
 )
 from kumquatspur.platform import headers
-from kumquatspur.policy.peer_table import Peer
+from kumquatspur.policy.peer_table import (
+    ISOLATED_AFTER_S,
+    Peer,
+)
+from kumquatspur.policy.quota_ledger import START_VIEW_S
 from kumquatspur.policy.route_table import RouteTable
 from kumquatspur.wire.entry_state import new_state
 from kumquatspur.wire.searcher_pool import monotonic_s
@@ -49,6 +53,7 @@
         )
         self.hosts = {}
         self.calls = []
+        self.loan_calls = []
         self.down = set()
 
     def add_host(self, name, zone="z"):
@@ -59,6 +64,7 @@
         exchange = ShareExchange(state, self.call)
         # A host that has run for longer than a window.
         exchange.quotas.ledger.started_at -= 100.0
+        state.quotas.started_at -= 100.0
         exchange.quotas.start()
         for other in self.hosts.values():
             self.introduce(other.state, state)
@@ -74,7 +80,8 @@
         state.peers.merge_peer(peer)
 
     def call(self, address, path, data, timeout_s=0.5):
-        self.calls.append(address.host)
+        is_loan = bool(packing.unpack(data, ShareRequest).loans)
+        (self.loan_calls if is_loan else self.calls).append(address.host)
         if address.host in self.down:
             eventlet.sleep(timeout_s)
             raise OSError("timed out")
@@ -90,8 +97,9 @@
 class QuotaExchangeTest(QuotaCase):
     def setUp(self):
         super().setUp()
-        for name in ("h1", "h2", "h3"):
-            self.add_host(name)
+        # A zone has at most two allocators.
+        for name, zone in (("h1", "x"), ("h2", "y"), ("h3", "z")):
+            self.add_host(name, zone)
         self.first, self.second, self.last = self.ranked(self.hosts["h1"])[:3]
 
     def test_hosts_share_the_quota(self):
@@ -110,9 +118,10 @@
         for _ in range(20):
             self.hosts[self.last].quotas.admit(ACCOUNT)
         self.calls.clear()
+        self.loan_calls.clear()
         for _ in range(100):
             self.hosts[self.last].quotas.admit(ACCOUNT)
-        self.assertLessEqual(len(self.calls), 2)
+        self.assertLessEqual(len(self.calls) + len(self.loan_calls), 2)
 
     def test_requests_at_once_are_asked_together(self):
         exchange = self.hosts[self.last]
@@ -143,12 +152,62 @@
         )
         exchange = self.hosts[self.last]
         self.assertTrue(exchange.quotas.admit(ACCOUNT).admitted)
-        self.assertTrue(self.hosts[self.second].quotas._is_first("a"))
+        second = self.hosts[self.second].quotas
+        self.assertIsNone(second._ranked("a", monotonic_s())[0])
         self.calls.clear()
         exchange.state.quotas.by_account.clear()
         self.assertTrue(exchange.quotas.admit(ACCOUNT).admitted)
         self.assertEqual(self.calls, [self.second])
 
+    def test_allocator_borrows_what_it_lacks(self):
+        """Any host can grant the whole quota while the others are reached."""
+        self.down.update((self.first, self.second))
+        exchange = self.hosts[self.last]
+        exchange.quotas.admit(ACCOUNT)
+        self.down.clear()
+        exchange.quotas._loan_backoff_until.clear()
+        admitted = 1
+        for _ in range(20):
+            admitted += exchange.quotas.admit(ACCOUNT).admitted
+        depth = exchange.quotas._terms().depth(ACCOUNT)
+        self.assertGreaterEqual(admitted, int(depth))
+        self.assertLessEqual(admitted, depth + 2)
+
+    def test_lender_that_does_not_answer_costs_little_time(self):
+        self.down.update((self.second, self.last))
+        exchange = self.hosts[self.first]
+        began = monotonic_s()
+        results = [exchange.quotas.admit(ACCOUNT) for _ in range(9)]
+        self.assertLess(monotonic_s() - began, 0.3)
+        self.assertIn(True, [result.admitted for result in results])
+
+    def test_host_cut_off_from_all_others_grants_its_own_part(self):
+        self.down.update((self.second, self.last))
+        exchange = self.hosts[self.first]
+        peers = exchange.state.peers
+        part = peers.account_part("a", monotonic_s())
+        for name, peer in peers.peers.items():
+            peers.peers[name] = dataclasses.replace(
+                peer, last_received_at=monotonic_s() - ISOLATED_AFTER_S - 1.0
+            )
+        results = [exchange.quotas.admit(ACCOUNT) for _ in range(9)]
+        admitted = [result.admitted for result in results].count(True)
+        depth = exchange.quotas._terms().depth(ACCOUNT)
+        self.assertGreater(admitted, 0)
+        self.assertLessEqual(admitted, part * depth + 1)
+
+    def test_first_requests_after_a_common_start_wait_for_the_hosts(self):
+        exchange = self.hosts[self.last]
+        exchange.state.quotas.started_at = monotonic_s()
+        began = monotonic_s()
+        self.assertTrue(exchange.quotas.admit(ACCOUNT).admitted)
+        self.assertGreater(monotonic_s() - began, 0.9 * START_VIEW_S)
+        exchange.state.quotas.started_at = monotonic_s()
+        exchange.state.peers.joined = True
+        began = monotonic_s()
+        exchange.quotas.admit(ACCOUNT)
+        self.assertLess(monotonic_s() - began, 0.5 * START_VIEW_S)
+
     def test_message_of_an_earlier_build(self):
         request = ShareRequest(host="old", needs=())
         data = self.hosts["h1"].serve(packing.pack(request))
--- a/kumquatspur/wire/share_exchange.py
+++ b/kumquatspur/wire/share_exchange.py
@@ -70,9 +70,11 @@
             ValueError: The message is not valid.
         """
         request = packing.unpack(data, ShareRequest)
+        if request.loans:
+            return packing.pack(ShareReply(loans=self.quotas.lend(request)))
         if request.accounts:
-            # A host that is stopping keeps the buckets of its accounts: while
-            # it is heard, no other host adds credit.
+            # A host that is stopping keeps the buckets of its accounts: no
+            # other host adds credit at its part of the rate.
             accounts = self.quotas.allocate(request)
             return packing.pack(ShareReply(accounts=accounts))
         if self.state.stopping:
--- a/standins/quota_simulation.py
+++ b/standins/quota_simulation.py
@@ -8,12 +8,18 @@
 import collections
 import dataclasses
 import heapq
+import math
 import random
 
 from kumquatspur.core.routing import Account, HostCapacity
 from kumquatspur.policy.account_quotas import AccountQuotas
-from kumquatspur.policy.peer_table import Peer, PeerTable
+from kumquatspur.policy.peer_table import (
+    SILENT_ZONE_AFTER_S,
+    Peer,
+    PeerTable,
+)
 from kumquatspur.policy.quota_ledger import (
+    MAX_LOAN_ROUNDS,
     Allocator,
     QuotaLedger,
     QuotaTerms,
@@ -26,15 +32,18 @@
 # A waiting request is asked of this many hosts.
 MAX_TRIES = 2
 BACKOFF_S = 2.0
+LOAN_BACKOFF_S = 1.0
+# How often a host updates its peers. Hosts of larger fleets know all others
+# all the time.
+TABLE_S = 1.0
+MAX_TABLES = 200
 # Age of the last message from a host that can be reached.
 MESSAGE_AGE_S = 1.0
 # Part of the hosts that hear of another zone late, for a time of this length.
 LATE_PART = 0.25
 LATE_S = 6.0
 # A host is heard if its last message is not older.
-HEARD_S = 2.0
-# After this time the hosts of a lost zone have expired.
-EXPIRY_S = 8.0
+HEARD_S = SILENT_ZONE_AFTER_S
 CAPACITY = HostCapacity(100.0, 1.0)
 # Bytes of an ask and its answer without accounts, and for each account. Packed
 # with `border.share_codec`, both have 214 bytes for one account and 314 for
@@ -59,6 +68,8 @@
         down_at: When it was killed.
         side: Hosts on different sides of a partition cannot reach each other.
         backoff_until: Until when it does not ask a host, by number.
+        zone_backoff_until: Until when it asks hosts of other zones, by zone.
+        loan_backoff_until: Until when it borrows nothing of a host, by name.
         messages: Messages that it sent and answered.
         message_bytes: Their size.
     """
@@ -74,6 +85,12 @@
     down_at: float = 0.0
     side: int = 0
     backoff_until: dict[int, float] = dataclasses.field(default_factory=dict)
+    zone_backoff_until: dict[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    loan_backoff_until: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     messages: int = 0
     message_bytes: int = 0
 
@@ -109,11 +126,13 @@
         self._sequence = 0
         self._ticking = set()
         self._ranks = {}
-        self._table = PeerTable("host-0", "0", CAPACITY)
+        self._table = self._new_table(self.hosts[0])
         for host in self.hosts[1:]:
             name = f"host-{host.number}"
             peer = Peer(name, str(host.zone), None, 0.0, CAPACITY)
             self._table.peers[name] = peer
+        self._tables = [self._new_table(host) for host in self.hosts]
+        self._updated_at = [-math.inf] * count
 
     def _new_host(self, number, count, started_at):
         quotas = AccountQuotas(started_at, TERMS, hosts=count)
@@ -121,6 +140,9 @@
         zone = number % self.zones
         return QuotaHost(number, zone, quotas, ledger, dict(self.accounts))
 
+    def _new_table(self, host):
+        return PeerTable(f"host-{host.number}", str(host.zone), CAPACITY)
+
     def kill(self, *numbers):
         """Kills hosts."""
         for number in numbers:
@@ -138,6 +160,8 @@
         fresh = self._new_host(number, len(self.hosts), self.now)
         fresh.side = side
         self.hosts[number] = fresh
+        self._tables[number] = self._new_table(fresh)
+        self._updated_at[number] = -math.inf
 
     def first_allocator(self, name):
         """Returns the number of the first allocator of an account."""
@@ -240,6 +264,9 @@
             self._ticking.discard(number)
 
     def _expire(self, host):
+        if not host.ledger.entries:
+            host.ledger.record_update(self.now)
+            return
         host.ledger.expire(
             host.accounts, TERMS, self._allocator(host), self.now
         )
@@ -264,6 +291,7 @@
         """Returns the allocator that a host would ask; None for none."""
         if self._is_isolated(host):
             return None
+        found = []
         for number in self._rank(name):
             other = self.hosts[number]
             silent = (
@@ -271,8 +299,13 @@
                 and self._silent_s(host, other) > HEARD_S
             )
             if self.now >= host.backoff_until.get(number, 0.0) and not silent:
-                return other
-        return None
+                found.append(other)
+        usual = [
+            other
+            for other in found
+            if self.now >= host.zone_backoff_until.get(other.zone, 0.0)
+        ]
+        return next(iter(usual or found), None)
 
     def _is_isolated(self, host):
         alone = host.side and len(self.hosts) == self.zones
@@ -293,42 +326,116 @@
             host.quotas.record_unanswered(asks)
             until = self.now + CALL_TIMEOUT_S + BACKOFF_S
             host.backoff_until[target.number] = until
+            if target.zone != host.zone:
+                host.zone_backoff_until[target.zone] = until
             self._ask(host, names[:1], tries - 1)
             return
         if target is not host:
             target.messages += 1
             target.message_bytes += size
-        grants = target.ledger.renew(
-            f"host-{host.number}",
-            asks,
-            target.accounts,
-            TERMS,
-            self._allocator(target),
-            self.now,
-        )
+        name = f"host-{host.number}"
+        known = (target.accounts, TERMS, self._allocator(target), self.now)
+        target.ledger.record_asks(name, asks, *known)
+        self._borrow(target, asks)
+        grants = target.ledger.grant(name, asks, *known)
         self._start_ticks(target)
         for name, grant in grants.items():
             host.quotas.record_grant(
                 name, asks[name], grant, self.now, self.now
             )
 
-    def _allocator(self, host):
-        def first(name):
-            """Returns the best allocator that has not expired."""
-            for number in self._rank(name):
-                other = self.hosts[number]
-                if other is host or self._silent_s(host, other) <= EXPIRY_S:
-                    return other
-            return host
-
-        def hears_first(name):
-            best = first(name)
-            return best is not host and self._silent_s(host, best) <= HEARD_S
+    def _borrow(self, host, asks):
+        """Lets an allocator borrow what it lacks."""
+        for _ in range(MAX_LOAN_ROUNDS):
+            plans = host.ledger.plan_loans(
+                asks, host.accounts, TERMS, self._allocator(host), self.now
+            )
+            if not plans:
+                break
+            self._borrow_from(host, plans)
+
+    def _borrow_from(self, host, plans):
+        for lender, needs in plans.items():
+            other = self.hosts[int(lender[5:])]
+            size = MESSAGE_BYTES + ACCOUNT_BYTES * len(needs)
+            host.messages += 1
+            host.message_bytes += size
+            down = not other.up or self.now < other.frozen_until
+            if down or other.side != host.side:
+                until = self.now + LOAN_BACKOFF_S
+                host.loan_backoff_until[lender] = until
+                continue
+            other.messages += 1
+            other.message_bytes += size
+            loans = other.ledger.lend(
+                f"host-{host.number}",
+                needs,
+                other.accounts,
+                TERMS,
+                self._allocator(other),
+                self.now,
+            )
+            self._start_ticks(other)
+            host.ledger.record_loans(lender, loans, self.now, self.now)
 
+    def _allocator(self, host):
+        """Returns what a host knows of the fleet, with its own peer table."""
+        if len(self.hosts) > MAX_TABLES:
+            return Allocator(
+                lambda name: self._parts(name).get(f"host-{host.number}", 0.0),
+                lambda name: self._lenders(name, host),
+            )
+        table = self._tables[host.number]
+        self._update_table(host, table)
         return Allocator(
-            self._fraction(host), lambda name: first(name) is host, hears_first
+            lambda name: table.account_part(name, self.now),
+            lambda name: {
+                lender: part
+                for lender, part in table.account_lenders(name).items()
+                if self.now >= host.loan_backoff_until.get(lender, 0.0)
+            },
+            table.removed_at,
+            table.joined,
         )
 
+    def _parts(self, name):
+        """Returns the parts of an account's quota in a fleet without change."""
+        parts = self._table.account_lenders(name)
+        parts["host-0"] = self._table.account_part(name, self.now)
+        return parts
+
+    def _lenders(self, name, host):
+        return {
+            lender: part
+            for lender, part in self._parts(name).items()
+            if lender != f"host-{host.number}"
+            and part
+            and self.now >= host.loan_backoff_until.get(lender, 0.0)
+        }
+
+    def _update_table(self, host, table):
+        if self._updated_at[host.number] < self.now - TABLE_S:
+            self._updated_at[host.number] = self.now
+            for other in self.hosts:
+                if other is host:
+                    continue
+                if other.up and host.side == other.side:
+                    table.record_running(
+                        self.now - other.ledger.started_at,
+                        self.now - host.ledger.started_at,
+                    )
+                heard_at = self.now - self._silent_s(host, other)
+                table.merge_peer(
+                    Peer(
+                        f"host-{other.number}",
+                        str(other.zone),
+                        None,
+                        heard_at,
+                        CAPACITY,
+                    )
+                )
+            table.remove_expired(self.now)
+
     def _silent_s(self, host, other):
         """Returns the age of the last message from another host."""
         if not other.up:
@@ -353,12 +460,3 @@
         )
         is_late = draw.random() < LATE_PART
         return self.late_age_s if is_late else MESSAGE_AGE_S
-
-    def _fraction(self, host):
-        """Returns the part of the hosts whose zones a host hears."""
-        lost = sum(
-            self._silent_s(host, self.hosts[zone]) > HEARD_S
-            for zone in range(self.zones)
-            if zone != host.zone
-        )
-        return 1.0 - lost / self.zones
