--- a/kumquatspur/policy/request_plan.py
+++ b/kumquatspur/policy/request_plan.py
@@ -62,6 +62,21 @@
     RETRY = "retry"
 
 
+class SentBefore(enum.IntEnum):
+    """What a host that reroutes a request has done with it.
+
+    Its attempts and those of the next host are charged to one budget, to which
+    the request counts once.
+    """
+
+    # Nothing, or it is not known.
+    UNKNOWN = 0
+    # It has counted the request for the budget of extra attempts.
+    COUNTED = 1
+    # Besides, an attempt of it may have reached a searcher.
+    ARRIVED = 2
+
+
 @dataclasses.dataclass(slots=True)
 class ShardProgress:
     """Attempts for one shard.
@@ -69,6 +84,8 @@
     Attributes:
         sent_attempts: Number of attempts that count against the limit. An
             attempt whose request was not sent to the searcher does not.
+        arrivals: Number of attempts that may have reached a searcher, those of
+            other hosts for the same request included.
         in_flight: Number of attempts in progress.
         tried: Searchers that were asked or found unreachable.
         done: Whether the shard's result has arrived.
@@ -81,6 +98,7 @@
     """
 
     sent_attempts: int = 0
+    arrivals: int = 0
     in_flight: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     done: bool = False
@@ -242,6 +260,7 @@
         progress = self.shards[shard]
         was_open = progress.is_open()
         progress.sent_attempts += 1
+        progress.arrivals += 1
         progress.in_flight += 1
         progress.tried.add(searcher_id)
         progress.may_hedge = self.route.repeatable
@@ -299,7 +318,18 @@
         self._update(shard, was_open)
         return True
 
-    def record_failure(self, shard: str, verdict: Verdict, sent: bool) -> None:
+    def record_earlier_arrivals(self) -> None:
+        """Records that another host may have sent the request before."""
+        for progress in self.shards.values():
+            progress.arrivals += 1
+
+    def record_failure(
+        self,
+        shard: str,
+        verdict: Verdict,
+        counts: bool,
+        may_have_arrived: bool = True,
+    ) -> None:
         """Records a failed attempt and whether another one is possible.
 
         The shard is closed if the limit of attempts is reached, or if work that
@@ -308,15 +338,17 @@
         Args:
             shard: The shard.
             verdict: Whether the searcher may have executed the attempt.
-            sent: Whether the request was sent to the searcher.
+            counts: Whether the attempt counts against the route's limit.
+            may_have_arrived: Whether it may have reached the searcher.
         """
         progress = self.shards[shard]
         was_open = progress.is_open()
         progress.in_flight -= 1
         progress.verdicts.append(verdict)
-        if not sent:
-            # An attempt that was never sent does not count against the limit.
+        if not counts:
             progress.sent_attempts -= 1
+        if not may_have_arrived:
+            progress.arrivals -= 1
         ran = any(item is not Verdict.NOT_RUN for item in progress.verdicts)
         exhausted = progress.sent_attempts >= self.route.max_attempts
         progress.closed = exhausted or (ran and not self.route.repeatable)
--- a/kumquatspur/wire/attempt_starter.py
+++ b/kumquatspur/wire/attempt_starter.py
@@ -78,8 +78,8 @@
         entry = limits.first_admitted(
             admitted, self.draw, now, kind is AttemptKind.HEDGE
         )
-        # A retry after an attempt that was never sent is not an extra attempt.
-        extra = kind is not AttemptKind.FIRST and progress.sent_attempts > 0
+        # An attempt after others that were never sent is not an extra one.
+        extra = progress.arrivals > 0
         if entry is None or (extra and not self._charge(shard, kind, now)):
             self.plan.record_unavailable(shard, kind, now)
             return
--- a/kumquatspur/wire/attempt_starter_test.py
+++ b/kumquatspur/wire/attempt_starter_test.py
@@ -9,7 +9,11 @@
     SearcherEntry,
     SearcherState,
 )
-from kumquatspur.policy.request_plan import PlanOutcome, RequestPlan
+from kumquatspur.core.verdict import Verdict
+from kumquatspur.policy.request_plan import (
+    PlanOutcome,
+    RequestPlan,
+)
 from kumquatspur.wire.attempt_starter import AttemptStarter
 from kumquatspur.wire.searcher_pool import monotonic_s
 from standins.platform_deployment import new_test_state
@@ -162,6 +166,30 @@
         self.start(required)
         self.assertEqual(self.asked("wide"), 1)
 
+    def count_extras(self, shard):
+        steps = self.state.extra_attempts.steps.get(shard, ())
+        return sum(counts.extras for _, counts in steps)
+
+    def test_retry_of_an_attempt_that_was_cut_off_is_an_extra_attempt(self):
+        """It may have arrived before the cut, or in a cut of the way back."""
+        self.state.directory.put(searcher("next", "short"), 0.0)
+        self.state.extra_attempts.allowance_from = 0.0
+        starter = self.new_starter()
+        self.start(starter)
+        starter.plan.record_failure("short", Verdict.MAY_HAVE_RUN, False)
+        self.start(starter)
+        self.assertEqual(self.asked(), 2)
+        self.assertEqual(self.count_extras("short"), 1)
+
+    def test_attempt_after_one_that_was_never_sent_is_no_extra_attempt(self):
+        self.state.directory.put(searcher("next", "short"), 0.0)
+        starter = self.new_starter()
+        self.start(starter)
+        starter.plan.record_failure("short", Verdict.NOT_RUN, False, False)
+        self.start(starter)
+        self.assertEqual(self.asked(), 2)
+        self.assertEqual(self.count_extras("short"), 0)
+
     def test_long_queue_at_the_searcher_reduces_what_is_sent(self):
         entry = searcher("only", "short")
         report = LoadReport(SLOTS, 4 * SLOTS, SLOTS)
--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -27,6 +27,7 @@
     rank_reroutes,
 )
 from kumquatspur.policy.peer_table import Peer
+from kumquatspur.policy.request_plan import SentBefore
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.http_messages import RawMessage, encode_request
 from kumquatspur.wire.searcher_pool import (
@@ -46,6 +47,8 @@
 SERVICE_HEADER = b"x-kumquatspur-service"
 # Marks a rerouted request; attempts that may be made for each shard.
 REROUTED_HEADER = b"x-kumquatspur-rerouted"
+# What the other host has done with a rerouted request, a `SentBefore`.
+SENT_BEFORE_HEADER = b"x-kumquatspur-sent-before"
 # Name of the client account, percent-encoded, and hexadecimal SHA-256 digest of
 # the key, by which the receiving host checks that the key is still valid.
 ACCOUNT_HEADER = b"x-kumquatspur-account"
@@ -60,6 +63,7 @@
         FIRST_HEADER,
         SERVICE_HEADER,
         REROUTED_HEADER,
+        SENT_BEFORE_HEADER,
         ACCOUNT_HEADER,
         KEY_DIGEST_HEADER,
     }
@@ -95,6 +99,7 @@
         service: Service that the other host chose for a forwarded request;
             "" if none.
         account: Name of the client account; "" if none.
+        sent_before: What the other host has done with the request.
     """
 
     request: ClientRequest
@@ -102,6 +107,7 @@
     attempts: int
     service: str
     account: str = ""
+    sent_before: SentBefore = SentBefore.UNKNOWN
 
     def is_rerouted(self) -> bool:
         """Returns whether the other host lacks searchers for the request."""
@@ -190,6 +196,7 @@
         route: Route,
         shards: tuple[str, ...],
         attempts: int,
+        sent_before: SentBefore = SentBefore.UNKNOWN,
     ) -> ClientReply | None:
         """Gives a request to a host that reaches searchers.
 
@@ -199,6 +206,7 @@
             route: Its route.
             shards: Its shards, or the service of a forwarded request.
             attempts: Attempts that the other host may make for each shard.
+            sent_before: What this host has done with it.
 
         Returns:
             The answer; None if no other host takes the request.
@@ -206,7 +214,12 @@
         began = monotonic_s()
         if began < self._reroutes_paused_until.get(route.name, 0.0):
             return None
-        headers = b"%b: %d\r\n" % (REROUTED_HEADER, attempts)
+        headers = b"%b: %d\r\n%b: %d\r\n" % (
+            REROUTED_HEADER,
+            attempts,
+            SENT_BEFORE_HEADER,
+            sent_before,
+        )
         if not route.shards:
             headers += b"%b: %b\r\n" % (SERVICE_HEADER, shards[0].encode())
         ranked = rank_reroutes(
@@ -495,9 +508,15 @@
         int(attempts) if attempts.isdigit() else 0,
         found.get(SERVICE_HEADER, b"").decode("latin-1"),
         unquote(found.get(ACCOUNT_HEADER, b"").decode("latin-1")),
+        _decode_sent_before(found.get(SENT_BEFORE_HEADER, b"")),
     )
 
 
+def _decode_sent_before(value: bytes) -> SentBefore:
+    known = {b"%d" % item: item for item in SentBefore}
+    return known.get(value, SentBefore.UNKNOWN)
+
+
 def _decode_digest(value: bytes) -> bytes:
     try:
         return bytes.fromhex(value.decode("latin-1"))
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -157,7 +157,9 @@
                 else (table.choose_service(route, number),)
             )
         route = delegated.limit_attempts(route)
-        run = RequestRun(self, request, route, shards, False, table)
+        run = RequestRun(
+            self, request, route, shards, False, table, delegated.sent_before
+        )
         return reply_with_keep_alive(run.run(), idle_s)
 
     def refuse(
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -17,6 +17,7 @@
 from kumquatspur.policy.request_plan import (
     PlanOutcome,
     RequestPlan,
+    SentBefore,
     hedge_delay_s,
 )
 from kumquatspur.policy.route_table import RouteTable
@@ -61,6 +62,7 @@
         request: The client's request.
         route: Its route.
         may_reroute: Whether it may be given to another host.
+        sent_before: What the host that rerouted it has done with it.
         table: Routes and keys with which its key was last checked.
         key_removed: Whether its key was removed while it was in flight.
         version: Version of the configuration that routed it.
@@ -80,6 +82,7 @@
         shards: tuple[str, ...],
         may_reroute: bool,
         table: RouteTable,
+        sent_before: SentBefore = SentBefore.UNKNOWN,
     ):
         self.forwarder = forwarder
         self.may_reroute = may_reroute
@@ -124,6 +127,9 @@
             self._call,
             self.wake.release,
         )
+        self.sent_before = sent_before
+        if sent_before is SentBefore.ARRIVED:
+            self.plan.record_earlier_arrivals()
         self.finished = False
         self.parts = {}
         self.failure = None
@@ -145,8 +151,10 @@
             rerouted = self._reroute(attempts)
             return rerouted or self._refuse_unservable(resume_times, now)
         state.outages.record_servable(self.route.name)
-        for shard in self.plan.shards:
-            self.state.extra_attempts.record_request(shard, now)
+        if self.sent_before is SentBefore.UNKNOWN:
+            for shard in self.plan.shards:
+                self.state.extra_attempts.record_request(shard, now)
+            self.sent_before = SentBefore.COUNTED
         scattered = len(self.route.shards)
         self.state.scattered_shards += scattered
         try:
@@ -186,8 +194,11 @@
             or not self.state.lacks_searchers(self.route, shards, now)
         ):
             return None
+        sent_before = self.sent_before
+        if any(p.arrivals for p in self.plan.shards.values()):
+            sent_before = SentBefore.ARRIVED
         return self.forwarder.delegator.try_reroute(
-            self.request, self.route, shards, attempts
+            self.request, self.route, shards, attempts, sent_before
         )
 
     def _attempts_left(self) -> int:
@@ -326,7 +337,7 @@
             # An attempt at a searcher that is cut off leaves the route's limit
             # to others, as one that was not sent.
             counts = result.sent and not result.cut_off
-            self.plan.record_failure(shard, result.verdict, counts)
+            self.plan.record_failure(shard, result.verdict, counts, result.sent)
             return
         if result.not_executed:
             self.plan.record_failure(shard, Verdict.NOT_RUN, True)
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -165,6 +165,43 @@
         self.assertEqual(status, 200)
         self.assertEqual(fields["kumquatspur-missing-parts"], "0")
 
+    def count_extras(self, shard):
+        return sum(
+            counts.extras
+            for host in (self.host, self.cut_host)
+            for _, counts in host.state.extra_attempts.steps.get(shard, ())
+        )
+
+    def count_requests(self, shard):
+        return sum(
+            counts.requests
+            for host in (self.host, self.cut_host)
+            for _, counts in host.state.extra_attempts.steps.get(shard, ())
+        )
+
+    def test_attempts_of_the_next_host_are_extra_attempts(self):
+        """The searchers got the request of the host that was cut off."""
+        self.open_all_connections()
+        shards = [s for s in self.searchers.values() if s.service != "single"]
+        for searcher in shards:
+            searcher.script.extend(["hang"] * 2)
+        requests = {shard: self.count_requests(shard) for shard in SHARDS}
+        extras = {shard: self.count_extras(shard) for shard in SHARDS}
+        waiting = self.spawn_long_request("/all/x", "counted")
+        wait_until(
+            lambda: sum(s.runs["counted"] for s in shards) >= len(SHARDS)
+        )
+        self.cut("unreachable")
+        for searcher in shards:
+            searcher.script.clear()
+        self.assertEqual(waiting.wait()[0], 200)
+        for shard in SHARDS:
+            runs = sum(s.runs["counted"] for s in shards if s.service == shard)
+            added = self.count_extras(shard) - extras[shard]
+            self.assertGreaterEqual(added, runs - 1, shard)
+            added = self.count_requests(shard) - requests[shard]
+            self.assertEqual(added, 1, shard)
+
     def test_reset_requests_are_given_to_another_host(self):
         self.open_all_connections()
         shards = [s for s in self.searchers.values() if s.service != "single"]
