--- a/kumquatspur/policy/extra_attempts.py
+++ b/kumquatspur/policy/extra_attempts.py
@@ -98,9 +98,20 @@
         self._current(service, now).extras += 1
         return True
 
-    def refund(self, service: str, now: float) -> None:
-        """Refunds an extra attempt that reached no searcher."""
-        self._current(service, now).extras -= 1
+    def refund(self, service: str, spent_at: float) -> None:
+        """Refunds an extra attempt that reached no searcher.
+
+        It is refunded where it was spent: later, it would leave room for one
+        more in windows without the attempt itself.
+
+        Args:
+            service: The service.
+            spent_at: Monotonic time at which it was spent.
+        """
+        spent_step = int(spent_at / STEP_S)
+        for step, counts in self.steps.get(service, ()):
+            if step == spent_step:
+                counts.extras -= 1
 
     def _current(self, service: str, now: float) -> _Counts:
         step = int(now / STEP_S)
--- a/kumquatspur/wire/attempt_starter_test.py
+++ b/kumquatspur/wire/attempt_starter_test.py
@@ -1,3 +1,4 @@
+import types
 import unittest
 
 import eventlet
@@ -11,10 +12,13 @@
 )
 from kumquatspur.core.verdict import Verdict
 from kumquatspur.policy.request_plan import (
+    AttemptKind,
     PlanOutcome,
     RequestPlan,
 )
 from kumquatspur.wire.attempt_starter import AttemptStarter
+from kumquatspur.wire.attempts import Attempt
+from kumquatspur.wire.request_run import RequestRun
 from kumquatspur.wire.searcher_pool import monotonic_s
 from standins.platform_deployment import new_test_state
 
@@ -190,6 +194,26 @@
         self.assertEqual(self.asked(), 2)
         self.assertEqual(self.count_extras("short"), 0)
 
+    def test_late_refund_leaves_no_room_when_the_attempt_has_left(self):
+        """A host that was frozen learns late that an attempt was not sent."""
+        budget = self.state.extra_attempts
+        budget.allowance_from = 0.0
+        ended_at = 1.0 + budget.window_s - 2.0
+        budget.spend("short", 1.0)
+        attempt = Attempt(
+            "short", searcher("only", "short"), AttemptKind.HEDGE, 1.0, True
+        )
+        attempt.ended_at = ended_at
+        budget.record_request("short", ended_at)
+        run = types.SimpleNamespace(state=self.state)
+        RequestRun._refund(run, attempt)
+        later = 1.0 + budget.window_s + 1.0
+        budget.record_request("other", later)
+        self.assertAlmostEqual(
+            budget.available("short", later) - budget.available("other", later),
+            0.0,
+        )
+
     def test_long_queue_at_the_searcher_reduces_what_is_sent(self):
         entry = searcher("only", "short")
         report = LoadReport(SLOTS, 4 * SLOTS, SLOTS)
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -353,7 +353,7 @@
         """Returns what an attempt that reached no searcher was charged."""
         self.state.limits.refund(attempt.entry.searcher_id)
         if attempt.charged:
-            self.state.extra_attempts.refund(attempt.shard, attempt.ended_at)
+            self.state.extra_attempts.refund(attempt.shard, attempt.started_at)
 
     def _is_answer(self, result: SearcherReply) -> bool:
         if not result.signature or result.has_content_encoding:
