--- a/kumquatspur/policy/peer_table.py
+++ b/kumquatspur/policy/peer_table.py
@@ -29,7 +29,7 @@
 # The allowance of extra attempts is divided by the largest capacity observed
 # within this time, since hosts that became unreachable may still spend their
 # part.
-CAPACITY_WINDOW_S = 30.0
+CAPACITY_WINDOW_S = 600.0
 # A zone is silent if no message from its hosts has arrived for this time,
 # directly or by way of others. News takes up to three seconds in a fleet.
 SILENT_ZONE_AFTER_S = 4.0
--- a/kumquatspur/policy/peer_table_test.py
+++ b/kumquatspur/policy/peer_table_test.py
@@ -151,6 +151,18 @@
         self.assertLessEqual(self.sum_of_parts(tables, later), 1.0 + 1e-9)
         self.assertGreater(self.sum_of_parts(tables, later), 0.95)
 
+    def test_hosts_that_lost_each_other_divide_what_all_share_for_minutes(self):
+        """Both sides of a long partition may serve clients and searchers."""
+        for number in range(9):
+            self.merge_peer(f"h{number}", address(number), 100.0)
+        before = self.table.sharers(100.0, 1.0)
+        self.table.most_known(100.0)
+        self.table.remove_expired(100.0 + 2 * PEER_EXPIRY_S)
+        self.merge_peer("h0", address(0), 280.0)
+        later = 100.0 + 180.0
+        self.assertEqual(self.table.sharers(later, 1.0), before)
+        self.assertLessEqual(self.table.account_part("shop", later), 0.2)
+
     def test_host_of_an_earlier_build_holds_no_part(self):
         for number in range(4):
             self.merge_peer(f"h{number}", address(number), 100.0)
