--- a/kumquatspur/wire/delegator.py
+++ b/kumquatspur/wire/delegator.py
@@ -77,6 +77,9 @@
 # No further host is asked after this time, in which one that answers at all has
 # answered.
 MAX_REROUTE_S = 0.1
+# A request that another host works on notices within this time that this host
+# stops.
+MAX_STOP_CHECK_S = 0.5
 # How long requests of a route are not rerouted after no host took one.
 REROUTE_PAUSE_S = 0.3
 # Reason to decline a request, if this host lacks searchers itself.
@@ -326,11 +329,14 @@
             response_timeout_s = (
                 RESPONSE_TIMEOUT_MULTIPLE * route.target_latency_s
             )
-            with eventlet.Timeout(response_timeout_s, False):
+            stop_s = max(0.0, self.state.answer_by - monotonic_s())
+            with eventlet.Timeout(min(response_timeout_s, stop_s), False):
                 result = thread.wait()
+            if result is None:
+                self._check_not_stopped()
             if result is None and chosen.delegate.is_unresponsive(now):
                 raise CallError("no response from the host", unresponsive=True)
-            result = result or thread.wait()
+            result = result or self._wait_until_stop(thread)
         finally:
             # Also when the calling green thread is killed.
             thread.kill()
@@ -338,6 +344,25 @@
             raise result
         return result
 
+    def _wait_until_stop(self, thread) -> RawMessage | CallError:
+        """Waits for a call, but not longer than this host can still answer.
+
+        Raises:
+            CallError: This host has to answer its client now.
+        """
+        while True:
+            # A stop may begin while the call is in flight.
+            self._check_not_stopped()
+            left_s = self.state.answer_by - monotonic_s()
+            wait_s = max(0.0, min(left_s, MAX_STOP_CHECK_S))
+            with eventlet.Timeout(wait_s, False):
+                return thread.wait()
+
+    def _check_not_stopped(self) -> None:
+        """Raises a CallError if this host has to answer its client now."""
+        if monotonic_s() >= self.state.answer_by:
+            raise CallError("this host stops")
+
     def decline_reason(
         self, delegated: DelegatedRequest, route: Route | None
     ) -> str:
--- a/kumquatspur/wire/forwarder.py
+++ b/kumquatspur/wire/forwarder.py
@@ -98,9 +98,12 @@
         request = self._with_lead(request, route)
         shards = route.shards
         if shards:
-            reply = self.delegator.try_delegate(request, route)
-            if reply is not None:
-                return reply
+            left_s = self.state.answer_by - monotonic_s()
+            # A host that stops is about to answer all requests in flight.
+            if left_s > route.target_latency_s:
+                reply = self.delegator.try_delegate(request, route)
+                if reply is not None:
+                    return reply
         else:
             # A forwarded request is handled as one shard, its service.
             shards = (table.choose_service(route, self.state.random.random()),)
--- a/kumquatspur/wire/request_run.py
+++ b/kumquatspur/wire/request_run.py
@@ -42,6 +42,7 @@
 # An attempt that takes longer than this quantile of the latency is hedged.
 HEDGE_QUANTILE = 0.9
 TYPICAL_QUANTILE = 0.5
+LONGEST_QUANTILE = 0.99
 # Assumed typical latency, as a share of the target, until latencies are known.
 DEFAULT_TYPICAL_SHARE = 0.2
 # How long an attempt may continue after the request was answered, so that its
@@ -138,7 +139,7 @@
         """Returns the answer."""
         now = monotonic_s()
         state = self.state
-        if state.answer_by - now < self.late_latency_s:
+        if state.answer_by - now < self._needed_s():
             return self.forwarder.refuse(
                 self.request, self.route, 503, Reason.LEAVING
             )
@@ -178,6 +179,18 @@
         self._log(outcome, reply)
         return reply
 
+    def _needed_s(self) -> float:
+        """Returns how long this host must still run to take the request.
+
+        A request that must not be repeated is lost for its client if it is
+        still at work when the host stops, so it is taken only if it almost
+        certainly is not.
+        """
+        if self.route.repeatable:
+            return self.late_latency_s
+        longest_s = self.window.quantile(LONGEST_QUANTILE) or 0.0
+        return max(longest_s, self.late_latency_s, self.route.target_latency_s)
+
     def _reroute(self, attempts: int) -> ClientReply | None:
         """Returns another host's answer if this host lacks searchers.
 
--- a/standins/host_without_searchers_test.py
+++ b/standins/host_without_searchers_test.py
@@ -294,6 +294,36 @@
             self.cut_host.state.counters["handed_over_declined"], declined
         )
 
+    def test_request_at_another_host_is_answered_before_the_stop(self):
+        """At the end of the grace period it would be cut without an answer."""
+        self.open_all_connections()
+        slow = self.host
+        msgspec.structs.force_setattr(slow.settings.machine, "link_mbps", 0.05)
+        for searcher in self.searchers.values():
+            searcher.script.extend(["hang"] * 2)
+        request = self.request("/all/x", "handed").replace(
+            b"Deadline-Ms: 500", b"Deadline-Ms: 9000"
+        )
+        routes = [{**route, "timeout-ms": 9e3} for route in self.routes]
+        for store in (self.store, self.cut_store):
+            store.put_json("op/config", make_config(3, routes))
+        for host in (self.host, self.cut_host):
+            wait_until(lambda h=host: h.state.table.config.version == 3)
+        start = time.monotonic()
+        waiting = eventlet.spawn(self.exchange, self.connect(slow), request)
+        self.addCleanup(waiting.kill)
+        delegates = slow.state.delegates.values()
+        wait_until(lambda: any(d.in_flight for d in delegates))
+        for delegate in delegates:
+            # It answers other requests meanwhile.
+            delegate.answered_at = now() + WAIT_S
+        slow.request_stop()
+        reply = waiting.wait()
+        self.assertIsNotNone(reply)
+        self.assertIn(reply[0], (502, 504))
+        grace_s = slow.settings.bounds.grace_s
+        self.assertLess(time.monotonic() - start, grace_s)
+
     def test_service_that_was_chosen_by_weight_is_kept(self):
         targets = [
             {"service": "single", "weight": 1},
--- a/standins/planned_stop_test.py
+++ b/standins/planned_stop_test.py
@@ -9,6 +9,7 @@
 
 import eventlet
 
+from kumquatspur.wire.searcher_pool import monotonic_s
 from standins.platform_deployment import (
     LOOPBACK,
     PlatformDeployment,
@@ -109,6 +110,20 @@
         grace_s = self.host.settings.bounds.grace_s
         self.assertLess(time.monotonic() - start, grace_s)
 
+    def test_late_request_that_must_not_repeat_is_refused(self):
+        """It would be cut at work, and its client could not send it again."""
+        self.wait_ready()
+        state = self.host.state
+        window = state.latency_window("once")
+        for number in range(200):
+            window.add(0.3 if number % 20 == 0 else 0.01)
+        state.answer_by = monotonic_s() + 0.2
+        status, _, _ = self.exchange(self.connect(), self.request("/once/x"))
+        self.assertEqual(status, 503)
+        state.answer_by = monotonic_s() + 30.0
+        status, _, _ = self.exchange(self.connect(), self.request("/once/x"))
+        self.assertEqual(status, 200)
+
     def test_connection_that_waits_to_be_accepted_is_served(self):
         self.wait_ready()
         front = self.host.front
