--- a/kumquatspur/border/bounded_http.py
+++ b/kumquatspur/border/bounded_http.py
@@ -1,7 +1,11 @@
-"""HTTP connection pools that limit the size of an answer.
+"""HTTP connection pools that accept only complete answers of limited size.
 
 A server in trouble may send bytes without end: header lines, interim answers or
 a body. All bytes of one answer are counted as they are read from the socket.
+
+A server that stops may close the connection within a header line. The standard
+library takes that for the end of the head, and without the lines that are lost,
+an empty body for the whole one.
 """
 
 import http.client
@@ -65,21 +69,36 @@
         super().close()
 
 
-class _BoundedResponse(http.client.HTTPResponse):
-    """A response of limited size."""
+class _LineReader(io.BufferedReader):
+    """Reads lines that must be complete: those of a head, or of chunk sizes."""
+
+    def readline(self, size: int = -1) -> bytes:
+        """Returns a line, or as much of it as `size` allows.
+
+        Raises:
+            RemoteDisconnected: The connection was closed within a head.
+        """
+        line = super().readline(size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise http.client.RemoteDisconnected(
+                f"connection closed after {line[:40]!r} of a header line"
+            )
+        return line
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """A response of limited size, with a complete head."""
 
     def __init__(self, sock, *arguments, **options):
         super().__init__(sock, *arguments, **options)
         self.fp.close()
-        self.fp = io.BufferedReader(
-            _BoundedReader(sock.makefile("rb", buffering=0))
-        )
+        self.fp = _LineReader(_BoundedReader(sock.makefile("rb", buffering=0)))
 
 
 class _BoundedConnection(urllib3.connection.HTTPConnection):
     """A connection whose responses are of limited size."""
 
-    response_class = _BoundedResponse
+    response_class = BoundedResponse
 
 
 class BoundedConnectionPool(urllib3.HTTPConnectionPool):
--- a/kumquatspur/scripts/http_calls.py
+++ b/kumquatspur/scripts/http_calls.py
@@ -4,6 +4,7 @@
 
 import urllib3
 
+from kumquatspur.border.bounded_http import BoundedConnectionPool
 from kumquatspur.core.records import Address, Diagnostic, record
 
 TIMEOUT_S = 15.0
@@ -77,7 +78,7 @@
     Returns:
         The reply, or None, and the errors found.
     """
-    pool = urllib3.HTTPConnectionPool(address.host, address.port)
+    pool = BoundedConnectionPool(address.host, address.port)
     try:
         response = pool.urlopen(
             method,
--- a/kumquatspur/wire/store_client.py
+++ b/kumquatspur/wire/store_client.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from kumquatspur.border.bounded_http import BoundedConnectionPool
 from kumquatspur.core.records import Address, Host
 
 CALL_TIMEOUT_S = 2.0
@@ -46,7 +47,7 @@
     """Client of the store's HTTP API."""
 
     def __init__(self, address: Address):
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = BoundedConnectionPool(
             address.host, address.port, maxsize=4
         )
 
@@ -147,7 +148,7 @@
     Raises:
         StoreUnavailableError: The list could not be read or parsed.
     """
-    pool = urllib3.HTTPConnectionPool(address.host, address.port)
+    pool = BoundedConnectionPool(address.host, address.port)
     try:
         response = pool.urlopen(
             "GET", "/v1/hosts", retries=False, timeout=CALL_TIMEOUT_S
--- a/kumquatspur/wire/upstream_pool.py
+++ b/kumquatspur/wire/upstream_pool.py
@@ -9,6 +9,7 @@
 from eventlet import hubs
 from urllib3.connection import HTTPConnection
 
+from kumquatspur.border.bounded_http import BoundedResponse
 from kumquatspur.core.records import Searcher
 from kumquatspur.core.verdict import Phase
 from kumquatspur.policy.connection_health import ConnectionHealth
@@ -60,6 +61,7 @@
         reused: Whether a request was answered on it before.
     """
 
+    response_class = BoundedResponse
     generation = 0
     reused = False
     _buffered = None
