--- a/kumquatspur/wire/quota_exchange.py
+++ b/kumquatspur/wire/quota_exchange.py
@@ -234,6 +234,10 @@
         now = monotonic_s()
         if error or reply.loans is None:
             self._loan_backoff_until[lender] = now + LOAN_BACKOFF_S
+            if error and peer.zone != self.state.settings.zone:
+                # The zone is probably cut off: further lenders there would
+                # cost the same time.
+                self._loan_backoff_until[peer.zone] = now + LOAN_BACKOFF_S
             self.state.counters["quota_loans_failed"] += 1
             return
         loans = {
@@ -311,12 +315,22 @@
             lambda account: {
                 name: part
                 for name, part in peers.account_lenders(account).items()
-                if now >= self._loan_backoff_until.get(name, 0.0)
+                if self._may_borrow_from(name, now)
             },
             peers.removed_at,
             peers.joined,
         )
 
+    def _may_borrow_from(self, name: str, now: float) -> bool:
+        """Returns whether another allocator is expected to answer."""
+        zone = self.state.peers.peers[name].zone
+        return (
+            now >= self._loan_backoff_until.get(name, 0.0)
+            and now >= self._loan_backoff_until.get(zone, 0.0)
+            and now >= self._zone_backoff_until.get(zone, 0.0)
+            and zone not in self.state.peers.silent_zones
+        )
+
     def _ranked(self, account: str, now: float) -> list[Peer | None]:
         """Returns the hosts that may allocate an account, the first one first.
 
--- a/kumquatspur/wire/quota_exchange_test.py
+++ b/kumquatspur/wire/quota_exchange_test.py
@@ -166,6 +166,7 @@
         exchange.quotas.admit(ACCOUNT)
         self.down.clear()
         exchange.quotas._loan_backoff_until.clear()
+        exchange.quotas._zone_backoff_until.clear()
         admitted = 1
         for _ in range(20):
             admitted += exchange.quotas.admit(ACCOUNT).admitted
