--- a/standins/quota_simulation.py
+++ b/standins/quota_simulation.py
@@ -14,6 +14,7 @@
 from kumquatspur.core.routing import Account, HostCapacity
 from kumquatspur.policy.account_quotas import AccountQuotas
 from kumquatspur.policy.peer_table import (
+    PEER_EXPIRY_S,
     SILENT_ZONE_AFTER_S,
     Peer,
     PeerTable,
@@ -127,10 +128,14 @@
         self._ticking = set()
         self._ranks = {}
         self._table = self._new_table(self.hosts[0])
+        # They expire only when they are silent.
+        self._peers = [
+            Peer(f"host-{i}", str(i % zones), None, math.inf, CAPACITY)
+            for i in range(count)
+        ]
         for host in self.hosts[1:]:
             name = f"host-{host.number}"
-            peer = Peer(name, str(host.zone), None, 0.0, CAPACITY)
-            self._table.peers[name] = peer
+            self._table.peers[name] = self._peers[host.number]
         self._tables = [self._new_table(host) for host in self.hosts]
         self._updated_at = [-math.inf] * count
 
@@ -414,27 +419,27 @@
         }
 
     def _update_table(self, host, table):
-        if self._updated_at[host.number] < self.now - TABLE_S:
-            self._updated_at[host.number] = self.now
-            for other in self.hosts:
-                if other is host:
-                    continue
-                if other.up and host.side == other.side:
-                    table.record_running(
-                        self.now - other.ledger.started_at,
-                        self.now - host.ledger.started_at,
-                    )
-                heard_at = self.now - self._silent_s(host, other)
-                table.merge_peer(
-                    Peer(
-                        f"host-{other.number}",
-                        str(other.zone),
-                        None,
-                        heard_at,
-                        CAPACITY,
+        """Lets a host's peer table follow what the host hears."""
+        if self.now < self._updated_at[host.number] + TABLE_S:
+            return
+        self._updated_at[host.number] = self.now
+        for other in self.hosts:
+            if other is host:
+                continue
+            heard_at = self.now - self._silent_s(host, other)
+            peer = table.peers.get(f"host-{other.number}")
+            if self.now - heard_at > PEER_EXPIRY_S:
+                if peer is not None:
+                    table.peers[peer.name] = dataclasses.replace(
+                        peer, last_received_at=heard_at
                     )
+            elif peer is None:
+                table.merge_peer(self._peers[other.number])
+                table.record_running(
+                    self.now - other.ledger.started_at,
+                    self.now - host.ledger.started_at,
                 )
-            table.remove_expired(self.now)
+        table.remove_expired(self.now)
 
     def _silent_s(self, host, other):
         """Returns the age of the last message from another host."""
