--- a/kumquatspur/policy/quota_ledger_test.py
+++ b/kumquatspur/policy/quota_ledger_test.py
@@ -2,7 +2,7 @@
 import unittest
 
 from kumquatspur.core.routing import Account
-from kumquatspur.policy.peer_table import SETTLE_S
+from kumquatspur.policy.peer_table import SETTLE_S, SILENT_ZONE_AFTER_S
 from kumquatspur.policy.quota_ledger import (
     FROZEN_S,
     LEASE_S,
@@ -326,7 +326,7 @@
             rate, burst = 32.0, 32.0
             account = Account("big", rate_per_s=rate, burst=burst)
             simulation = QuotaSimulation(68, (account,), seed)
-            simulation.late_age_s = 3.0
+            simulation.late_age_s = SILENT_ZONE_AFTER_S + 1.0
             hosts = range(68)
 
             def choose(simulation=simulation, hosts=hosts):
@@ -335,6 +335,13 @@
             simulation.load("big", rate / 1.6, choose, 100.0, 108.0)
             simulation.load("big", rate * 4.9, choose, 108.0, 114.5)
             simulation.run(16.0)
+            granting = [
+                host
+                for host in simulation.hosts
+                if "big" in host.ledger.entries
+                and host.ledger.entries["big"].allocation.granted
+            ]
+            self.assertGreater(len(granting), 1)
             most = most_in_window(simulation.sent["big"])
             self.assertLessEqual(most, allowed(rate, burst))
 
