--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Another writer's entry under the key of a searcher that has left."""
+"""Another writer's entry under the key of a searcher that has crashed."""
 
 import asyncio
 import os
@@ -10,7 +10,6 @@
 import standins
 
 ZONES = ("angus", "fife", "moray")
-DRAIN_S = 3.0
 HEARTBEAT_S = 1.2
 SETTLE_S = 4.0
 WORK_S = 0.2
@@ -64,7 +63,7 @@
 
 
 async def case(record, folder, hosts, trouble) -> bool:
-    """Lets two searchers of a service leave, one after the other."""
+    """Serves one service while the searchers of another one crash."""
     store = standins.Store(record)
     await store.start()
     named = {}
@@ -108,7 +107,7 @@
     ]
     tasks = [asyncio.create_task(client.run()) for client in clients]
     try:
-        await let_searchers_leave(record, store, named, trouble)
+        await crash_searchers(record, store, named, trouble)
         await asyncio.sleep(2.0)
     finally:
         for task in tasks:
@@ -116,13 +115,13 @@
     return judge(record, hosts, clients, named)
 
 
-async def let_searchers_leave(record, store, named, trouble) -> None:
-    """Drains a searcher; later, the other one of its service crashes."""
+async def crash_searchers(record, store, named, trouble) -> None:
+    """Lets both searchers of a service crash, one after the other."""
     first, last = named["i-buyer-ledger-0"], named["i-buyer-ledger-1"]
     key = f"servers/{first.name}"
-    first.register(store, state="draining")
-    await asyncio.sleep(DRAIN_S + 0.5)
+    record.write(f"{first.name} crashes")
     first.stop()
+    await asyncio.sleep(3 * HEARTBEAT_S)
     store.remove(key)
     await asyncio.sleep(1.0)
     if trouble and VARIANT == "writer":
