--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""One searcher sends an answer without end; callers of all others wait."""
+"""Some answers of one service have no end; callers of another one wait."""
 
 import asyncio
 import pathlib
@@ -14,39 +14,35 @@
 # RULES.md, CONFIG: an answer is due half a second after the route's timeout.
 LATE_S = 0.5
 DESK_INTERVAL_S = 0.05
-AUDIT_INTERVAL_S = 0.25
-LENGTH_S = 15.0
+AUDIT_INTERVAL_S = 0.025
+LENGTH_S = 40.0
+# Searchers in trouble, of ten, and which of their answers have no end.
+GARBLING = 5
+EVERY = 50
 SETTLE_S = 4.0
 # A few late answers may have other causes.
-LEAST_REQUESTS = 20
-
-
-async def start_endless_searcher() -> tuple[asyncio.subprocess.Process, int]:
-    """Starts the searcher in trouble; returns its process and its port."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(pathlib.Path(standins.__file__).with_name("endless.py")),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    return process, int(await process.stdout.readline())
+LEAST_REQUESTS = 8
+CHUNK_BYTES = 1
 
 
 async def case(record, folder, hosts, trouble) -> bool:
-    """Sends quick requests, and slow ones that meet the searcher in trouble."""
+    """Sends quick requests, and others to searchers in trouble."""
     store = standins.Store(record)
     await store.start()
-    searchers = []
-    for service, count in (("fan-desk", 6), ("buyer-ledger", 10)):
-        for number in range(count):
-            searcher = standins.Searcher(
-                f"i-{service}-{number}", service, ZONES[number % 3], record
-            )
-            await searcher.start()
-            searchers.append(searcher)
-    endless = None
-    if trouble:
-        endless, searchers[-1].port = await start_endless_searcher()
-    for searcher in searchers:
+    garbling = []
+    for number in range(6):
+        searcher = standins.Searcher(
+            f"i-desk-{number}", "fan-desk", ZONES[number % 3], record
+        )
+        await searcher.start()
+        searcher.register(store)
+    for number in range(10):
+        searcher = standins.GarblingSearcher(
+            f"i-ledger-{number}", "buyer-ledger", ZONES[number % 3], record
+        )
+        every = EVERY if trouble and number < GARBLING else 0
+        await searcher.start_process(CHUNK_BYTES, every)
+        garbling.append(searcher)
         searcher.register(store)
     routes = [
         standins.route(
@@ -63,29 +59,30 @@
         ),
     ]
     store.put("op/config", standins.config(1, routes))
-    host = standins.Host("front-angus-1", "angus", folder)
-    hosts.append(host)
-    host.write_settings(store.port, [host.peer], ZONES)
+    for zone in ZONES:
+        hosts.append(standins.Host(f"front-{zone}-1", zone, folder))
     try:
-        await host.start()
-        await host.wait_until_ready()
-        # The machine is in touch contact-ms after its start.
+        for host in hosts:
+            host.write_settings(store.port, [h.peer for h in hosts], ZONES)
+            await host.start()
+        for host in hosts:
+            await host.wait_until_ready()
+        # The machines are in touch contact-ms after their start.
         await asyncio.sleep(SETTLE_S)
-        return await judge(record, host)
+        return await judge(record, hosts)
     finally:
-        if endless is not None:
-            endless.kill()
-            await endless.wait()
+        for searcher in garbling:
+            await searcher.end()
 
 
-async def judge(record, host) -> bool:
+async def judge(record, hosts) -> bool:
     """Sends the requests; returns whether the rule held."""
     answers = []
 
     async def call(number: int, path: str, timeout_s: float, kept: list):
         request_id = f"{path[1:5]}{number:06d}"
         answer = await standins.send(
-            host.front,
+            hosts[number % len(hosts)].front,
             "GET",
             f"{path}{number}",
             request_id,
--- a/review/common/endless.py
+++ b/review/common/endless.py
@@ -1,40 +1,91 @@
-"""A searcher in trouble, as a process: an answer whose body never ends.
+"""A searcher as a process, of whose answers a few have a body without end.
 
-It prints its port, and answers each request with a head and then chunks of one
-byte until the caller closes the connection.
+It prints its port. Usage: endless.py NAME CHUNK_BYTES EVERY: of EVERY answers,
+one has chunks of CHUNK_BYTES bytes until the caller closes the connection. With
+EVERY = 0, all answers are sound.
 """
 
+import itertools
 import socket
+import sys
 import threading
+import time
 
+WORK_S = 0.01
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-CHUNKS = b"1\r\nx\r\n" * 10000
-
-
-def serve(sock: socket.socket) -> None:
-    """Answers the request of one connection without end."""
-    with sock:
-        try:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                received = sock.recv(65536)
-                if not received:
-                    return
-                data += received
+
+
+class Searcher:
+    """The searcher.
+
+    Attributes:
+        name: Its identifier.
+        chunks: What it repeats in an answer without end.
+        every: One of so many answers has no end; 0 for none.
+    """
+
+    def __init__(self, name: str, chunk_bytes: int, every: int):
+        self.name = name
+        self.chunks = (b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)) * (
+            60000 // (chunk_bytes + 5)
+        )
+        self.every = every
+        self.numbers = itertools.count(1)
+
+    def serve(self, sock: socket.socket) -> None:
+        """Answers the requests of one connection."""
+        with sock:
+            try:
+                while self.answer(sock):
+                    pass
+            except OSError:
+                pass
+
+    def answer(self, sock: socket.socket) -> bool:
+        """Answers a request; returns False at the end of the connection."""
+        data = b""
+        while not data.endswith(b"\r\n\r\n"):
+            received = sock.recv(65536)
+            if not received:
+                return False
+            data += received
+        fields = {}
+        for line in data.decode("latin-1").split("\r\n")[1:]:
+            name, _, value = line.partition(":")
+            fields[name.strip().lower()] = value.strip()
+        request_id = fields["kumquatspur-attempt-id"]
+        if fields.get("kumquatspur-expected-instance", "") != self.name:
+            sock.sendall(
+                "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
+                f"Kumquatspur-Attempt-Id: {request_id}\r\n\r\n".encode()
+            )
+            return True
+        time.sleep(WORK_S)
+        if self.every and next(self.numbers) % self.every == 0:
+            print(f"endless: {request_id}", flush=True)
             sock.sendall(HEAD)
             while True:
-                sock.sendall(CHUNKS)
-        except OSError:
-            pass
+                sock.sendall(self.chunks)
+        sock.sendall(
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+            f"Kumquatspur-Attempt-Id: {request_id}\r\n"
+            f"Kumquatspur-Server-Seal: {self.name}.{request_id}\r\n"
+            "Keep-Alive: timeout=5\r\n\r\ndone\n".encode()
+        )
+        return True
 
 
 def main() -> None:
     """Accepts connections until the process is ended."""
+    name, chunk_bytes, every = sys.argv[1:]
+    searcher = Searcher(name, int(chunk_bytes), int(every))
     with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
         print(listener.getsockname()[1], flush=True)
         while True:
             sock, _ = listener.accept()
-            threading.Thread(target=serve, args=(sock,), daemon=True).start()
+            threading.Thread(
+                target=searcher.serve, args=(sock,), daemon=True
+            ).start()
 
 
 if __name__ == "__main__":
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -319,7 +319,9 @@
         self.settings_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
 
-    def write_settings(self, store_port: int, seeds, zones, **changes) -> None:
+    def write_settings(
+        self, store_port: int, seeds, zones, memory_mb=300, **changes
+    ) -> None:
         """Writes the settings file as deploy/settings.json.template has it."""
         bounds = {
             "drain_ms": 3000,
@@ -346,7 +348,7 @@
             "machine": {
                 "cpu_share": 1.0,
                 "cores": 1,
-                "memory_mb": 300,
+                "memory_mb": memory_mb,
                 "max_fds": 4100,
                 "link_mbps": 1000.0,
             },
@@ -404,6 +406,17 @@
             self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
 
+    def memory_mb(self) -> float:
+        """Returns the resident memory of the process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status")
+            for line in status.read_text(encoding="utf-8").splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * 1024 / 1e6
+        except OSError:
+            pass
+        return 0.0
+
     def events(self, *names: str) -> list[dict]:
         """Returns the lines of its log with one of some events."""
         found = []
@@ -492,6 +505,43 @@
     return answer
 
 
+class GarblingSearcher(Searcher):
+    """A searcher as a process; some of its answers have no end (endless.py).
+
+    Attributes:
+        process: The process; None before the start.
+    """
+
+    async def start_process(self, chunk_bytes: int, every: int) -> None:
+        """Starts the process.
+
+        Args:
+            chunk_bytes: Length of the chunks of an answer without end.
+            every: One of so many answers has no end; 0 for none.
+        """
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(pathlib.Path(__file__).with_name("endless.py")),
+            self.name,
+            str(chunk_bytes),
+            str(every),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.port = int(await self.process.stdout.readline())
+        self.task = asyncio.create_task(self._log())
+
+    async def _log(self) -> None:
+        while line := await self.process.stdout.readline():
+            self.record.write(f"searcher {self.name}: {line.decode().strip()}")
+
+    async def end(self) -> None:
+        """Kills the process."""
+        self.task.cancel()
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
 def route(name: str, prefix: str, **fields) -> dict:
     """Returns a route of the operator's configuration."""
     return {
