--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""A new configuration raises a limit while clients keep their connections."""
+"""A searcher's own failure, with a status that promises that nothing ran."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 
@@ -10,71 +11,53 @@
 
 ZONES = ("angus", "fife", "moray")
 SETTLE_S = 4.0
-CONFIG_APPLY_S = 3.0
-CLIENTS = 20
-SMALL_BODY = b"x" * 1000
-LARGE_BODY = b"x" * 32_000
-OLD_LIMIT = 16_384
-NEW_LIMIT = 65_536
-# RULES.md, DENIED: more than 5 + one in 500 of all requests.
-MOST_DENIED = 5
-DENIED_RATIO = 1 / 500
+REQUESTS = 200
+INTERVAL_S = 0.02
+SEARCHERS = 7
+# RULES.md, REFUSED: the request has not run, and never will.
+PROMISES = (429, 503, 408, 421)
+# What the searcher in trouble answers, in turn: two of five requests fail.
+STATUSES = (200, 429, 200, 408, 200)
 
 
-class KeptClient:
-    """A client that keeps its connection while the host lets it."""
+def failing_answer():
+    """Returns a function that runs each request and fails part of them."""
+    statuses = itertools.cycle(STATUSES)
 
-    def __init__(self, host, number: int, record):
-        self.host, self.number, self.record = host, number, record
-        self.sent = 0
-        self.statuses = []
-        self.streams = None
+    async def answer(searcher, line, fields, body, writer) -> bool:
+        if searcher.misdirected(fields, writer):
+            return True
+        request_id = searcher.run(fields)
+        await asyncio.sleep(searcher.work_s)
+        # No Kumquatspur-Not-Executed: the request has run.
+        reply = searcher.reply(next(statuses), request_id, b"done\n")
+        writer.write(reply)
+        return True
 
-    async def send(self, body: bytes) -> None:
-        """Sends a request, on the kept connection if there is one."""
-        if self.streams is None:
-            self.streams = await asyncio.open_connection(
-                standins.LOOPBACK, self.host.front
-            )
-        reader, writer = self.streams
-        request_id = f"audit-{self.number}-{self.sent}"
-        self.sent += 1
-        writer.write(
-            f"POST /audit/{request_id} HTTP/1.1\r\n"
-            f"Host: {standins.HOST_NAME}\r\n"
-            f"Kumquatspur-Attempt-Id: {request_id}\r\n"
-            "Kumquatspur-Deadline-Ms: 2000\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-            + body
-        )
-        head = await standins.read_head(reader)
-        status, fields = 0, {}
-        if head is not None:
-            status, fields = int(head[0].split()[1]), head[1]
-            await standins.read_body(reader, fields)
-        self.statuses.append(status)
-        self.record.write(f"client: {request_id} {len(body)} bytes: {status}")
-        if head is None or fields.get("connection") == "close":
-            writer.close()
-            self.streams = None
+    return answer
 
 
 async def case(record, folder, hosts, trouble) -> bool:
-    """Raises max-body-bytes; long after, clients send longer bodies."""
+    """Sends requests that must not be repeated."""
     store = standins.Store(record)
     await store.start()
-    for number in range(3):
+    searchers = []
+    for number in range(SEARCHERS):
         searcher = standins.Searcher(
-            f"i-ledger-{number}", "buyer-ledger", ZONES[number], record
+            f"i-order-{number}", "order-desk", ZONES[number % 3], record
         )
+        if trouble and not number:
+            searcher.answer = failing_answer()
         await searcher.start()
         searcher.register(store)
-    audit = standins.route(
-        "audit", "/audit/", service="buyer-ledger", **{"timeout-ms": 2000}
+        searchers.append(searcher)
+    order = standins.route(
+        "order",
+        "/order/",
+        service="order-desk",
+        **{"route-type": "non_idempotent", "timeout-ms": 1000},
     )
-    first = standins.config(1, [audit])
-    first["limits"]["max-body-bytes"] = OLD_LIMIT if trouble else NEW_LIMIT
-    store.put("op/config", first)
+    store.put("op/config", standins.config(1, [order]))
     host = standins.Host("front-angus-1", "angus", folder)
     hosts.append(host)
     host.write_settings(store.port, [host.peer], ZONES)
@@ -82,21 +65,25 @@
     await host.wait_until_ready()
     await asyncio.sleep(SETTLE_S)
 
-    clients = [KeptClient(host, number, record) for number in range(CLIENTS)]
-    await asyncio.gather(*(c.send(SMALL_BODY) for c in clients))
-    second = standins.config(2, [audit])
-    second["limits"]["max-body-bytes"] = NEW_LIMIT
-    store.put("op/config", second)
-    # Twice config-apply-ms, with requests on the kept connections.
-    for _ in range(4):
-        await asyncio.sleep(CONFIG_APPLY_S / 2)
-        await asyncio.gather(*(c.send(SMALL_BODY) for c in clients))
-    for _ in range(2):
-        await asyncio.gather(*(c.send(LARGE_BODY) for c in clients))
-    sent = sum(c.sent for c in clients)
-    denied = sum(c.statuses.count(413) for c in clients)
-    record.write(f"{denied} of {sent} requests were answered with 413")
-    return denied <= MOST_DENIED + DENIED_RATIO * sent
+    broken = 0
+    for number in range(REQUESTS):
+        request_id = f"order{number:04d}"
+        answer = await standins.send(
+            host.front,
+            "POST",
+            f"/order/{number}",
+            request_id,
+            1.0,
+            1.5,
+            b"two bouquets",
+        )
+        ran = [item.name for item in searchers if request_id in item.runs]
+        record.write(f"client: {request_id} {answer}; run by {ran}")
+        if ran and answer.status in PROMISES:
+            broken += 1
+        await asyncio.sleep(INTERVAL_S)
+    record.write(f"{broken} requests have run and were answered as not run")
+    return broken == 0
 
 
 standins.main(case)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -335,7 +335,7 @@
             "name": self.name,
             "zone": self.zone,
             "region": "scot-east",
-            "zones": {zone: "scot-east" for zone in zones},
+            "zones": dict.fromkeys(zones, "scot-east"),
             "front": f"{LOOPBACK}:{self.front}",
             "ready": f"{LOOPBACK}:{self.ready}",
             "peer": f"{LOOPBACK}:{self.peer}",
