--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,54 +14,12 @@
 SETTLE_S = 4.0
 WORK_S = 0.2
 CLIENTS_PER_HOST = 8
-# RULES.md, LOST: more than three times.
-MOST_LOST = 3
 # "writer": another writer's entry, with a service that is named nowhere.
 # "restart": the searcher starts again under its identifier, for another
 # service.
 VARIANT = os.environ.get("VARIANT", "writer")
 
 
-class KeptClient:
-    """A client that sends one request after the other on one connection."""
-
-    def __init__(self, host, number: int, record):
-        self.host, self.number, self.record = host, number, record
-        self.answered = 0
-        self.in_flight = None
-        self.lost = None
-
-    async def run(self) -> None:
-        """Sends requests until the connection ends."""
-        reader, writer = await asyncio.open_connection(
-            standins.LOOPBACK, self.host.front
-        )
-        try:
-            while True:
-                request_id = f"{self.host.name}-{self.number}-{self.answered}"
-                self.in_flight = request_id
-                writer.write(
-                    f"GET /desk/{request_id} HTTP/1.1\r\n"
-                    f"Host: {standins.HOST_NAME}\r\n"
-                    f"Kumquatspur-Attempt-Id: {request_id}\r\n"
-                    "Kumquatspur-Deadline-Ms: 1200\r\n\r\n".encode()
-                )
-                head = await standins.read_head(reader)
-                if head is None:
-                    self.lost = request_id
-                    self.record.write(f"client: {request_id} connection ended")
-                    return
-                await standins.read_body(reader, head[1])
-                self.answered += 1
-                if not head[0].startswith("HTTP/1.1 200"):
-                    self.record.write(f"client: {request_id} {head[0]}")
-        except (ConnectionError, asyncio.IncompleteReadError):
-            self.lost = self.in_flight
-            self.record.write(f"client: {self.in_flight} connection reset")
-        finally:
-            writer.close()
-
-
 async def case(record, folder, hosts, trouble) -> bool:
     """Serves one service while the searchers of another one crash."""
     store = standins.Store(record)
@@ -101,7 +59,7 @@
     await asyncio.sleep(SETTLE_S)
 
     clients = [
-        KeptClient(host, number, record)
+        standins.KeptClient(host, number, record)
         for host in hosts
         for number in range(CLIENTS_PER_HOST)
     ]
@@ -112,7 +70,7 @@
     finally:
         for task in tasks:
             task.cancel()
-    return judge(record, hosts, clients, named)
+    return standins.rule_lost_held(record, hosts, clients, named.values())
 
 
 async def crash_searchers(record, store, named, trouble) -> None:
@@ -137,27 +95,4 @@
     await asyncio.sleep(3.0)
 
 
-def judge(record, hosts, clients, named) -> bool:
-    """Returns whether the rule LOST held."""
-    ran = {name for searcher in named.values() for name in searcher.runs}
-    held = True
-    for host in hosts:
-        lost = [
-            client.lost
-            for client in clients
-            if client.host is host and client.lost in ran
-        ]
-        answered = sum(c.answered for c in clients if c.host is host)
-        ended = "runs" if host.is_running() else "has ended by itself"
-        record.write(
-            f"{host.name}: {answered} answered, {len(lost)} passed on and"
-            f" ended without an answer; its process {ended}"
-        )
-        if not host.is_running():
-            tail = host.log_path.read_text(errors="replace").splitlines()[-3:]
-            record.write(f"{host.name}: last output {tail}")
-        held = held and len(lost) <= MOST_LOST
-    return held
-
-
 standins.main(case)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -24,6 +24,8 @@
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
+# RULES.md, LOST: more than three times.
+MOST_LOST = 3
 
 
 def free_port() -> int:
@@ -542,6 +544,76 @@
             await self.process.wait()
 
 
+class KeptClient:
+    """A client that sends one request after the other on one connection."""
+
+    def __init__(self, host, number: int, record):
+        self.host, self.number, self.record = host, number, record
+        self.answered = 0
+        self.in_flight = None
+        self.lost = None
+
+    async def run(self) -> None:
+        """Sends requests until the connection ends."""
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, self.host.front
+        )
+        try:
+            while True:
+                request_id = f"{self.host.name}-{self.number}-{self.answered}"
+                self.in_flight = request_id
+                writer.write(
+                    f"GET /desk/{request_id} HTTP/1.1\r\n"
+                    f"Host: {HOST_NAME}\r\n"
+                    f"Kumquatspur-Attempt-Id: {request_id}\r\n"
+                    "Kumquatspur-Deadline-Ms: 1200\r\n\r\n".encode()
+                )
+                head = await read_head(reader)
+                if head is None:
+                    self.lost = request_id
+                    self.record.write(f"client: {request_id} connection ended")
+                    return
+                await read_body(reader, head[1])
+                self.answered += 1
+                if not head[0].startswith("HTTP/1.1 200"):
+                    self.record.write(f"client: {request_id} {head[0]}")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.lost = self.in_flight
+            self.record.write(f"client: {self.in_flight} connection reset")
+        finally:
+            writer.close()
+
+
+def rule_lost_held(record, hosts, clients, searchers) -> bool:
+    """Returns whether RULES.md, LOST, held for requests on kept connections.
+
+    Args:
+        record: The record.
+        hosts: The hosts.
+        clients: Their clients, `KeptClient`.
+        searchers: The searchers, all of them sound.
+    """
+    ran = {name for searcher in searchers for name in searcher.runs}
+    held = True
+    for host in hosts:
+        lost = [
+            client.lost
+            for client in clients
+            if client.host is host and client.lost in ran
+        ]
+        answered = sum(c.answered for c in clients if c.host is host)
+        ended = "runs" if host.is_running() else "has ended by itself"
+        record.write(
+            f"{host.name}: {answered} answered, {len(lost)} passed on and"
+            f" ended without an answer; its process {ended}"
+        )
+        if not host.is_running():
+            tail = host.log_path.read_text(errors="replace").splitlines()[-3:]
+            record.write(f"{host.name}: last output {tail}")
+        held = held and len(lost) <= MOST_LOST
+    return held
+
+
 def route(name: str, prefix: str, **fields) -> dict:
     """Returns a route of the operator's configuration."""
     return {
