--- a/kumquatspur/policy/searcher_directory.py
+++ b/kumquatspur/policy/searcher_directory.py
@@ -52,6 +52,19 @@
         return (self.started_unix_ms, self.sequence)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetiredSearcher:
+    """A searcher that is draining or removed.
+
+    Attributes:
+        entry: Its last known entry.
+        at: When it was found draining or removed.
+    """
+
+    entry: SearcherEntry
+    at: float
+
+
 @dataclasses.dataclass
 class SearcherDirectory:
     """Searchers by service.
@@ -63,9 +76,10 @@
         heartbeat_s: Interval at which searchers renew their entries, in
             seconds.
         by_id: Entries by searcher.
-        retired_at: When a searcher was found draining or removed.
         by_service: Searchers that accept new work, by service.
-        retired: Draining or removed searchers, by service.
+        retired: Draining or removed searchers, by service. No searcher is
+            listed in it twice, nor in `by_service` as well.
+        retired_services: The service under which a searcher is in `retired`.
         grace_until: Until this time, a removed entry may merely have expired
             during an outage of the store.
         unconfirmed: For each searcher whose entry was removed within the grace
@@ -80,13 +94,13 @@
     drain_s: float
     heartbeat_s: float
     by_id: dict[str, SearcherEntry] = dataclasses.field(default_factory=dict)
-    retired_at: dict[str, float] = dataclasses.field(default_factory=dict)
     by_service: dict[str, dict[str, SearcherEntry]] = dataclasses.field(
         default_factory=dict
     )
-    retired: dict[str, dict[str, SearcherEntry]] = dataclasses.field(
+    retired: dict[str, dict[str, RetiredSearcher]] = dataclasses.field(
         default_factory=dict
     )
+    retired_services: dict[str, str] = dataclasses.field(default_factory=dict)
     grace_until: float = -1.0
     unconfirmed: dict[str, float] = dataclasses.field(default_factory=dict)
     last_contact_at: float = -1.0
@@ -125,19 +139,18 @@
         if departure is not None:
             if entry.started_unix_ms > departure.started_unix_ms:
                 del self.leaving[searcher_id]
-                self._forget_retired(searcher_id)
+                self._unretire(searcher_id)
             else:
                 entry = dataclasses.replace(entry, state=SearcherState.DRAINING)
         previous = self.by_id.get(searcher_id)
         if previous is not None and previous.service != entry.service:
-            self._remove_from_lists(previous)
+            _discard(self.by_service, previous.service, searcher_id)
         self.by_id[searcher_id] = entry
         self.unconfirmed.pop(searcher_id, None)
         if entry.state is SearcherState.DRAINING:
             self._retire(entry, now)
             return
-        self.retired_at.pop(searcher_id, None)
-        self.retired.get(entry.service, {}).pop(searcher_id, None)
+        self._unretire(searcher_id)
         self.by_service.setdefault(entry.service, {})[searcher_id] = entry
 
     def remove(self, searcher_id: str, now: float) -> None:
@@ -148,7 +161,8 @@
         entry = self.by_id.get(searcher_id)
         if entry is None:
             return
-        if now < self.grace_until and searcher_id not in self.retired_at:
+        is_ready = searcher_id not in self.retired_services
+        if now < self.grace_until and is_ready:
             self.unconfirmed.setdefault(searcher_id, now)
             return
         self.by_id.pop(searcher_id)
@@ -270,11 +284,10 @@
             expired = sorted(self.unconfirmed)
             for searcher_id in expired:
                 self.remove(searcher_id, now)
-        for searcher_id, at in list(self.retired_at.items()):
+        for searcher_id, service in list(self.retired_services.items()):
+            at = self.retired[service][searcher_id].at
             if now - at > self.drain_s and searcher_id not in self.by_id:
-                self.retired_at.pop(searcher_id)
-                for retired in self.retired.values():
-                    retired.pop(searcher_id, None)
+                self._unretire(searcher_id)
         for remembered in (self.leaving, self.departed):
             for searcher_id, departure in list(remembered.items()):
                 old = now - departure.at > DEPARTURE_MEMORY_S
@@ -296,12 +309,15 @@
         ready = self.without_evacuated(self.by_service.get(service, {}))
         if ready:
             return ready
-        return [
-            entry
-            for entry in self.without_evacuated(self.retired.get(service, {}))
-            if now - self.retired_at[entry.searcher_id]
-            < self.drain_s * DRAIN_SHARE
-        ]
+        return self.without_evacuated(
+            {
+                searcher_id: retired.entry
+                for searcher_id, retired in self.retired.get(
+                    service, {}
+                ).items()
+                if now - retired.at < self.drain_s * DRAIN_SHARE
+            }
+        )
 
     def without_evacuated(
         self, entries: Mapping[str, SearcherEntry]
@@ -314,20 +330,40 @@
 
     def is_evacuated(self, service: str) -> bool:
         """Returns whether all searchers of a service are evacuated."""
-        known = self.by_service.get(service) or self.retired.get(service, {})
+        known = self.by_service.get(service) or {
+            searcher_id: retired.entry
+            for searcher_id, retired in self.retired.get(service, {}).items()
+        }
         return bool(known) and not self.without_evacuated(known)
 
     def _retire(self, entry: SearcherEntry, now: float) -> None:
-        self.retired_at.setdefault(entry.searcher_id, now)
-        self.by_service.get(entry.service, {}).pop(entry.searcher_id, None)
-        self.retired.setdefault(entry.service, {})[entry.searcher_id] = entry
-
-    def _forget_retired(self, searcher_id: str) -> None:
-        """Forgets that an earlier start of a searcher was retired."""
-        self.retired_at.pop(searcher_id, None)
-        for retired in self.retired.values():
-            retired.pop(searcher_id, None)
-
-    def _remove_from_lists(self, entry: SearcherEntry) -> None:
-        for listed in (self.by_service, self.retired):
-            listed.get(entry.service, {}).pop(entry.searcher_id, None)
+        """Moves a searcher to the retired ones of its service.
+
+        If it is already there, the time of its retirement is kept.
+        """
+        searcher_id, service = entry.searcher_id, entry.service
+        at = now
+        if self.retired_services.get(searcher_id) == service:
+            at = self.retired[service][searcher_id].at
+        self._unretire(searcher_id)
+        _discard(self.by_service, service, searcher_id)
+        self.retired_services[searcher_id] = service
+        self.retired.setdefault(service, {})[searcher_id] = RetiredSearcher(
+            entry, at
+        )
+
+    def _unretire(self, searcher_id: str) -> None:
+        """Removes a searcher from the retired ones, whichever its service."""
+        service = self.retired_services.pop(searcher_id, None)
+        if service is not None:
+            _discard(self.retired, service, searcher_id)
+
+
+def _discard(
+    by_service: dict[str, dict], service: str, searcher_id: str
+) -> None:
+    """Removes a searcher from a service, and the service with its last one."""
+    listed = by_service.get(service, {})
+    listed.pop(searcher_id, None)
+    if not listed:
+        by_service.pop(service, None)
--- a/kumquatspur/policy/searcher_directory_test.py
+++ b/kumquatspur/policy/searcher_directory_test.py
@@ -1,4 +1,5 @@
 import dataclasses
+import random
 import unittest
 
 from kumquatspur.core.records import Address
@@ -96,7 +97,75 @@
     def test_removed_searcher_is_deleted_after_its_drain_time(self):
         self.directory.remove("a", 1.0)
         self.directory.expire(1.1 + DRAIN_S)
-        self.assertNotIn("a", self.directory.retired_at)
+        self.assertNotIn("a", self.directory.retired_services)
+        self.assertNotIn("a", self.directory.retired.get("s", {}))
+
+    def test_removed_searcher_that_is_back_for_another_service(self):
+        """Guards against the KeyError that ended the main loop (review/1)."""
+        for service in ("unlisted", "t"):
+            for searcher_id in ("a", "b"):
+                self.directory.put(entry(searcher_id), 1.0)
+                self.directory.remove(searcher_id, 1.0)
+            self.directory.put(entry("a", service=service), 1.4)
+            self.assertEqual(self.usable(1.5), ["b"])
+            self.assertEqual(self.usable(1.5, service), ["a"])
+            self.directory.remove("a", 1.6)
+
+    def test_each_searcher_is_listed_once_after_any_changes(self):
+        """Guards against tables that disagree after some order of changes."""
+        numbers = random.Random(42)
+        for _ in range(500):
+            directory = SearcherDirectory(DRAIN_S, HEARTBEAT_S)
+            now = 0.0
+            for _ in range(40):
+                now += numbers.choice((0.0, 0.1, 1.0, 4.0))
+                self.change_directory(directory, numbers, now)
+                self.check_lists(directory, now)
+
+    def change_directory(self, directory, numbers, now):
+        searcher_id = numbers.choice("ab")
+        entries = [
+            dataclasses.replace(
+                entry(name, numbers.choice(list(SearcherState)), service),
+                started_unix_ms=numbers.randrange(3),
+                sequence=numbers.randrange(3),
+            )
+            for name in "ab"
+            if (service := numbers.choice(("s", "t", "")))
+        ]
+        known = {item.searcher_id for item in entries}
+        change = numbers.randrange(7)
+        if change in (0, 1) and entries:
+            directory.put(entries[0], now)
+        elif change == 2:
+            directory.remove(searcher_id, now)
+        elif change == 3:
+            directory.record_leaving(searcher_id, numbers.randrange(3), now)
+        elif change == 4:
+            directory.expire(now)
+        elif change == 5:
+            directory.record_store_contact(now, now)
+            directory.replace(entries, known, now)
+        elif change == 6:
+            directory.replace_restored(entries, known, now)
+
+    def check_lists(self, directory, now):
+        listed = [
+            (searcher_id, service)
+            for table in (directory.by_service, directory.retired)
+            for service, searchers in table.items()
+            for searcher_id in searchers
+        ]
+        names = [searcher_id for searcher_id, _ in listed]
+        self.assertEqual(len(names), len(set(names)))
+        for searcher_id, service in listed:
+            known = directory.by_id.get(searcher_id)
+            if known is not None:
+                self.assertEqual(known.service, service)
+        self.assertLessEqual(set(directory.by_id), set(names))
+        for service in ("s", "t"):
+            directory.usable(service, now)
+            directory.is_evacuated(service)
 
     def started(self, searcher_id, born, sequence, state=SearcherState.READY):
         return dataclasses.replace(
