--- a/kumquatspur/border/config_files.py
+++ b/kumquatspur/border/config_files.py
@@ -133,7 +133,7 @@
     except json.JSONDecodeError as error:
         source = f"{name}:{error.lineno}"
         return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return None, [Diagnostic(name, str(error))]
     try:
         return FileModel.model_validate(raw), []
--- a/kumquatspur/border/validation.py
+++ b/kumquatspur/border/validation.py
@@ -51,6 +51,8 @@
     except json.JSONDecodeError as error:
         source = f"{path}:{error.lineno}"
         return None, [Diagnostic(source, f"is not JSON: {error.msg}")]
+    except (ValueError, RecursionError) as error:
+        return None, [Diagnostic(path, f"is not JSON: {error}")]
     try:
         return model.model_validate(raw), []
     except pydantic.ValidationError as error:
--- a/kumquatspur/scripts/http_calls.py
+++ b/kumquatspur/scripts/http_calls.py
@@ -92,7 +92,12 @@
             response.status, json.loads(response.data), dict(response.headers)
         )
         return reply, []
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+    except (
+        urllib3.exceptions.HTTPError,
+        OSError,
+        ValueError,
+        RecursionError,
+    ) as error:
         source = f"{address.host}:{address.port}"
         return None, [Diagnostic(source, f"no answer: {error}")]
     finally:
--- a/kumquatspur/wire/json_http.py
+++ b/kumquatspur/wire/json_http.py
@@ -12,6 +12,7 @@
 CLOSE_KEY = "kumquatspur.close_after_reply"
 # Time limit for the arrival of a request body.
 BODY_TIMEOUT_S = 5.0
+MAX_LENGTH_DIGITS = 18
 
 
 @record
@@ -120,7 +121,8 @@
         message = "is required, as a number"
         status = HTTPStatus.LENGTH_REQUIRED
         return 0, _rejection(status, "Content-Length", message)
-    if int(text) > max_bytes:
+    # int() accepts no number of thousands of digits.
+    if len(text) > MAX_LENGTH_DIGITS or int(text) > max_bytes:
         message = f"must be at most {max_bytes} bytes"
         status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         return 0, _rejection(status, "body", message)
