--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -6,6 +6,7 @@
 
 from kumquatspur.border import packing
 from kumquatspur.border.packing import (
+    MAX_COUNT,
     Count,
     Message,
     NonEmptyStr,
@@ -13,7 +14,12 @@
     Positive,
 )
 
-Era = Annotated[int, msgspec.Meta(ge=-1)]
+MAX_PORT = 65535
+Era = Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNT)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+RelayPort = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+# Names would be looked up, which blocks the whole process.
+IpAddress = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{1,15}\Z")]
 
 
 class _HostFields(Message, kw_only=True):
@@ -38,9 +44,9 @@
 
     name: NonEmptyStr
     zone: str
-    ip: str
-    port: int
-    relay_port: int = 0
+    ip: IpAddress
+    port: Port
+    relay_port: RelayPort = 0
     link_mbps: Positive
     cores: Positive
     cut_off: bool = False
@@ -149,7 +155,7 @@
     """
 
     key: str
-    revision: int
+    revision: Count
     # May contain the keys of accounts, which must not get into logs.
     value: bytes | None
 
@@ -205,7 +211,7 @@
     age_s: NonNegative
     era: Era = -1
     running_s: NonNegative = 0.0
-    config_version: int | None = None
+    config_version: Era | None = None
     config: StoreItem | None = None
     leaving: tuple[LeavingSearcher, ...] = ()
     limits: tuple[LimitStatement, ...] = ()
--- a/kumquatspur/border/packing.py
+++ b/kumquatspur/border/packing.py
@@ -26,7 +26,9 @@
 
 NonNegative = Annotated[float, msgspec.Meta(ge=0, le=sys.float_info.max)]
 Positive = Annotated[float, msgspec.Meta(gt=0, le=sys.float_info.max)]
-Count = Annotated[int, msgspec.Meta(ge=0)]
+# msgpack has no longer integers.
+MAX_COUNT = 2**63 - 1
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -34,9 +36,17 @@
 
 
 def pack(message: Message) -> bytes:
-    """Encodes a message."""
+    """Encodes a message.
+
+    Raises:
+        ValueError: A number or text of the message cannot be encoded.
+    """
     fields = msgspec.to_builtins(message, builtin_types=_NATIVE_TYPES)
-    return zlib.compress(msgpack.packb(fields), COMPRESSION_LEVEL)
+    try:
+        packed = msgpack.packb(fields)
+    except OverflowError as error:
+        raise ValueError(f"{type(message).__name__}: {error}") from error
+    return zlib.compress(packed, COMPRESSION_LEVEL)
 
 
 def unpack(data: bytes, message_type: type[MessageT]) -> MessageT:
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -12,9 +12,15 @@
     read_entry_settings,
 )
 from kumquatspur.core.records import Address
+from kumquatspur.core.routing import SearcherEntry
 from kumquatspur.platform import headers
 from kumquatspur.platform.store import PlatformStore
 from kumquatspur.wire import evacuation_sync, probes, warmup_watch
+from kumquatspur.wire.containment import (
+    Containment,
+    PeriodicTask,
+    run_due,
+)
 from kumquatspur.wire.crash_detector import CrashDetector
 from kumquatspur.wire.decision_log import DecisionLog
 from kumquatspur.wire.delegator import Delegator
@@ -83,9 +89,7 @@
             self.delegator,
             self.shares.quotas,
         )
-        self.state.directory.on_put = functools.partial(
-            warmup_watch.observe_entry, self.state
-        )
+        self.state.directory.on_put = self._observe_entry
         self.warmups = warmup_watch.WarmupWatch(
             self.state, self.exchange.exchange_with
         )
@@ -95,6 +99,13 @@
         self._listener = listener
         self._stop_at = None
         self._reload = False
+        self._settings_checked_at = monotonic_s()
+
+    def _observe_entry(self, entry: SearcherEntry, at: float) -> None:
+        with Containment(
+            self.state, "observe_entry", searcher=entry.searcher_id
+        ):
+            warmup_watch.observe_entry(self.state, entry, at)
 
     def request_stop(self) -> None:
         """Requests a graceful stop; safe in a signal handler."""
@@ -136,48 +147,73 @@
         self.exchange.start()
         self.shares.start()
         eventlet.spawn_n(self.warmups.run)
-        pruned_at = checked_at = services_probed_at = monotonic_s()
-        limits_reported_at = pruned_at
-        while not self._advance_stop(front):
+        tasks = self._periodic_tasks(monotonic_s())
+        while not self._has_stopped(front):
             eventlet.sleep(LOOP_INTERVAL_S)
-            now = monotonic_s()
-            for searcher_id in self.state.directory.expire(now):
-                self.state.log.write("searcher_lapsed", searcher=searcher_id)
-            for searcher_id in self.state.pauses.expire(now):
-                self.state.log.write(
-                    "searcher_pause_ended", searcher=searcher_id
-                )
-            evacuation_sync.expire(self.state)
-            if now - services_probed_at >= SERVICE_PROBE_INTERVAL_S:
-                services_probed_at = now
-                probes.probe_lost_services(self.state, now)
-            probes.probe_suspected_zones(self.state, now)
-            probes.probe_suspected_peer_zones(self.state, now)
-            self._report_zones(now)
-            if now - limits_reported_at >= LIMIT_REPORT_INTERVAL_S:
-                limits_reported_at = now
-                self._report_limits()
-                self._report_accounts()
-            if now - pruned_at >= PRUNE_INTERVAL_S:
-                pruned_at = now
-                self._prune_searchers(now)
-                self.state.limits.prune(self.state.directory.by_id, now)
-                self.state.rooms.prune(self.state.directory.by_id)
-                self.delegator.prune(now)
-            if self._reload or now - checked_at >= SETTINGS_CHECK_INTERVAL_S:
-                checked_at, self._reload = now, False
-                self._check_settings()
+            run_due(self.state, tasks, monotonic_s())
         self.state.log.write("stop", True, in_flight=self.state.in_flight)
         self.state.log.flush()
 
-    def _prune_searchers(self, now: float) -> None:
-        """Closes idle connections, and all to evacuated zones."""
+    def _periodic_tasks(self, now: float) -> tuple[PeriodicTask, ...]:
+        """Returns the tasks of the main loop.
+
+        Args:
+            now: Monotonic time in seconds, from which their intervals count.
+        """
+        state = self.state
+        return (
+            PeriodicTask("expire_searchers", self._expire_searchers),
+            PeriodicTask(
+                "expire_evacuations", lambda _: evacuation_sync.expire(state)
+            ),
+            PeriodicTask(
+                "probe_services",
+                functools.partial(probes.probe_lost_services, state),
+                SERVICE_PROBE_INTERVAL_S,
+                now,
+            ),
+            PeriodicTask(
+                "probe_zones",
+                functools.partial(probes.probe_suspected_zones, state),
+            ),
+            PeriodicTask(
+                "probe_peer_zones",
+                functools.partial(probes.probe_suspected_peer_zones, state),
+            ),
+            PeriodicTask("report_zones", self._report_zones),
+            PeriodicTask(
+                "report_limits",
+                lambda _: self._report_limits(),
+                LIMIT_REPORT_INTERVAL_S,
+                now,
+            ),
+            PeriodicTask(
+                "report_accounts",
+                lambda _: self._report_accounts(),
+                LIMIT_REPORT_INTERVAL_S,
+                now,
+            ),
+            PeriodicTask("prune", self._prune, PRUNE_INTERVAL_S, now),
+            PeriodicTask("check_settings", self._check_settings_if_due),
+        )
+
+    def _expire_searchers(self, now: float) -> None:
+        for searcher_id in self.state.directory.expire(now):
+            self.state.log.write("searcher_lapsed", searcher=searcher_id)
+        for searcher_id in self.state.pauses.expire(now):
+            self.state.log.write("searcher_pause_ended", searcher=searcher_id)
+
+    def _prune(self, now: float) -> None:
+        """Closes connections and forgets what is not needed any more."""
         directory = self.state.directory
         kept = {
             entry.searcher_id
             for entry in directory.without_evacuated(directory.by_id)
         }
         self.pool.prune(now, kept)
+        self.state.limits.prune(directory.by_id, now)
+        self.state.rooms.prune(directory.by_id)
+        self.delegator.prune(now)
 
     def _report_limits(self) -> None:
         """Logs this host's attempts at searchers that name a limit."""
@@ -220,6 +256,13 @@
             # Requests can be served without the metrics page.
             self.state.log.write("metrics_unavailable", True, error=str(error))
 
+    def _has_stopped(self, front: FrontServer) -> bool:
+        """Advances a graceful stop; returns whether the process ends."""
+        with Containment(self.state, "stop"):
+            return self._advance_stop(front)
+        exit_after_s = self.settings.bounds.grace_s - LAST_EXIT_MARGIN_S
+        return monotonic_s() - self._stop_at >= exit_after_s
+
     def _advance_stop(self, front: FrontServer) -> bool:
         """Advances a graceful stop; returns whether it has finished."""
         if self._stop_at is None:
@@ -257,6 +300,12 @@
             self.state.log.write("settings_unreadable", True, error=str(error))
             return ""
 
+    def _check_settings_if_due(self, now: float) -> None:
+        age_s = now - self._settings_checked_at
+        if self._reload or age_s >= SETTINGS_CHECK_INTERVAL_S:
+            self._settings_checked_at, self._reload = now, False
+            self._check_settings()
+
     def _check_settings(self) -> None:
         text = self._read_settings_text()
         if not text or text == self._text:
--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -75,6 +75,8 @@
         outages: Routes that this host cannot serve.
         answer_margin: Time that is planned for sending answers.
         counters: Counts since the start, by name.
+        errors_reported: When an unexpected error was last logged, and how often
+            it was raised since, by task and type.
         evacuations_reported: The evacuated zones that were last logged.
         histograms: Latency histograms in microseconds by route.
         store_ok: Whether the last call to the store succeeded.
@@ -127,6 +129,9 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    errors_reported: dict[tuple[str, type], tuple[float, int]] = (
+        dataclasses.field(default_factory=dict)
+    )
     evacuations_reported: frozenset[str] = frozenset()
     histograms: dict = dataclasses.field(default_factory=dict)
     store_ok: bool = False
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -11,6 +11,7 @@
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import ClientLimits, ClientReply, ClientRequest
 from kumquatspur.platform import headers
+from kumquatspur.wire.containment import report_error
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.error_replies import error_reply
 from kumquatspur.wire.http_messages import (
@@ -269,22 +270,21 @@
             self.socket.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, message: RawMessage) -> ClientReply:
-        request = decode_request(
-            message, self.is_first, self.server.is_for_hosts
-        )
-        self.is_first = False
-        if request is None:
-            return error_reply(400, "request identifier or host is missing")
+        request = None
         try:
+            request = decode_request(
+                message, self.is_first, self.server.is_for_hosts
+            )
+            self.is_first = False
+            if request is None:
+                return error_reply(400, "request identifier or host is missing")
             return self.server.serve(request)
         except Exception as error:
-            _log.exception("request failed")
-            self.state.counters["internal_errors"] += 1
-            self.state.log.write(
-                "internal_error",
-                True,
-                request_id=request.request_id,
-                error=repr(error),
+            report_error(
+                self.state,
+                "serve_request",
+                error,
+                request_id=request.request_id if request else None,
             )
             return error_reply(502, "internal error")
 
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -6,7 +6,6 @@
 other host.
 """
 
-import logging
 from collections.abc import Callable, Iterable, Mapping
 
 import eventlet
@@ -35,15 +34,15 @@
     is_same_era,
 )
 from kumquatspur.wire import evacuation_sync, warmup_watch
+from kumquatspur.wire.containment import Containment, report_error
 from kumquatspur.wire.entry_state import ASSUMED_HOSTS, EntryState
 from kumquatspur.wire.http_server import HttpServer
+from kumquatspur.wire.json_http import CLOSE_KEY
 from kumquatspur.wire.peer_calls import CALL_TIMEOUT_S, PeerCalls
 from kumquatspur.wire.searcher_pool import monotonic_s
 from kumquatspur.wire.store_mirror import StoreMirror
 from kumquatspur.wire.store_watch import WATCH_WAIT_S
 
-_log = logging.getLogger(__name__)
-
 EXCHANGE_INTERVAL_S = 1.0
 # Used while this host has no current view of the store, or no peers.
 URGENT_EXCHANGE_INTERVAL_S = 0.3
@@ -64,6 +63,8 @@
 MAX_LEAVING_REPORTED = 64
 # Bounds the size of a message while many searchers name limits.
 MAX_LIMITS_REPORTED = 64
+# A message is compressed, and refers to the items that the other host has.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 _CALL_ERRORS = (OSError, ValueError)
 
 
@@ -186,14 +187,10 @@
             )
             jitter = self.state.random.uniform(0.8, 1.2)
             self._wake.acquire(timeout=interval * jitter)
-            try:
+            with Containment(self.state, "exchange"):
                 self._exchange_once()
+            with Containment(self.state, "update_peers"):
                 self._update_peers_and_budget()
-            except Exception as error:
-                # Without exchanges, this host would lose all its peers.
-                _log.exception("exchange failed")
-                self.state.counters["internal_errors"] += 1
-                self.state.log.write("internal_error", True, error=repr(error))
 
     def _exchange_once(self) -> None:
         own = self.state.settings.peer
@@ -232,11 +229,22 @@
         handler = self.handlers.get(environ["PATH_INFO"], self._serve_exchange)
         try:
             length = int(environ.get("CONTENT_LENGTH") or 0)
+            if not 0 <= length <= MAX_MESSAGE_BYTES:
+                environ[CLOSE_KEY]()
+                raise ValueError(
+                    f"message has {length} bytes, limit {MAX_MESSAGE_BYTES}"
+                )
             reply = handler(environ["wsgi.input"].read(length))
         except (OSError, ValueError) as error:
             self.state.counters["peer_messages_rejected"] += 1
             start_response("400 Bad Request", [])
             return [str(error).encode()[:200]]
+        except Exception as error:
+            report_error(
+                self.state, "serve_peer", error, path=environ["PATH_INFO"]
+            )
+            start_response("500 Internal Server Error", [])
+            return [type(error).__name__.encode()]
         start_response("200 OK", [("Content-Type", "application/msgpack")])
         return [reply]
 
--- a/kumquatspur/wire/quota_exchange.py
+++ b/kumquatspur/wire/quota_exchange.py
@@ -33,6 +33,7 @@
     QuotaLedger,
     QuotaTerms,
 )
+from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import ASSUMED_HOSTS, EntryState
 from kumquatspur.wire.searcher_pool import monotonic_s
 
@@ -263,29 +264,33 @@
     def _run(self) -> None:
         while not self.state.ended:
             eventlet.sleep(CHECK_INTERVAL_S)
-            now = monotonic_s()
-            peers = self.state.peers
-            peers.update_silent_zones(now)
-            quotas = self.state.quotas
-            quotas.terms = self._terms()
-            known = peers.most_known(now)
-            quotas.hosts = known if peers.peers else ASSUMED_HOSTS
-            if self.ledger.entries:
-                self.ledger.expire(
-                    self._known_accounts(),
-                    quotas.terms,
-                    self._as_allocator(),
-                    now,
-                )
-            else:
-                self.ledger.record_update(now)
-            if now - self._pruned_at >= PRUNE_INTERVAL_S:
-                self._pruned_at = now
-                quotas.prune(now)
-                for name in [k for k, v in self._waiters.items() if not v]:
-                    del self._waiters[name]
-            for name in quotas.due(now):
-                self._ask_soon(name)
+            with Containment(self.state, "lease_quotas"):
+                self._step(monotonic_s())
+
+    def _step(self, now: float) -> None:
+        """Updates what the quotas depend on, and asks for accounts."""
+        peers = self.state.peers
+        peers.update_silent_zones(now)
+        quotas = self.state.quotas
+        quotas.terms = self._terms()
+        known = peers.most_known(now)
+        quotas.hosts = known if peers.peers else ASSUMED_HOSTS
+        if self.ledger.entries:
+            self.ledger.expire(
+                self._known_accounts(),
+                quotas.terms,
+                self._as_allocator(),
+                now,
+            )
+        else:
+            self.ledger.record_update(now)
+        if now - self._pruned_at >= PRUNE_INTERVAL_S:
+            self._pruned_at = now
+            quotas.prune(now)
+            for name in [k for k, v in self._waiters.items() if not v]:
+                del self._waiters[name]
+        for name in quotas.due(now):
+            self._ask_soon(name)
 
     def _known_accounts(self) -> dict[str, Account]:
         """Returns the accounts of the configuration in force, by name."""
--- a/kumquatspur/wire/share_exchange.py
+++ b/kumquatspur/wire/share_exchange.py
@@ -18,6 +18,7 @@
 )
 from kumquatspur.policy.limit_shares import RENEW_S, ShareAsk, ShareLedger
 from kumquatspur.policy.peer_table import Peer
+from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.quota_exchange import SHARES_PATH, QuotaExchange
 from kumquatspur.wire.searcher_pool import monotonic_s
@@ -84,12 +85,16 @@
     def _run(self) -> None:
         while not self.state.ended:
             eventlet.sleep(CHECK_INTERVAL_S)
-            now = monotonic_s()
-            self.ledger.expire(now)
-            for zone, needed in self._needed_by_zone(now).items():
-                if self._is_due(zone, needed, now):
-                    self._asking.add(zone)
-                    eventlet.spawn_n(self._renew, zone, needed)
+            with Containment(self.state, "lease_limits"):
+                self._renew_due(monotonic_s())
+
+    def _renew_due(self, now: float) -> None:
+        """Starts the asks that are due."""
+        self.ledger.expire(now)
+        for zone, needed in self._needed_by_zone(now).items():
+            if self._is_due(zone, needed, now):
+                self._asking.add(zone)
+                eventlet.spawn_n(self._renew, zone, needed)
 
     def _needed_by_zone(self, now: float) -> dict[str, list[str]]:
         """Returns the limited searchers that this host has requests for."""
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -14,6 +14,7 @@
     is_newer,
     is_same_era,
 )
+from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import EntryState
 
 RECENT_CHANGES = 400
@@ -73,10 +74,11 @@
         self.items = {item.key: item for item in wanted}
         entries = []
         for item in wanted:
-            if item.key == documents.CONFIG_KEY:
-                self._apply_config(item, source)
-            else:
-                entries.append(self._decode_searcher(item))
+            with self._contain(item):
+                if item.key == documents.CONFIG_KEY:
+                    self._apply_config(item, source)
+                else:
+                    entries.append(self._decode_searcher(item))
         found = [entry for entry in entries if entry is not None]
         known = {entry.searcher_id for entry in found}
         directory = self.state.directory
@@ -146,10 +148,11 @@
                 self.items.pop(change.key, None)
             else:
                 self.items[change.key] = change
-            if change.key == documents.CONFIG_KEY:
-                self._apply_config(change, source)
-            else:
-                self._apply_searcher(change, as_of)
+            with self._contain(change):
+                if change.key == documents.CONFIG_KEY:
+                    self._apply_config(change, source)
+                else:
+                    self._apply_searcher(change, as_of)
             if len(self.recent_changes) == RECENT_CHANGES:
                 self.recent_from_revision = self.recent_changes[0].revision
             self.recent_changes.append(change)
@@ -226,6 +229,15 @@
         """
         self._apply_config(item, source)
 
+    def _contain(self, change: StoreChange) -> Containment:
+        """Returns a context in which an odd item does not stop the others."""
+        return Containment(
+            self.state,
+            "apply_store_change",
+            key=change.key,
+            revision=change.revision,
+        )
+
     def _apply_config(self, change: StoreChange, source: str) -> None:
         if change.value is None:
             self.state.log.write("config_removed_ignored", True)
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -11,6 +11,7 @@
 )
 from kumquatspur.policy.store_position import is_same_era
 from kumquatspur.wire import evacuation_sync
+from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import monotonic_s
 from kumquatspur.wire.store_mirror import StoreMirror
@@ -19,6 +20,9 @@
 # after it.
 WATCH_WAIT_S = 2.5
 RETRY_DELAY_RANGE_S = (0.2, 0.5)
+# After unexpected errors, the whole store is read again: with growing delays,
+# as all hosts may do so at the same time.
+MAX_ERROR_DELAY_S = 8.0
 # Delay after changes, so that a burst of changes is fetched in few calls.
 BATCH_DELAY_S = 0.3
 ALL_KEYS = ""
@@ -56,23 +60,39 @@
         """Watches the store; does not return."""
         if self.state.settings.waits_for_peers():
             self._wait_for_first_view()
+        failures = 0
         while not self.state.ended:
-            if self.follow():
-                continue
-            try:
-                self._step()
-            except HistoryUnavailableError as error:
+            containment = Containment(self.state, "follow_watcher")
+            with containment:
+                if self.follow():
+                    failures = 0
+                    continue
+            if containment.failed:
+                # Some of the changes may not have been applied.
                 self._history_lost = True
-                self.state.log.write(
-                    "store_history_lost",
-                    True,
-                    error=str(error),
-                    revision=self.mirror.revision,
-                    era=self.mirror.era,
-                )
-            except PlatformStoreError as error:
-                self._record_error(error)
-                eventlet.sleep(self.state.random.uniform(*RETRY_DELAY_RANGE_S))
+            containment = Containment(self.state, "watch_store")
+            with containment:
+                self._step_or_record_error()
+            failures = failures + 1 if containment.failed else 0
+            if failures:
+                self._history_lost = True
+                eventlet.sleep(min(2.0**failures, MAX_ERROR_DELAY_S))
+
+    def _step_or_record_error(self) -> None:
+        try:
+            self._step()
+        except HistoryUnavailableError as error:
+            self._history_lost = True
+            self.state.log.write(
+                "store_history_lost",
+                True,
+                error=str(error),
+                revision=self.mirror.revision,
+                era=self.mirror.era,
+            )
+        except PlatformStoreError as error:
+            self._record_error(error)
+            eventlet.sleep(self.state.random.uniform(*RETRY_DELAY_RANGE_S))
 
     def _wait_for_first_view(self) -> None:
         """Waits until another host has sent its view of the store.
--- a/kumquatspur/wire/warmup_watch.py
+++ b/kumquatspur/wire/warmup_watch.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import logging
 import math
 import time
 
@@ -18,11 +17,10 @@
 from kumquatspur.policy.peer_table import Peer
 from kumquatspur.policy.searcher_limits import cold_aim_per_s
 from kumquatspur.policy.warmups import ECHO_S, WarmupKind, checker_of
+from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import CallError, TargetPool, monotonic_s
 
-_log = logging.getLogger(__name__)
-
 STEP_S = 0.25
 # One host checks each searcher that may become cold at this interval.
 CHECK_INTERVAL_S = 1.0
@@ -257,13 +255,8 @@
         """Runs until the process ends."""
         while not self.state.ended:
             eventlet.sleep(STEP_S)
-            try:
+            with Containment(self.state, "watch_warmups"):
                 self._step(monotonic_s())
-            except Exception as error:
-                # Without this thread, cold rates would never end.
-                _log.exception("warm-up step failed")
-                self.state.counters["internal_errors"] += 1
-                self.state.log.write("internal_error", True, error=repr(error))
 
     def _step(self, now: float) -> None:
         state = self.state
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -38,7 +38,7 @@
         self.wait_ready()
         for copy in "ab":
             self.store.remove(f"servers/i-s3-{copy}")
-        wait_until(lambda: not self.host.state.directory.by_service["s3"])
+        wait_until(lambda: not self.host.state.directory.by_service.get("s3"))
         wait_until(self.no_s3_searcher_is_usable)
         status, fields, body = self.exchange(
             self.connect(), self.request("/all/x")
@@ -52,7 +52,7 @@
         for shard in ("s1", "s2", "s3"):
             for copy in "ab":
                 self.store.remove(f"servers/i-{shard}-{copy}")
-        wait_until(lambda: not self.host.state.directory.by_service["s3"])
+        wait_until(lambda: not self.host.state.directory.by_service.get("s3"))
         wait_until(self.no_s3_searcher_is_usable)
         status, fields, _ = self.exchange(
             self.connect(), self.request("/all/x")
