--- a/kumquatspur/border/entry_settings.py
+++ b/kumquatspur/border/entry_settings.py
@@ -1,10 +1,11 @@
 """Settings of an entry host on the platform, from a JSON file."""
 
+import pathlib
 from typing import Annotated
 
 import msgspec
 
-from kumquatspur.border.structs import read_json_struct
+from kumquatspur.border.structs import decode_json
 from kumquatspur.core.records import Address, Diagnostic
 from kumquatspur.core.routing import HostCapacity
 
@@ -146,6 +147,36 @@
         return self.first_start and asks_seeds
 
 
+def read_settings_text(path: str) -> tuple[str | None, list[Diagnostic]]:
+    """Reads a settings file without checking it.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        Its content, or None, and the errors found.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8"), []
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [Diagnostic(path, f"cannot be read: {error}")]
+
+
+def decode_entry_settings(
+    path: str, text: str
+) -> tuple[EntrySettings | None, list[Diagnostic]]:
+    """Checks the content of a settings file.
+
+    Args:
+        path: Path of the file, for errors.
+        text: Its content.
+
+    Returns:
+        The settings, or None, and the errors found.
+    """
+    return decode_json(path, text.encode(), EntrySettings, strict=False)
+
+
 def read_entry_settings(
     path: str,
 ) -> tuple[EntrySettings | None, list[Diagnostic]]:
@@ -157,4 +188,5 @@
     Returns:
         The settings, or None, and the errors found.
     """
-    return read_json_struct(path, EntrySettings)
+    text, errors = read_settings_text(path)
+    return (None, errors) if text is None else decode_entry_settings(path, text)
--- a/kumquatspur/border/structs.py
+++ b/kumquatspur/border/structs.py
@@ -4,7 +4,6 @@
 that starts again answers that much sooner.
 """
 
-import pathlib
 import re
 from typing import TypeVar
 
@@ -61,22 +60,3 @@
         return msgspec.json.decode(data, type=struct, strict=strict), []
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         return None, [struct_diagnostic(source, error)]
-
-
-def read_json_struct(
-    path: str, struct: type[StructT]
-) -> tuple[StructT | None, list[Diagnostic]]:
-    """Reads and validates a JSON file, whose numbers may be text.
-
-    Args:
-        path: Path of the file.
-        struct: Type of the file's content.
-
-    Returns:
-        The content, or None, and the errors found.
-    """
-    try:
-        data = pathlib.Path(path).read_bytes()
-    except OSError as error:
-        return None, [Diagnostic(path, f"cannot be read: {error}")]
-    return decode_json(path, data, struct, strict=False)
--- a/kumquatspur/scripts/kumquatspurd.py
+++ b/kumquatspur/scripts/kumquatspurd.py
@@ -1,16 +1,11 @@
 """The daemon of an entry host."""
 
-import signal
 import sys
 
+from kumquatspur.scripts.early_signals import EarlySignals
 
-def _exit_immediately(*_):
-    # No request has been accepted yet, so no graceful stop is needed.
-    sys.exit(0)
-
-
-for _signal_number in (signal.SIGTERM, signal.SIGINT):
-    signal.signal(_signal_number, _exit_immediately)
+SIGNALS = EarlySignals()
+SIGNALS.install()
 
 import eventlet  # noqa: E402
 
@@ -57,10 +52,9 @@
         return EXIT_BAD_SETTINGS
     configure_logging(arguments.log_level)
     shell = Shell(settings)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        # The handler may interrupt any green thread, so it only sets a flag.
-        signal.signal(signal_number, lambda *_: shell.request_stop())
+    SIGNALS.attach(shell.request_stop, shell.request_reload)
     shell.run()
+    SIGNALS.ignore()
     return 0
 
 
--- a/kumquatspur/scripts/platform_daemon.py
+++ b/kumquatspur/scripts/platform_daemon.py
@@ -1,9 +1,11 @@
 """The entry-host daemon for the platform."""
 
-import signal
 import sys
 
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+from kumquatspur.scripts.early_signals import EarlySignals
+
+SIGNALS = EarlySignals()
+SIGNALS.install()
 
 from kumquatspur.platform.environment import settings_path  # noqa: E402
 from kumquatspur.wire.early_listener import open_early_listener  # noqa: E402
@@ -15,12 +17,17 @@
     if __name__ == "__main__" and len(sys.argv) == 1
     else None
 )
+# Clients that have connected get their answers before a stop ends.
+SIGNALS.accepts = EARLY_LISTENER is not None
 
 import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
 
-from kumquatspur.border.entry_settings import read_entry_settings  # noqa: E402
+from kumquatspur.border.entry_settings import (  # noqa: E402
+    decode_entry_settings,
+    read_settings_text,
+)
 from kumquatspur.scripts.logs import configure_logging  # noqa: E402
 from kumquatspur.wire.entry_host import EntryHost  # noqa: E402
 
@@ -44,18 +51,19 @@
         arguments = platform_arguments.parse()
         path = arguments.settings or path
         log_level = arguments.log_level
-    settings, errors = read_entry_settings(path)
+    text, errors = read_settings_text(path)
+    settings = None
+    if text is not None:
+        settings, errors = decode_entry_settings(path, text)
     for error in errors:
         print(f"{error.source}: {error.message}", file=sys.stderr)
     if settings is None:
         return EXIT_BAD_SETTINGS
     configure_logging(log_level)
-    host = EntryHost(settings, path, EARLY_LISTENER)
-    # The handlers may interrupt any green thread, so they only set flags.
-    signal.signal(signal.SIGTERM, lambda *_: host.request_stop())
-    signal.signal(signal.SIGINT, lambda *_: host.request_stop())
-    signal.signal(signal.SIGHUP, lambda *_: host.request_reload())
+    host = EntryHost(settings, path, EARLY_LISTENER, text)
+    SIGNALS.attach(host.request_stop, host.request_reload)
     host.run()
+    SIGNALS.ignore()
     return 0
 
 
--- a/kumquatspur/wire/entry_host.py
+++ b/kumquatspur/wire/entry_host.py
@@ -9,7 +9,8 @@
 
 from kumquatspur.border.entry_settings import (
     EntrySettings,
-    read_entry_settings,
+    decode_entry_settings,
+    read_settings_text,
 )
 from kumquatspur.core.records import Address
 from kumquatspur.core.routing import SearcherEntry
@@ -57,7 +58,8 @@
     """One entry host.
 
     `listener` is a socket that listens for clients already; without one, the
-    host opens it when it runs.
+    host opens it when it runs. `settings_text` is the content of the file from
+    which the settings were read.
 
     Attributes:
         settings: The settings.
@@ -70,6 +72,7 @@
         settings: EntrySettings,
         path: str,
         listener: socket.socket | None = None,
+        settings_text: str | None = None,
     ):
         self.settings = settings
         self.state = new_state(settings, DecisionLog(settings.name))
@@ -94,7 +97,12 @@
             self.state, self.exchange.exchange_with
         )
         self._path = pathlib.Path(path)
-        self._text = ""
+        # A later check finds a change since `settings` were read.
+        self._text = (
+            self._read_settings_text()
+            if settings_text is None
+            else settings_text
+        )
         self.front = None
         self._listener = listener
         self._stop_at = None
@@ -107,9 +115,14 @@
         ):
             warmup_watch.observe_entry(self.state, entry, at)
 
-    def request_stop(self) -> None:
-        """Requests a graceful stop; safe in a signal handler."""
-        self._stop_at = self._stop_at or monotonic_s()
+    def request_stop(self, at: float | None = None) -> None:
+        """Requests a graceful stop; safe in a signal handler.
+
+        Args:
+            at: When the signal came, in monotonic time; now if None.
+        """
+        if self._stop_at is None:
+            self._stop_at = monotonic_s() if at is None else at
 
     def request_reload(self) -> None:
         """Requests a reload of the settings file."""
@@ -125,7 +138,6 @@
     def _serve_until_stopped(self) -> None:
         self.state.log.start()
         self.state.log.write("start", True, zone=self.settings.zone)
-        self._text = self._read_settings_text()
         HttpServer(self.settings.ready, self._ready_page)
         self._serve_metrics()
         front = self.front = FrontServer(
@@ -294,11 +306,12 @@
         return True
 
     def _read_settings_text(self) -> str:
-        try:
-            return self._path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            self.state.log.write("settings_unreadable", True, error=str(error))
-            return ""
+        text, errors = read_settings_text(str(self._path))
+        for error in errors:
+            self.state.log.write(
+                "settings_unreadable", True, error=error.message
+            )
+        return text or ""
 
     def _check_settings_if_due(self, now: float) -> None:
         age_s = now - self._settings_checked_at
@@ -307,11 +320,12 @@
             self._check_settings()
 
     def _check_settings(self) -> None:
+        """Puts the settings file in force if it has changed."""
         text = self._read_settings_text()
         if not text or text == self._text:
             return
         self._text = text
-        settings, errors = read_entry_settings(str(self._path))
+        settings, errors = decode_entry_settings(str(self._path), text)
         if settings is None:
             self.state.log.write(
                 "settings_rejected",
--- a/kumquatspur/wire/shell.py
+++ b/kumquatspur/wire/shell.py
@@ -46,6 +46,7 @@
         metrics: The daemon's metrics.
         caller_app: The HTTP application for callers.
         stop_requested: Whether a graceful stop was requested.
+        reload_requested: Whether a reload was requested, which is not possible.
     """
 
     def __init__(self, settings):
@@ -62,6 +63,7 @@
         )
         self._store = StoreClient(settings.store.address())
         self.stop_requested = False
+        self.reload_requested = False
         self._calls = {}
         self._wakeup_at = None
         self._wakeup = None
@@ -108,6 +110,9 @@
         _log.info("daemon started", extra={"daemon": settings.name})
         while not self.stop_requested:
             eventlet.sleep(STOP_POLL_INTERVAL_S)
+            if self.reload_requested:
+                self.reload_requested = False
+                _log.warning("SIGHUP ignored: settings are read at the start")
         self._stop(http_server)
         _log.info("daemon stopped", extra={"daemon": settings.name})
 
@@ -115,10 +120,14 @@
         """Returns the counts of stream and connection events by name."""
         return dict(self._peers.counters + self._upstreams.counters)
 
-    def request_stop(self) -> None:
+    def request_stop(self, _: float | None = None) -> None:
         """Begins a graceful stop; may be called by a signal handler."""
         self.stop_requested = True
 
+    def request_reload(self) -> None:
+        """Records that a reload was requested; safe in a signal handler."""
+        self.reload_requested = True
+
     def _stop(self, http_server: HttpServer) -> None:
         self.deliver(events.StopRequested())
         http_server.closing = True
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -1,4 +1,5 @@
 import dataclasses
+import json
 import time
 import unittest
 
@@ -34,6 +35,16 @@
         expected = [make_record(number) for number in (34, 33, 32, 31, 30)]
         self.assertEqual(body, b"".join(expected))
 
+    def test_settings_that_change_while_a_host_starts_are_in_force(self):
+        """Guards against a change after the first read of the settings."""
+        # The host runs from the next wait on, and has read its settings.
+        host = self.start_host("second")
+        settings = json.loads(host._path.read_text())
+        settings["bounds"]["drain_ms"] = 700
+        host._path.write_text(json.dumps(settings))
+        wait_until(lambda: host.state.settings.bounds.drain_ms == 700)
+        self.assertEqual(host.state.directory.drain_s, 0.7)
+
     def test_shard_without_searchers_is_reported_missing(self):
         self.wait_ready()
         for copy in "ab":
