--- a/kumquatspur/border/bounded_http.py
+++ b/kumquatspur/border/bounded_http.py
@@ -14,16 +14,19 @@
 import eventlet
 import urllib3
 
+from kumquatspur.policy.response_limits import max_chunks
+
 # Answers of the metadata store have at most about 1 MB a page, and views of
 # other hosts are compressed.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # A socket that always has bytes would otherwise keep all other green threads
-# from running.
+# from running. A line is the size of a chunk, which may be one byte long.
 BYTES_PER_TURN = 256 * 1024
+LINES_PER_TURN = 1024
 
 
 class AnswerTooLongError(OSError):
-    """An answer exceeds `MAX_ANSWER_BYTES`."""
+    """An answer exceeds `MAX_ANSWER_BYTES`, or has too many chunks."""
 
 
 class _BoundedReader(io.RawIOBase):
@@ -70,12 +73,21 @@
 
 
 class _LineReader(io.BufferedReader):
-    """Reads lines that must be complete: those of a head, or of chunk sizes."""
+    """Reads lines that must be complete: those of a head, or of chunk sizes.
+
+    Attributes:
+        count: Lines read so far.
+    """
+
+    def __init__(self, raw):
+        super().__init__(raw)
+        self.count = 0
 
     def readline(self, size: int = -1) -> bytes:
         """Returns a line, or as much of it as `size` allows.
 
         Raises:
+            AnswerTooLongError: There are too many lines.
             RemoteDisconnected: The connection was closed within a head.
         """
         line = super().readline(size)
@@ -83,6 +95,14 @@
             raise http.client.RemoteDisconnected(
                 f"connection closed after {line[:40]!r} of a header line"
             )
+        self.count += 1
+        limit = max_chunks(self.raw.count)
+        if self.count > limit:
+            raise AnswerTooLongError(
+                f"answer has over {limit} lines in {self.raw.count} bytes"
+            )
+        if self.count % LINES_PER_TURN == 0:
+            eventlet.sleep(0)
         return line
 
 
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -21,6 +21,7 @@
     RequestReader,
 )
 from kumquatspur.wire.searcher_pool import monotonic_s
+from kumquatspur.wire.turns import give_turn
 
 _log = logging.getLogger(__name__)
 
@@ -211,9 +212,10 @@
             except MessageError as error:
                 self._reject(error)
                 return
-            for message in messages:
-                self.pending.append(message)
+            self.pending.extend(messages)
             self._start_next()
+            if not messages:
+                give_turn()
             while len(self.pending) > MAX_PENDING_REQUESTS and not self.closed:
                 eventlet.sleep(CHECK_INTERVAL_S / 10)
 
@@ -243,7 +245,7 @@
             self.socket.shutdown(socket.SHUT_WR)
             end = monotonic_s() + LINGER_S
             while monotonic_s() < end and self.socket.recv(READ_BYTES):
-                pass
+                give_turn()
 
     def _start_next(self) -> None:
         if self.worker is None and self.pending and not self.closed:
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -7,8 +7,9 @@
 from kumquatspur.core.routing import ClientRequest
 from kumquatspur.policy.response_limits import (
     MAX_BODY_BYTES,
-    MAX_FRAMING_RATIO,
-    MAX_HEAD_BYTES,
+    MAX_HEADERS,
+    max_chunks,
+    max_framing_bytes,
 )
 
 # Headers that apply to a single connection and are not forwarded.
@@ -43,8 +44,8 @@
         headers: Pairs of lower-case name and value, trailers included.
         head_count: Number of headers that are not trailers, once all headers of
             a request were read.
-        chunks: Chunks of the body.
-        body_bytes: Total length of the chunks.
+        buffer: The body so far. It is not kept in pieces, which may be one
+            byte long and take fifty times as much memory.
         keep_alive: Whether the connection may be reused.
         headers_done: Whether all headers were read.
         complete: Whether the whole message was read.
@@ -54,8 +55,7 @@
     method: bytes = b""
     status: int = 0
     headers: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
-    chunks: list[bytes] = dataclasses.field(default_factory=list)
-    body_bytes: int = 0
+    buffer: bytearray = dataclasses.field(default_factory=bytearray)
     keep_alive: bool = True
     headers_done: bool = False
     complete: bool = False
@@ -63,7 +63,7 @@
 
     def body(self) -> bytes:
         """Returns the body."""
-        return b"".join(self.chunks)
+        return bytes(self.buffer)
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header; None if there is none."""
@@ -148,8 +148,7 @@
         self.message.headers.append((name.lower(), value))
 
     def on_body(self, chunk):
-        self.message.chunks.append(chunk)
-        self.message.body_bytes += len(chunk)
+        self.message.buffer += chunk
 
 
 class RequestReader(_ParserCallbacks):
@@ -160,6 +159,8 @@
         body_limit: Maximum size of a body, in bytes.
         received_header_bytes: Bytes received since the headers of the current
             request began.
+        received_body_bytes: Bytes received since the current request's body
+            began, with the sizes and extensions of its chunks.
     """
 
     def __init__(self, header_limit: int, body_limit: int):
@@ -168,6 +169,7 @@
         self.body_limit = body_limit
         self.parser = httptools.HttpRequestParser(self)
         self.received_header_bytes = 0
+        self.received_body_bytes = 0
 
     def on_url(self, url):
         """Appends a chunk of the request target."""
@@ -204,7 +206,7 @@
     def on_body(self, chunk):
         """Appends a chunk of the body."""
         super().on_body(chunk)
-        if self.message.body_bytes > self.body_limit:
+        if len(self.message.buffer) > self.body_limit:
             raise MessageError("body too long", 413)
 
     def on_message_complete(self):
@@ -246,8 +248,29 @@
         found, self.finished = self.finished, []
         if found or (self.message and self.message.headers_done):
             self.received_header_bytes = 0
+        self._check_framing(len(data), bool(found))
         return found
 
+    def _check_framing(self, latest: int, completed: bool) -> None:
+        """Limits the bytes that are received with a body besides it.
+
+        Args:
+            latest: Number of bytes received last. They are exempt, as the
+                parser may not have reported them yet.
+            completed: Whether they completed a request.
+        """
+        if completed or not self.is_in_body():
+            self.received_body_bytes = 0
+            return
+        body_bytes = len(self.message.buffer)
+        framing = self.received_body_bytes - body_bytes
+        self.received_body_bytes += latest
+        limit = max_framing_bytes(body_bytes)
+        if framing > limit:
+            raise MessageError(
+                f"{framing} bytes besides the body, limit {limit}", 413
+            )
+
     def _check_headers(self):
         if self.parsed_header_bytes > self.header_limit:
             raise MessageError("headers too long", 431)
@@ -272,6 +295,7 @@
             has no body whatever its headers say.
         received_bytes: Bytes received so far.
         total_body_bytes: Bytes of all bodies so far.
+        chunks: Chunks of all bodies so far.
     """
 
     def __init__(self, body_limit: float = MAX_BODY_BYTES):
@@ -279,10 +303,35 @@
         self.body_limit = body_limit
         self.received_bytes = 0
         self.total_body_bytes = 0
+        self.chunks = 0
         self.has_extra_bytes = False
         self.until_close = False
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_header(self, name, value):
+        """Adds a header or a trailer.
+
+        Raises:
+            MessageError: There are too many.
+        """
+        super().on_header(name, value)
+        if len(self.message.headers) > MAX_HEADERS:
+            raise MessageError(f"more than {MAX_HEADERS} headers")
+
+    def on_chunk_header(self):
+        """Counts a chunk.
+
+        Raises:
+            MessageError: There are too many.
+        """
+        self.chunks += 1
+        limit = max_chunks(self.total_body_bytes)
+        if self.chunks > limit:
+            raise MessageError(
+                f"{self.chunks} chunks for {self.total_body_bytes} bytes of"
+                f" body, limit {limit}"
+            )
+
     def on_headers_complete(self):
         """Determines the status and the framing of the body."""
         message = self.message
@@ -359,7 +408,7 @@
                 f" limit {self.body_limit}"
             )
         framing = self.received_bytes - self.total_body_bytes - latest
-        limit = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self.total_body_bytes
+        limit = max_framing_bytes(self.total_body_bytes)
         if framing > limit:
             raise MessageError(
                 f"{framing} bytes outside of the body, limit {limit}"
--- a/kumquatspur/wire/http_server.py
+++ b/kumquatspur/wire/http_server.py
@@ -12,6 +12,7 @@
 
 from kumquatspur.core.records import Diagnostic
 from kumquatspur.wire.json_http import CLOSE_KEY, error_reply
+from kumquatspur.wire.turns import give_turn
 
 _log = logging.getLogger(__name__)
 
@@ -138,6 +139,8 @@
         self.wfile = _ErrorReplyWriter(self.wfile, self)
 
     def handle_one_request(self):
+        # A client may send its next request without waiting for the reply.
+        give_turn()
         try:
             super().handle_one_request()
         except TimeoutError:
@@ -202,7 +205,7 @@
             self.connection.shutdown(socket.SHUT_WR)
             with eventlet.Timeout(LINGER_S, False):
                 while self.connection.recv(READ_BYTES):
-                    pass
+                    give_turn()
 
     def _cancel_timer(self):
         if self.header_timer is not None:
--- a/kumquatspur/wire/peer_stream.py
+++ b/kumquatspur/wire/peer_stream.py
@@ -20,6 +20,7 @@
 from kumquatspur.core import events, messages
 from kumquatspur.core.records import Address
 from kumquatspur.policy.stream_health import ReconnectBackoff, StreamHealth
+from kumquatspur.wire.turns import give_turn
 
 _log = logging.getLogger(__name__)
 
@@ -131,6 +132,7 @@
                 unpacker.feed(data)
                 for frame in unpacker:
                     self._handle_acknowledgement(peer_codec.decode(frame))
+                give_turn()
         except _STREAM_ERRORS as error:
             cause = str(error)
         self.close(cause)
@@ -273,6 +275,7 @@
             if received > previously_received:
                 acknowledgement = messages.StreamAck(received)
                 connection.sendall(peer_codec.encode(acknowledgement))
+            give_turn()
             data = connection.recv(READ_BYTES)
             if not data:
                 return
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -20,6 +20,7 @@
     RawMessage,
     ResponseReader,
 )
+from kumquatspur.wire.turns import give_turn
 
 READ_BYTES = 65536
 # A connection in the same region opens in milliseconds. Waiting for the
@@ -302,6 +303,7 @@
                 skipped += 1
             if skipped > MAX_SKIPPED_RESPONSES:
                 raise CallError(f"{skipped} responses to other requests")
+            give_turn()
     except TimeoutError as error:
         raise CallError(
             "no complete response by the deadline", unresponsive=not received
