--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -24,6 +24,11 @@
 SEARCHER_PREFIX = "servers/"
 EVACUATION_PREFIX = "op/evacuate/"
 
+# Entries of searchers have some hundred bytes. Any writer may store as much as
+# the store allows, and each host keeps all entries.
+MAX_ENTRY_BYTES = 16 * 1024
+_TOO_LONG = b"too long: "
+
 _PATH_PATTERN = re.compile(r"/[!-~]*")
 _NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
@@ -205,6 +210,13 @@
     born: _NonNegativeInt = 0
 
 
+def without_excess(key: str, value: bytes) -> bytes:
+    """Returns a value, or a note in its place if it is too long for its key."""
+    if key == CONFIG_KEY or len(value) <= MAX_ENTRY_BYTES:
+        return value
+    return _TOO_LONG + b"%d bytes, limit %d" % (len(value), MAX_ENTRY_BYTES)
+
+
 def evacuated_zone(key: str) -> str:
     """Returns the zone that a key evacuates; "" if it evacuates none."""
     if not key.startswith(EVACUATION_PREFIX):
@@ -270,6 +282,8 @@
     Returns:
         The entry, or None, and the errors found.
     """
+    if value.startswith(_TOO_LONG):
+        return None, [Diagnostic(key, value.decode())]
     document, errors = decode_json(key, value, _Searcher)
     if document is None:
         return None, errors
--- a/kumquatspur/platform/store.py
+++ b/kumquatspur/platform/store.py
@@ -10,6 +10,7 @@
 
 from kumquatspur.border.bounded_http import BoundedConnectionPool
 from kumquatspur.core.records import Address
+from kumquatspur.platform.documents import without_excess
 from kumquatspur.policy.store_position import UNKNOWN_ERA
 
 # Both timeouts are short, so that a host detects that the store is unreachable
@@ -260,7 +261,11 @@
     if item.get("removed"):
         return StoreChange(item["key"], _parse_revision(item["revision"]), None)
     value = base64.b64decode(item["value"], validate=True)
-    return StoreChange(item["key"], _parse_revision(item["revision"]), value)
+    return StoreChange(
+        item["key"],
+        _parse_revision(item["revision"]),
+        without_excess(item["key"], value),
+    )
 
 
 def _decode_era(value: str | None) -> int:
--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -17,7 +17,9 @@
 from kumquatspur.wire.containment import Containment
 from kumquatspur.wire.entry_state import EntryState
 
+# Changes kept for followers. One that lacks an older one gets a view instead.
 RECENT_CHANGES = 400
+RECENT_BYTES = 4 * 1024 * 1024
 
 
 class StoreMirror:
@@ -30,9 +32,11 @@
         config_item: The item of the configuration in force; None if there is
             none. After a restore of the store, its item may be older.
         items: The configuration and the searchers' entries, by key.
-        recent_changes: The last changes, for the followers of this host.
-        recent_from_revision: `recent_changes` has all changes after this
-            revision.
+        recent_changes: The last changes by key, the oldest first, for the
+            followers of this host. They need the latest change of a key only.
+        recent_bytes: Length of the values in `recent_changes`.
+        recent_from_revision: `recent_changes` has the latest changes of all
+            keys that were changed after this revision.
         changed: Event that is sent at the next change.
     """
 
@@ -42,7 +46,8 @@
         self.era = UNKNOWN_ERA
         self.config_item = None
         self.items = {}
-        self.recent_changes = collections.deque(maxlen=RECENT_CHANGES)
+        self.recent_changes = collections.OrderedDict()
+        self.recent_bytes = 0
         self.recent_from_revision = 0
         self.changed = eventlet.event.Event()
 
@@ -69,6 +74,7 @@
         self._record_contact(view, requested_at, as_of)
         self.revision = view.revision
         self.recent_changes.clear()
+        self.recent_bytes = 0
         self.recent_from_revision = self.revision
         wanted = [item for item in view.changes if _is_mirrored(item.key)]
         self.items = {item.key: item for item in wanted}
@@ -153,9 +159,7 @@
                     self._apply_config(change, source)
                 else:
                     self._apply_searcher(change, as_of)
-            if len(self.recent_changes) == RECENT_CHANGES:
-                self.recent_from_revision = self.recent_changes[0].revision
-            self.recent_changes.append(change)
+            self._keep_recent(change)
         if view.changes:
             self._notify_followers()
 
@@ -168,9 +172,23 @@
         if revision < self.recent_from_revision:
             return None
         return [
-            item for item in self.recent_changes if item.revision > revision
+            item
+            for item in self.recent_changes.values()
+            if item.revision > revision
         ]
 
+    def _keep_recent(self, change: StoreChange) -> None:
+        """Adds a change to the recent ones, and drops the oldest ones."""
+        recent = self.recent_changes
+        if replaced := recent.pop(change.key, None):
+            self.recent_bytes -= len(replaced.value or b"")
+        recent[change.key] = change
+        self.recent_bytes += len(change.value or b"")
+        while len(recent) > RECENT_CHANGES or self.recent_bytes > RECENT_BYTES:
+            _, dropped = recent.popitem(last=False)
+            self.recent_bytes -= len(dropped.value or b"")
+            self.recent_from_revision = dropped.revision
+
     def view_for(self, revision: int) -> tuple[list[StoreChange], list[str]]:
         """Returns the content of the store for a host with an older copy.
 
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -1,15 +1,22 @@
+import base64
 import json
 import random
 import unittest
 import zlib
+from unittest import mock
 
 import msgpack
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import Exchange, StoreItem
-from kumquatspur.platform.documents import CONFIG_KEY, SEARCHER_PREFIX
-from kumquatspur.platform.store import StoreChange, StoreView
-from kumquatspur.wire.store_mirror import StoreMirror
+from kumquatspur.platform import documents
+from kumquatspur.platform.documents import (
+    CONFIG_KEY,
+    MAX_ENTRY_BYTES,
+    SEARCHER_PREFIX,
+)
+from kumquatspur.platform.store import StoreChange, StoreView, _decode_change
+from kumquatspur.wire.store_mirror import RECENT_BYTES, StoreMirror
 from standins.platform_deployment import new_test_state
 
 SEARCHERS = 300
@@ -59,6 +66,68 @@
             set(behind.state.directory.by_id), set(ahead.state.directory.by_id)
         )
 
+    def test_versions_of_a_large_configuration_are_not_kept(self):
+        """Guards against hosts that run out of memory (CASE=versions)."""
+        mirror = filled_mirror(2)
+        value = b"x" * 900_000
+        for revision in range(3, 200):
+            change = StoreChange(CONFIG_KEY, revision, value[revision:])
+            with mock.patch.object(mirror, "_apply_config"):
+                mirror.apply(StoreView(revision, (change,)), 1.0, 1.0, "store")
+        (kept,) = mirror.changes_after(2)
+        self.assertEqual(kept.revision, 199)
+        self.assertLess(mirror.recent_bytes, 1_000_000)
+
+    def test_recent_changes_are_limited_by_their_length(self):
+        mirror = filled_mirror(2)
+        value = b"x" * MAX_ENTRY_BYTES
+        count = 2 * RECENT_BYTES // MAX_ENTRY_BYTES
+        for revision in range(3, 3 + count):
+            change = StoreChange(f"servers/i-{revision}", revision, value)
+            mirror.apply(StoreView(revision, (change,)), 1.0, 1.0, "store")
+        self.assertLessEqual(mirror.recent_bytes, RECENT_BYTES)
+        self.assertIsNone(mirror.changes_after(2))
+        kept = mirror.changes_after(mirror.recent_from_revision)
+        self.assertEqual(kept[-1].revision, 2 + count)
+        self.assertEqual(
+            sum(len(change.value) for change in kept), mirror.recent_bytes
+        )
+
+    def test_follower_gets_all_that_has_changed(self):
+        """Guards against followers that lack a change or have a late one."""
+        numbers = random.Random(3)
+        ahead = filled_mirror(2)
+        followers = [filled_mirror(2) for _ in range(3)]
+        for follower in followers:
+            follower.items = dict(ahead.items)
+        for revision in range(3, 300):
+            name = f"i-{numbers.randrange(6)}"
+            change = item(name, revision)
+            if numbers.random() < 0.3:
+                change = StoreChange(f"{SEARCHER_PREFIX}{name}", revision, None)
+            ahead.apply(StoreView(revision, (change,)), 1.0, 1.0, "store")
+            for follower in followers:
+                if numbers.random() < 0.2:
+                    changes = tuple(ahead.changes_after(follower.revision))
+                    view = StoreView(revision, changes)
+                    follower.apply(view, 1.0, 1.0, "peer")
+                    self.assertEqual(follower.items, ahead.items)
+
+    def test_entry_of_great_length_is_not_kept(self):
+        """Guards against another writer's entries that fill the memory."""
+        item = {
+            "key": "servers/i-long",
+            "value": base64.b64encode(b"x" * 1_000_000).decode(),
+            "revision": 3,
+        }
+        change = _decode_change(item)
+        self.assertLess(len(change.value), 100)
+        found, (error,) = documents.decode_searcher(change.key, change.value)
+        self.assertIsNone(found)
+        self.assertIn("1000000 bytes", error.message)
+        change = _decode_change({**item, "key": CONFIG_KEY})
+        self.assertEqual(len(change.value), 1_000_000)
+
     def test_view_for_a_host_with_a_recent_copy_is_small(self):
         mirror = filled_mirror()
 
