--- a/kumquatspur/border/exchange_codec.py
+++ b/kumquatspur/border/exchange_codec.py
@@ -84,6 +84,20 @@
     age_s: NonNegative
 
 
+class ContentRun(Message, kw_only=True):
+    """A content that was suspected of crashes and ran on a shard without one.
+
+    Attributes:
+        fingerprint: Hash of the request's content.
+        shard: The shard.
+        age_s: Time since its answer.
+    """
+
+    fingerprint: str
+    shard: str
+    age_s: NonNegative
+
+
 class SlowSearcher(Message, kw_only=True):
     """A searcher that is slower than usual.
 
@@ -199,6 +213,8 @@
         hosts: Hosts in the sender's peer table.
         incidents: Recent crashes of searchers, with the requests suspected of
             causing them.
+        runs: Contents that have run since they were suspected. Earlier builds
+            do not send them.
         whole: Whether the sender needs all items, whatever its revision.
         items: The sender's view of the store, without the items that the
             receiver already has; None if the view is not sent.
@@ -220,6 +236,7 @@
     slow: tuple[SlowSearcher, ...] = ()
     hosts: tuple[KnownHost, ...] = ()
     incidents: tuple[CrashIncident, ...] = ()
+    runs: tuple[ContentRun, ...] = ()
     whole: bool = False
     items: tuple[StoreItem, ...] | None = None
     kept: tuple[str, ...] = ()
--- a/kumquatspur/policy/crash_suspects.py
+++ b/kumquatspur/policy/crash_suspects.py
@@ -7,10 +7,16 @@
 of two replicas of one shard, since replicas are in different zones. A content
 is refused after two incidents of which at least one was alone. So when many
 upstreams fail at once, no content is refused for it.
+
+Load pattern: several hosts have requests at an upstream, and each of them only
+knows its own. Upstreams also crash by themselves, while popular contents are in
+flight at all of them. A content that has run on a shard crashes nothing there.
 """
 
 import dataclasses
 import enum
+import itertools
+import math
 from collections.abc import Container, Iterable
 
 import xxhash
@@ -22,6 +28,9 @@
 COINCIDENCE_WINDOW_S = 0.25
 REFUSAL_INCIDENTS = 2
 MAX_CONTENTS = 1024
+# The age of a run that is passed on grows inexact with each host. A run that is
+# later by less is the known one.
+ECHO_S = 1.0
 
 
 class ContentState(enum.StrEnum):
@@ -57,6 +66,12 @@
     expires: float
 
 
+def _coincide(first: Incident, second: Incident) -> bool:
+    """Returns whether two crashes are close enough for a common cause."""
+    gap_s = abs(first.observed_at - second.observed_at)
+    return gap_s < COINCIDENCE_WINDOW_S
+
+
 def fingerprint(service: str, content: str) -> str:
     """Returns the fingerprint of a content; repeated requests share it."""
     return xxhash.xxh3_128_hexdigest(f"{service}\0{content}".encode())
@@ -71,11 +86,17 @@
     Attributes:
         incidents: Incidents by fingerprint and incident id, oldest content
             first.
+        ran_at: When contents that had incidents ran on a shard without a crash,
+            by fingerprint and shard, the latest last. Earlier incidents there
+            do not count, whichever host sends them.
     """
 
     incidents: dict[str, dict[str, Incident]] = dataclasses.field(
         default_factory=dict
     )
+    ran_at: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, incidents: Iterable[Incident]) -> None:
         """Adds incidents and updates which of them are alone.
@@ -88,16 +109,43 @@
             for incident in incidents
             if incident.incident_id
             not in self.incidents.get(incident.fingerprint, ())
+            and incident.observed_at
+            > self.ran_at.get((incident.fingerprint, incident.shard), -math.inf)
         ]
         for incident in new:
             self._store(incident)
             if len(self.incidents) > MAX_CONTENTS:
                 self._evict()
+        for incident in new:
+            self._discount_same_crash(incident)
         for incident in new:
             self._find_common_content(incident)
         for incident in new:
             self._discount_coinciding(incident)
 
+    def _discount_same_crash(self, incident: Incident) -> None:
+        """Marks incidents of one crash as not alone if contents differ.
+
+        Each host that had requests there reports its own contents.
+        """
+        others = [
+            other
+            for fingerprint, known in self.incidents.items()
+            if fingerprint != incident.fingerprint
+            for other in known.values()
+            if other.searcher == incident.searcher
+            and _coincide(other, incident)
+        ]
+        if not others:
+            return
+        for first in (incident, *others):
+            known = self.incidents.get(first.fingerprint, {})
+            current = known.get(first.incident_id)
+            if current is not None and current.alone:
+                current = dataclasses.replace(current, alone=False)
+                self._store(current)
+                self._find_common_content(current)
+
     def _find_common_content(self, incident: Incident) -> None:
         """Marks an incident as alone if its content explains two crashes.
 
@@ -135,8 +183,7 @@
             for known in self.incidents.values()
             for other in known.values()
             if other.searcher != incident.searcher
-            and abs(other.observed_at - incident.observed_at)
-            < COINCIDENCE_WINDOW_S
+            and _coincide(other, incident)
         ]
         for other in coinciding:
             known = self.incidents.get(incident.fingerprint, {})
@@ -153,9 +200,7 @@
     def _was_in_flight(self, fingerprint: str, incident: Incident) -> bool:
         """Returns whether a content was in flight at an incident's crash."""
         return any(
-            known.searcher == incident.searcher
-            and abs(known.observed_at - incident.observed_at)
-            < COINCIDENCE_WINDOW_S
+            known.searcher == incident.searcher and _coincide(known, incident)
             for known in self.incidents.get(fingerprint, {}).values()
         )
 
@@ -210,6 +255,71 @@
         if kept:
             self.incidents[fingerprint] = kept
 
+    def record_run(self, fingerprint: str, shard: str, at: float) -> bool:
+        """Discards incidents after a content ran on a shard without a crash.
+
+        Args:
+            fingerprint: Fingerprint of the content.
+            shard: The shard on which it ran.
+            at: When its answer was complete.
+
+        Returns:
+            Whether there were any.
+        """
+        known = self.incidents.get(fingerprint, {})
+        kept = {
+            incident_id: incident
+            for incident_id, incident in known.items()
+            if incident.shard != shard or incident.observed_at > at
+        }
+        if len(kept) == len(known):
+            return False
+        if kept:
+            self.incidents[fingerprint] = kept
+        else:
+            del self.incidents[fingerprint]
+        self._remember_run(fingerprint, shard, at)
+        return True
+
+    def learn_runs(self, runs: Iterable[tuple[str, str, float]]) -> None:
+        """Applies runs that another host has seen.
+
+        Its incidents may arrive by way of a host that does not know the runs.
+
+        Args:
+            runs: Fingerprint, shard and time of each run.
+        """
+        for fingerprint, shard, at in runs:
+            self.record_run(fingerprint, shard, at)
+            known = self.ran_at.get((fingerprint, shard), -math.inf)
+            if at - known > ECHO_S:
+                self._remember_run(fingerprint, shard, at)
+
+    def recent_runs(
+        self, now: float, count: int
+    ) -> list[tuple[str, str, float]]:
+        """Returns the latest runs of contents that had incidents.
+
+        Args:
+            now: The current time in seconds.
+            count: Greatest number of runs.
+
+        Returns:
+            Fingerprint, shard and time of each run.
+        """
+        for key, at in list(self.ran_at.items()):
+            if now - at > INCIDENT_TTL_S:
+                del self.ran_at[key]
+        latest = itertools.islice(reversed(self.ran_at.items()), count)
+        return [(*key, at) for key, at in latest]
+
+    def _remember_run(self, fingerprint: str, shard: str, at: float) -> None:
+        key = (fingerprint, shard)
+        # Moved to the end, as the latest one.
+        self.ran_at[key] = max(at, self.ran_at.pop(key, at))
+        if len(self.ran_at) > MAX_CONTENTS:
+            del self.ran_at[next(iter(self.ran_at))]
+
     def refused(self, now: float) -> list[Incident]:
         """Returns the incidents of all refused contents."""
         return [
--- a/kumquatspur/policy/crash_suspects_test.py
+++ b/kumquatspur/policy/crash_suspects_test.py
@@ -78,6 +78,54 @@
         suspects.clear("x", ["a", "b"])
         self.assertEqual(suspects.state_of("x", 1.0), ContentState.CLEAR)
 
+    def test_contents_of_several_hosts_at_one_crash_are_not_alone(self):
+        """Guards against refusals of what was in flight at another host."""
+        for first, second in (("x", "y"), ("y", "x")):
+            suspects = CrashSuspects()
+            for number in range(2):
+                searcher = "ab"[number]
+                suspects.add(crash(searcher, first, 10.0 * number))
+                suspects.add(crash(searcher, second, 10.0 * number + 0.1))
+            for content in "xy":
+                state = suspects.state_of(content, 20.0)
+                self.assertEqual(state, ContentState.SUSPECT)
+            suspects.add(crash("c", "x", 15.0))
+            self.assertEqual(suspects.state_of("x", 20.0), ContentState.REFUSED)
+            self.assertEqual(suspects.state_of("y", 20.0), ContentState.SUSPECT)
+
+    def test_run_discards_incidents_of_its_shard(self):
+        """Guards against refusals of contents that crash nothing."""
+        suspects = CrashSuspects()
+        suspects.add(crash("a", "x", 1.0))
+        suspects.add(crash("t-a", "x", 1.0, "t"))
+        self.assertTrue(suspects.record_run("x", "s", 2.0))
+        self.assertEqual(suspects.crashed_searchers("x", 3.0), ["t-a"])
+        self.assertFalse(suspects.record_run("x", "s", 2.5))
+        # Another host sends the incident again, and a later one.
+        suspects.add(crash("a", "x", 1.0))
+        self.assertEqual(suspects.crashed_searchers("x", 3.0), ["t-a"])
+        suspects.add(crash("b", "x", 4.0))
+        self.assertEqual(suspects.crashed_searchers("x", 5.0), ["b", "t-a"])
+
+    def test_run_that_another_host_has_seen(self):
+        suspects = CrashSuspects()
+        suspects.learn_runs([("x", "s", 2.0)])
+        suspects.add(crash("a", "x", 1.0))
+        self.assertEqual(suspects.state_of("x", 3.0), ContentState.CLEAR)
+        # The same run, by way of other hosts.
+        for echo in range(1, 100):
+            suspects.learn_runs([("x", "s", 2.0 + 0.01 * echo)])
+        self.assertEqual(suspects.recent_runs(3.0, 9), [("x", "s", 2.0)])
+        suspects.learn_runs([("y", "s", 4.0), ("x", "s", 8.0)])
+        self.assertEqual(suspects.recent_runs(9.0, 1), [("x", "s", 8.0)])
+        self.assertEqual(suspects.recent_runs(9.0 + INCIDENT_TTL_S, 9), [])
+
+    def test_memory_of_runs_is_limited(self):
+        suspects = CrashSuspects()
+        for number in range(2 * MAX_CONTENTS):
+            suspects.learn_runs([(f"c{number}", "s", 1.0)])
+        self.assertEqual(len(suspects.ran_at), MAX_CONTENTS)
+
     def test_full_table_with_coinciding_crashes(self):
         """Many searchers crash at once under many contents."""
         suspects = CrashSuspects()
--- a/kumquatspur/wire/attempts.py
+++ b/kumquatspur/wire/attempts.py
@@ -41,6 +41,7 @@
         result: The response, or the error; None while in flight.
         ended_at: When the result arrived, on the monotonic clock.
         thread: The green thread that makes the call.
+        is_whole: Whether the response is known to be whole.
     """
 
     shard: str
@@ -51,6 +52,7 @@
     result: SearcherReply | CallError | None = None
     ended_at: float = 0.0
     thread: object = None
+    is_whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +158,7 @@
                 else message.end_to_end_headers(),
                 message.body(),
             )
+            attempt.is_whole = not message.ended_by_close
         except CallError as error:
             attempt.result = error
         finally:
@@ -183,7 +186,7 @@
             record = load.record_error if reached else load.record_unreachable
             record(now)
             warmup_watch.observe_failure(self.state, entry, result)
-            if result.connection_lost:
+            if result.connection_lost or result.response_cut:
                 self.crash_detector.record_broken_connection(
                     self.request, self.route.name, entry
                 )
@@ -214,7 +217,10 @@
             seconds = now - attempt.started_at
             self.window.add(seconds)
             load.record_latency(seconds / self.timing.typical_s, now)
-            self.crash_detector.record_success(self.request, self.route.name)
+            if attempt.is_whole and result.signature:
+                self.crash_detector.record_run(
+                    self.request, self.route.name, entry
+                )
 
     def _observe_wishes(
         self, entry: SearcherEntry, result: SearcherReply, now: float
--- a/kumquatspur/wire/crash_detector.py
+++ b/kumquatspur/wire/crash_detector.py
@@ -17,6 +17,7 @@
     ContentState,
     Incident,
 )
+from kumquatspur.wire import warmup_watch
 from kumquatspur.wire.entry_state import EntryState
 from kumquatspur.wire.searcher_pool import (
     accepts_connections,
@@ -70,19 +71,29 @@
             )
         return refused
 
-    def record_success(self, request: ClientRequest, route: str) -> None:
-        """Clears the incidents of a request that ran without a crash."""
+    def record_run(
+        self, request: ClientRequest, route: str, entry: SearcherEntry
+    ) -> None:
+        """Clears a request's content after it ran without a crash.
+
+        Args:
+            request: The request.
+            route: Name of its route.
+            entry: The searcher that ran it.
+        """
         suspects = self.state.suspects
-        if suspects.incidents:
-            # The empty tuple keeps the incidents in which no other content was
-            # in flight.
-            suspects.clear(fingerprint(request, route), ())
+        if suspects.incidents and suspects.record_run(
+            fingerprint(request, route), entry.service, monotonic_s()
+        ):
+            self.state.counters["crash_suspects_cleared"] += 1
 
     def record_broken_connection(
         self, request: ClientRequest, route: str, entry: SearcherEntry
     ) -> None:
         """Records that a connection broke with a request in flight.
 
+        The searcher may have sent a part of its answer.
+
         Args:
             request: The request.
             route: Name of its route.
@@ -144,6 +155,7 @@
             settle_s=SETTLE_S,
             coincidence_s=COINCIDENCE_WINDOW_S,
         )
+        warmup_watch.observe_crash(self.state, entry)
         self.notify_peers()
 
 
--- a/kumquatspur/wire/http_messages.py
+++ b/kumquatspur/wire/http_messages.py
@@ -49,6 +49,8 @@
         keep_alive: Whether the connection may be reused.
         headers_done: Whether all headers were read.
         complete: Whether the whole message was read.
+        ended_by_close: Whether the end of the connection was its end, so that
+            it may not be whole.
     """
 
     target: bytes = b""
@@ -59,6 +61,7 @@
     keep_alive: bool = True
     headers_done: bool = False
     complete: bool = False
+    ended_by_close: bool = False
     head_count: int = 0
 
     def body(self) -> bytes:
@@ -425,4 +428,5 @@
         message, self.message = self.message, None
         message.complete = message.headers_done
         message.keep_alive = False
+        message.ended_by_close = True
         return message if message.complete else None
--- a/kumquatspur/wire/peer_exchange.py
+++ b/kumquatspur/wire/peer_exchange.py
@@ -13,6 +13,7 @@
 
 from kumquatspur.border import exchange_codec
 from kumquatspur.border.exchange_codec import (
+    ContentRun,
     CrashIncident,
     Exchange,
     KnownHost,
@@ -65,6 +66,7 @@
 MAX_LIMITS_REPORTED = 64
 # A message is compressed, and refers to the items that the other host has.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_RUNS_REPORTED = 64
 _CALL_ERRORS = (OSError, ValueError)
 
 
@@ -373,6 +375,16 @@
             self._exchange_header(),
             hosts=self._known_hosts(now),
             incidents=self._crash_incidents(now),
+            runs=tuple(
+                ContentRun(
+                    fingerprint=fingerprint,
+                    shard=shard,
+                    age_s=max(0.0, now - at),
+                )
+                for fingerprint, shard, at in self.state.suspects.recent_runs(
+                    now, MAX_RUNS_REPORTED
+                )
+            ),
         )
 
     def _known_hosts(self, now: float) -> tuple[KnownHost, ...]:
@@ -431,6 +443,10 @@
             )
             for incident in message.incidents
         )
+        self.state.suspects.learn_runs(
+            (run.fingerprint, run.shard, now - run.age_s)
+            for run in message.runs
+        )
         if message.items is not None and message.age_s < self._contact_age_s():
             self._apply_view(message)
             # A host that starts learns of the searchers by this view only.
--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -58,6 +58,8 @@
             connection attempt or the request.
         connection_lost: Whether the connection was closed or reset before the
             first byte of a response.
+        response_cut: Whether the connection was closed or reset after a part of
+            a response.
         refused: Whether the connection attempt was refused.
         cut_off: Whether the call was given up because the target's zone is cut
             off from this host.
@@ -71,6 +73,7 @@
         connection_lost=False,
         refused=False,
         cut_off=False,
+        response_cut=False,
     ):
         super().__init__(message)
         self.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
@@ -79,6 +82,7 @@
         self.connection_lost = connection_lost
         self.refused = refused
         self.cut_off = cut_off
+        self.response_cut = response_cut
 
 
 @dataclasses.dataclass(slots=True)
@@ -286,6 +290,7 @@
                 raise CallError(
                     "connection closed before a complete response",
                     connection_lost=not received,
+                    response_cut=received,
                 )
             received = True
             messages = reader.feed(data)
@@ -313,7 +318,9 @@
     except OSError as error:
         reason = errno.errorcode.get(error.errno, str(error))
         raise CallError(
-            f"connection: {reason}", connection_lost=not received
+            f"connection: {reason}",
+            connection_lost=not received,
+            response_cut=received,
         ) from error
 
 
--- a/kumquatspur/wire/warmup_watch.py
+++ b/kumquatspur/wire/warmup_watch.py
@@ -109,6 +109,16 @@
     _record(state, entry, spec.warmup_s, kind, "failure")
 
 
+def observe_crash(state: EntryState, entry: SearcherEntry) -> None:
+    """Assumes that a searcher is cold when it is back after a crash.
+
+    A call that failed after a part of an answer alone does not show a crash.
+    """
+    spec = cold_spec(state, entry.service)
+    if spec is not None:
+        _record(state, entry, spec.warmup_s, WarmupKind.DOWN, "crash")
+
+
 def assume_zone_cold(state: EntryState, zone: str, source: str) -> None:
     """Assumes that all searchers of a zone are cold when it is back.
 
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -7,6 +7,11 @@
 import msgspec
 
 from kumquatspur.core.records import Address
+from kumquatspur.policy.crash_suspects import Incident
+from kumquatspur.wire.crash_detector import SETTLE_S, fingerprint
+from kumquatspur.wire.front_server import decode_request
+from kumquatspur.wire.http_messages import RequestReader
+from kumquatspur.wire.searcher_pool import monotonic_s
 from standins.platform_deployment import (
     free_ports,
     make_record,
@@ -316,10 +321,17 @@
         self.assertLess(time.monotonic() - began, STORE_RECOVERY_S)
 
     def test_content_that_crashes_searchers_is_refused(self):
+        self.check_crashing_content("crash")
+
+    def test_content_that_crashes_searchers_midway_is_refused(self):
+        """Guards against a crash after the first byte that counts as none."""
+        self.check_crashing_content("crash_midway")
+
+    def check_crashing_content(self, behaviour):
         for copy in "cde":
             self.add_searcher(f"i-single-{copy}", "single", [])
         self.wait_ready()
-        self.script("i-single", "crash")
+        self.script("i-single", behaviour)
         statuses = []
         for number in range(4):
             reply = self.ask(
@@ -338,6 +350,44 @@
         reply = self.ask("/once/x", method="POST", body=b"sound")
         self.assertEqual(reply[0], 200)
 
+    def test_answers_that_are_cut_without_a_crash_refuse_nothing(self):
+        """Guards against refusals for what faulty searchers send."""
+        self.wait_ready()
+        for number in range(6):
+            behaviour = ("truncated", "reset_body", "lost")[number % 3]
+            self.script("i-single", behaviour)
+            self.ask("/once/cut", request_id=f"cut{number}", method="POST")
+            eventlet.sleep(2 * SETTLE_S)
+            self.clear_scripts()
+        self.assertEqual(self.host.state.suspects.incidents, {})
+        self.assertEqual(self.count_crashes_seen(), 0)
+        reply = self.ask("/once/cut", method="POST")
+        self.assertEqual(reply[0], 200)
+
+    def test_answers_of_other_shards_clear_no_crash(self):
+        """Guards against evidence of one shard that another shard clears."""
+        self.wait_ready()
+        suspects = self.host.state.suspects
+        # Other contents were in flight as well, so none was alone.
+        for name in ("harmful", "other"):
+            request = self.request("/all/harmful", name)
+            reader = RequestReader(8192, 0)
+            (message,) = reader.feed(request)
+            content = fingerprint(decode_request(message), "all")
+            if name == "other":
+                content = "other"
+            now = monotonic_s()
+            suspects.add(
+                [
+                    Incident(
+                        f"{name}-1", content, "i-gone", "gone", False,
+                        now, now + 60.0,
+                    )
+                ]
+            )  # fmt: skip
+        self.assertEqual(self.ask("/all/harmful")[0], 200)
+        self.assertEqual(len(suspects.incidents), 2)
+
     def count_crashes_seen(self):
         return self.host.state.counters["searcher_crashes_seen"]
 
--- a/standins/platform_searcher.py
+++ b/standins/platform_searcher.py
@@ -51,8 +51,8 @@
         deadlines: The deadline header of each request run, in ms.
         script: Behaviours of the next requests: "ok", "shed", "lost",
             "truncated", "reset_body", "extra", "late_copy", "other_id",
-            "error", "hang", "encoded", "unsigned", "crash", "no_length",
-            "pause" or a key of `ENDLESS`.
+            "error", "hang", "encoded", "unsigned", "crash",
+            "crash_midway", "no_length", "pause" or a key of `ENDLESS`.
         leaving: Whether its answers say that it leaves.
         starts: Number of restarts.
         pause_value: Value of the header with which "pause" asks for a pause.
@@ -269,6 +269,11 @@
         if behaviour == "lost":
             reset_connection(sock)
             return False
+        if behaviour == "crash_midway":
+            sock.sendall(reply[: -len(body) // 2])
+            eventlet.sleep(0.02)
+            self.close()
+            return False
         if behaviour in ("truncated", "reset_body"):
             sock.sendall(reply[: -len(body) // 2])
             eventlet.sleep(0.02)
