--- a/kumquatspur/wire/store_mirror.py
+++ b/kumquatspur/wire/store_mirror.py
@@ -146,9 +146,11 @@
                 now if a peer sent them.
             source: Their origin, for the log: "store", or a peer.
         """
+        # A peer may have renewed the copy while the changes were waited for.
+        known = self.revision or 0
         self._record_contact(view, requested_at, as_of)
         for change in view.changes:
-            if not _is_mirrored(change.key):
+            if change.revision <= known or not _is_mirrored(change.key):
                 continue
             if change.value is None:
                 self.items.pop(change.key, None)
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -66,6 +66,18 @@
             set(behind.state.directory.by_id), set(ahead.state.directory.by_id)
         )
 
+    def test_changes_that_are_older_than_the_copy_are_skipped(self):
+        """Guards against a state that falls back after a view of a peer."""
+        mirror = filled_mirror(2)
+        view = StoreView(9, (item("i-1", 8, "draining"), item("i-2", 2)))
+        mirror.replace(view, 1.0, 1.0, "peer")
+        changes = (item("i-1", 7), item("i-3", 10))
+        mirror.apply(StoreView(10, changes), 0.5, 2.0, "store")
+        found = mirror.state.directory.by_id
+        self.assertEqual(found["i-1"].state, "draining")
+        self.assertIn("i-3", found)
+        self.assertEqual(mirror.items["servers/i-1"].revision, 8)
+
     def test_versions_of_a_large_configuration_are_not_kept(self):
         """Guards against hosts that run out of memory (CASE=versions)."""
         mirror = filled_mirror(2)
