--- a/kumquatspur/wire/entry_state.py
+++ b/kumquatspur/wire/entry_state.py
@@ -311,8 +311,9 @@
             return False
         self.table = RouteTable(config)
         routes = {route.name for route in config.routes}
-        for name in [key for key in self.latencies if key not in routes]:
-            del self.latencies[name]
+        for by_route in (self.latencies, self.histograms):
+            for name in [key for key in by_route if key not in routes]:
+                del by_route[name]
         self.log.write(
             "config_in_force",
             True,
