--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -27,6 +27,8 @@
 
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65536
+# Headers that hosts add to a request that they delegate.
+DELEGATION_HEADER_BYTES = 2048
 # Interval at which a connection without input checks its time limits.
 CHECK_INTERVAL_S = 1.0
 # Pipelined requests of one connection that are read before they are answered.
@@ -156,11 +158,9 @@
         self.last_active_at = monotonic_s()
         self.closed = False
         self.is_first = True
-        table = self.state.table
-        self.limits = table.config.limits if table else ClientLimits()
-        self.reader = RequestReader(
-            self.limits.header_bytes, self.limits.body_bytes
-        )
+        self.limits = ClientLimits()
+        self.reader = RequestReader(0, 0)
+        self._set_limits()
 
     def run(self) -> None:
         """Reads requests until the connection ends."""
@@ -169,7 +169,7 @@
             self.socket.settimeout(CHECK_INTERVAL_S)
             self._read()
         except OSError:
-            pass
+            self.reader.header_limit += DELEGATION_HEADER_BYTES
         finally:
             # The client has disconnected: stop the work for it.
             if self.worker is not None:
@@ -195,6 +195,16 @@
             # Nothing has arrived, or the connection has failed.
             return True
 
+    def _set_limits(self) -> None:
+        """Sets the limits in force, which hold for the next request."""
+        table = self.state.table
+        if table is not None:
+            self.limits = table.config.limits
+        self.reader.header_limit = self.limits.header_bytes
+        self.reader.body_limit = self.limits.body_bytes
+        if self.server.is_for_hosts:
+            self.reader.header_limit += DELEGATION_HEADER_BYTES
+
     def _read(self) -> None:
         while not self.closed:
             try:
@@ -205,6 +215,8 @@
                 continue
             if not data:
                 return
+            if self.reader.is_between_requests():
+                self._set_limits()
             if self.reader.is_between_requests() or self.reader.is_in_body():
                 self.last_active_at = monotonic_s()
             try:
@@ -257,7 +269,7 @@
         try:
             reply = self._serve(message)
             keep = message.keep_alive and not self.state.stopping
-            self._send(reply, keep)
+            self._send(reply, keep, message.method == b"HEAD")
         except OSError:
             keep = False
         finally:
@@ -290,7 +302,17 @@
             )
             return error_reply(502, "internal error")
 
-    def _send(self, reply: ClientReply, keep: bool) -> None:
+    def _send(
+        self, reply: ClientReply, keep: bool, is_to_head: bool = False
+    ) -> None:
+        """Sends a reply.
+
+        Args:
+            reply: The reply.
+            keep: Whether the connection stays open.
+            is_to_head: Whether it answers a HEAD request. A client would take
+                content for the beginning of its next answer.
+        """
         reason = _REASON_PHRASES.get(reply.status, "Status")
         lines = [f"HTTP/1.1 {reply.status} {reason}\r\n".encode()]
         for name, value in reply.headers:
@@ -298,7 +320,7 @@
         lines.append(b"Content-Length: %d\r\n" % len(reply.body))
         if not keep:
             lines.append(b"Connection: close\r\n")
-        lines += (b"\r\n", reply.body)
+        lines += (b"\r\n", b"" if is_to_head else reply.body)
         self.socket.sendall(b"".join(lines))
 
     def _close(self) -> None:
--- a/standins/platform_path_test.py
+++ b/standins/platform_path_test.py
@@ -20,6 +20,7 @@
 from standins.platform_path_case import PlatformPathCase
 from standins.platform_searcher import (
     forwarded_route,
+    make_config,
 )
 from standins.platform_store import StandInStore
 
@@ -40,6 +41,58 @@
         expected = [make_record(number) for number in (34, 33, 32, 31, 30)]
         self.assertEqual(body, b"".join(expected))
 
+    def test_refused_head_request_has_no_content(self):
+        """Guards against content that begins the next answer (MIXED)."""
+        self.wait_ready()
+        sock = self.connect()
+        for number in range(3):
+            for path, status in (("/unknown/x", 404), ("/one/x", 200)):
+                method = "HEAD" if status == 404 else "GET"
+                name = f"head{number}-{status}"
+                sock.sendall(self.request(path, name, method))
+                received = b""
+                while b"\r\n\r\n" not in received:
+                    received += sock.recv(65536)
+                head, _, body = received.partition(b"\r\n\r\n")
+                self.assertTrue(
+                    head.startswith(b"HTTP/1.1 %d " % status), received
+                )
+                if method == "HEAD":
+                    eventlet.sleep(0.05)
+                    self.assertEqual(body, b"")
+
+    def test_kept_connection_has_the_limits_in_force(self):
+        """Guards against 413 by an older configuration (DENIED)."""
+        self.wait_ready()
+        sock = self.connect()
+        body = b"x" * 20_000
+        config = make_config(2, self.routes)
+        for version, limit, status in (
+            (2, 30_000, 200),
+            (3, 60_000, 200),
+            (4, 10_000, 413),
+        ):
+            config["config-version"] = version
+            config["limits"]["max-body-bytes"] = limit
+            self.store.put_json("op/config", config)
+            wait_until(
+                lambda: (
+                    self.host.state.table.config.version == version  # noqa: B023
+                )
+            )
+            data = self.request("/one/x", f"b{version}", "POST", body)
+            self.assertEqual(self.exchange(sock, data)[0], status)
+            body *= 2 if version == 2 else 1
+
+    def test_histograms_of_removed_routes_are_dropped(self):
+        """Guards against memory that grows with each route that ever was."""
+        self.wait_ready()
+        self.assertEqual(self.ask("/one/x")[0], 200)
+        self.assertEqual(set(self.host.state.histograms), {"one"})
+        self.put_config(2, self.routes[:1])
+        wait_until(lambda: self.host.state.table.config.version == 2)
+        self.assertEqual(self.host.state.histograms, {})
+
     def test_settings_that_change_while_a_host_starts_are_in_force(self):
         """Guards against a change after the first read of the settings."""
         # The host runs from the next wait on, and has read its settings.
@@ -403,6 +456,14 @@
         wait_until(lambda: "fast" in self.host.state.peers.peers)
         return fast
 
+    def test_delegated_request_with_long_headers_is_served(self):
+        """Guards against 431 for the headers that hosts add."""
+        fast = self.start_fast_host()
+        reply = self.ask("/all/x", Cookie="c" * 8050)
+        self.assertEqual(reply[0], 200)
+        self.assertEqual(self.host.state.counters["handed_over"], 1)
+        self.assertEqual(fast.state.counters["rejected_431"], 0)
+
     def test_request_is_delegated_to_a_host_with_a_faster_link(self):
         fast = self.start_fast_host()
         status, fields, body = self.ask("/all/x", request_id="r7")
