--- a/kumquatspur/wire/searcher_pool.py
+++ b/kumquatspur/wire/searcher_pool.py
@@ -92,11 +92,14 @@
 
     Attributes:
         socket: The socket.
+        address: Where it leads. The target may have come back elsewhere, and
+            its address may have been given to another one.
         idle_since: When its last response was complete.
         idle_limit_s: How long it may be idle and still be used.
     """
 
     socket: socket.socket
+    address: Address
     idle_since: float
     idle_limit_s: float = DEFAULT_MAX_IDLE_S
 
@@ -225,7 +228,9 @@
         now = monotonic_s()
         while connections.idle:
             connection = connections.idle.pop()
-            if connection.is_usable(now, max_idle_s):
+            if connection.address == address and connection.is_usable(
+                now, max_idle_s
+            ):
                 return connection
             connections.open -= 1
             connection.close()
@@ -262,7 +267,7 @@
     except BaseException:
         sock.close()
         raise
-    return Connection(sock, monotonic_s())
+    return Connection(sock, address, monotonic_s())
 
 
 def _send_and_receive(connection, reader, request, accepts, deadline, bodyless):
--- a/kumquatspur/wire/searcher_pool_test.py
+++ b/kumquatspur/wire/searcher_pool_test.py
@@ -93,6 +93,15 @@
         self.assertEqual(self.call(searcher).body(), b"two")
         self.assertEqual(searcher.accepted, 1)
 
+    def test_searcher_that_comes_back_elsewhere_gets_new_connections(self):
+        """Guards against connections to whoever has its old address now."""
+        before = FakeSearcher(with_length(b"one"), with_length(b"other"))
+        self.call(before)
+        after = FakeSearcher(with_length(b"two"))
+        self.assertEqual(self.call(after).body(), b"two")
+        self.assertEqual((before.accepted, after.accepted), (1, 1))
+        self.assertEqual(self.pool.by_target["i-1"].open, 1)
+
     def test_connection_that_was_idle_too_long_is_not_used(self):
         searcher = FakeSearcher(with_length(b"one"), with_length(b"two"))
         self.call(searcher)
--- a/kumquatspur/wire/turns_test.py
+++ b/kumquatspur/wire/turns_test.py
@@ -90,7 +90,8 @@
         """
         source = Endless(CHUNKED_REPLY, block)
         pool = TargetPool(1000.0)
-        connection = searcher_pool.Connection(source, monotonic_s())
+        address = Address("127.0.0.1", 1)
+        connection = searcher_pool.Connection(source, address, monotonic_s())
         with (
             mock.patch.object(searcher_pool, "_connect", lambda *_: connection),
             mock.patch.object(searcher_pool, "wait_until_readable"),
@@ -99,7 +100,7 @@
         ):
             pool.call(
                 "i-1",
-                Address("127.0.0.1", 1),
+                address,
                 b"",
                 lambda message: True,
                 monotonic_s() + 60.0,
