Give turns between accepted connections; delay reads after unexpected errors

test_peer_that_connects_again_and_again_gives_turns and test_watch_does_not_read_the_store_without_delay cover both; the latter ran without end on the code before.

--- a/kumquatspur/border/packing.py
+++ b/kumquatspur/border/packing.py
@@ -26,7 +26,7 @@
 
 NonNegative = Annotated[float, msgspec.Meta(ge=0, le=sys.float_info.max)]
 Positive = Annotated[float, msgspec.Meta(gt=0, le=sys.float_info.max)]
-# msgpack has no longer integers.
+# Decoders of msgpack in all languages read integers of this size.
 MAX_COUNT = 2**63 - 1
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
--- a/kumquatspur/wire/containment_test.py
+++ b/kumquatspur/wire/containment_test.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from kumquatspur.platform import documents
+from kumquatspur.platform.documents import SEARCHER_PREFIX
 from kumquatspur.platform.store import StoreView
 from kumquatspur.wire.containment import (
     REPORT_INTERVAL_S,
@@ -103,7 +104,7 @@
             changes = (item("i-odd", 4), item("i-3", 5))
             mirror.apply(StoreView(5, changes), 1.0, 1.0, "store")
         self.assertIn("i-3", self.state.directory.by_id)
-        self.assertEqual(self.logged()[0][1]["key"], "servers/i-odd")
+        self.assertEqual(self.logged()[0][1]["key"], f"{SEARCHER_PREFIX}i-odd")
 
     def test_watch_goes_on_after_an_unexpected_error(self):
         """Guards against a host that follows neither store nor watcher."""
@@ -123,7 +124,7 @@
         follow = mock.Mock(side_effect=[OverflowError("odd"), False])
         watch = StoreWatch(self.state, store, mirror, follow)
         with (
-            mock.patch.object(eventlet, "sleep"),
+            mock.patch.object(eventlet, "sleep") as sleep,
             self.assertLogs("kumquatspur.wire.containment"),
         ):
             watch.run()
@@ -132,6 +133,29 @@
             [task for task, _ in self.logged()],
             ["follow_watcher", "watch_store"],
         )
+        # All hosts may read the whole store after the same error.
+        sleep.assert_called_once()
+
+    def test_watch_does_not_read_the_store_without_delay(self):
+        """Guards against hosts that read the store again and again."""
+        mirror = StoreMirror(self.state)
+        store = mock.Mock()
+        store.read_all = lambda _: StoreView(7, ())
+        follow = mock.Mock(side_effect=OverflowError("odd"))
+        delays = []
+
+        def sleep(seconds):
+            delays.append(seconds)
+            self.state.ended = len(delays) == 5
+
+        watch = StoreWatch(self.state, store, mirror, follow)
+        with (
+            mock.patch.object(eventlet, "sleep", sleep),
+            self.assertLogs("kumquatspur.wire.containment"),
+        ):
+            watch.run()
+        self.assertEqual(follow.call_count, 5)
+        self.assertEqual(delays, [2.0, 4.0, 8.0, 8.0, 8.0])
 
     def test_message_of_a_peer_with_an_odd_length_is_not_read(self):
         """Guards against a peer whose message fills the memory."""
--- a/kumquatspur/wire/front_server.py
+++ b/kumquatspur/wire/front_server.py
@@ -125,6 +125,7 @@
                 eventlet.sleep(0.05)
                 continue
             self._serve_connection(sock)
+            give_turn()
 
     def _wait_for_configuration(self) -> None:
         """Waits a moment until requests need not be refused any more."""
--- a/kumquatspur/wire/http_server.py
+++ b/kumquatspur/wire/http_server.py
@@ -100,6 +100,8 @@
         self.connections[connection[_ADDRESS]] = connection
         thread = super().spawn(function, connection)
         thread.link(self._remove, connection[_ADDRESS])
+        # The next connection may be waiting already.
+        give_turn()
         return thread
 
     def stop_reading_idle(self) -> None:
--- a/kumquatspur/wire/peer_stream.py
+++ b/kumquatspur/wire/peer_stream.py
@@ -208,6 +208,7 @@
                 eventlet.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
             eventlet.spawn_n(self._receive, connection)
+            give_turn()
 
     def unacknowledged_frames(self) -> int:
         """Returns the number of unacknowledged frames on open streams."""
--- a/kumquatspur/wire/store_mirror_test.py
+++ b/kumquatspur/wire/store_mirror_test.py
@@ -76,7 +76,7 @@
         found = mirror.state.directory.by_id
         self.assertEqual(found["i-1"].state, "draining")
         self.assertIn("i-3", found)
-        self.assertEqual(mirror.items["servers/i-1"].revision, 8)
+        self.assertEqual(mirror.items[f"{SEARCHER_PREFIX}i-1"].revision, 8)
 
     def test_versions_of_a_large_configuration_are_not_kept(self):
         """Guards against hosts that run out of memory (CASE=versions)."""
@@ -95,7 +95,9 @@
         value = b"x" * MAX_ENTRY_BYTES
         count = 2 * RECENT_BYTES // MAX_ENTRY_BYTES
         for revision in range(3, 3 + count):
-            change = StoreChange(f"servers/i-{revision}", revision, value)
+            change = StoreChange(
+                f"{SEARCHER_PREFIX}i-{revision}", revision, value
+            )
             mirror.apply(StoreView(revision, (change,)), 1.0, 1.0, "store")
         self.assertLessEqual(mirror.recent_bytes, RECENT_BYTES)
         self.assertIsNone(mirror.changes_after(2))
@@ -128,7 +130,7 @@
     def test_entry_of_great_length_is_not_kept(self):
         """Guards against another writer's entries that fill the memory."""
         item = {
-            "key": "servers/i-long",
+            "key": f"{SEARCHER_PREFIX}i-long",
             "value": base64.b64encode(b"x" * 1_000_000).decode(),
             "revision": 3,
         }
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -64,21 +64,22 @@
             self._wait_for_first_view()
         failures = 0
         while not self.state.ended:
-            containment = Containment(self.state, "follow_watcher")
-            with containment:
-                if self.follow():
-                    failures = 0
-                    continue
-            if containment.failed:
+            following = Containment(self.state, "follow_watcher")
+            watching = Containment(self.state, "watch_store")
+            followed = False
+            with following:
+                followed = self.follow()
+            if not followed:
                 # Some of the changes may not have been applied.
-                self._history_lost = True
-            containment = Containment(self.state, "watch_store")
-            with containment:
-                self._step_or_record_error()
-            failures = failures + 1 if containment.failed else 0
-            if failures:
+                self._history_lost |= following.failed
+                with watching:
+                    self._step_or_record_error()
+            if following.failed or watching.failed:
+                failures += 1
                 self._history_lost = True
                 eventlet.sleep(min(2.0**failures, MAX_ERROR_DELAY_S))
+            else:
+                failures = 0
 
     def _step_or_record_error(self) -> None:
         try:
--- a/kumquatspur/wire/turns_test.py
+++ b/kumquatspur/wire/turns_test.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import eventlet
+from greenlet import GreenletExit
 
 from kumquatspur.border.bounded_http import (
     LINES_PER_TURN,
@@ -228,6 +229,33 @@
                 )
         self.assertGreaterEqual(self.turns, 50)
 
+    def test_peer_that_connects_again_and_again_gives_turns(self):
+        """Guards against connections that are always waiting."""
+        count = 20
+
+        def listener():
+            accept = mock.Mock()
+            accept.side_effect = [(mock.Mock(), count)] * count + [
+                GreenletExit()
+            ]
+            return mock.Mock(accept=accept)
+
+        front = mock.Mock(is_for_hosts=True, _listener=listener())
+        streams = mock.Mock()
+        for accept in (
+            lambda: FrontServer._accept(front),
+            lambda: peer_stream.PeerStreams.serve(streams, listener()),
+        ):
+            before = self.turns
+            with self.assertRaises(GreenletExit):
+                accept()
+            self.assertGreaterEqual(self.turns - before, count)
+        before = self.turns
+        pool = http_server._ConnectionPool(100)
+        for number in range(count):
+            pool.spawn(lambda connection: None, [number, None, None])
+        self.assertGreaterEqual(self.turns - before, count)
+
     def test_reply_of_a_store_in_tiny_chunks_is_given_up_early(self):
         """Guards against the standard library's work for each chunk."""
         source = Endless(b"", b"1\r\nx\r\n" * 1000)
