--- a/kumquatspur/platform/documents.py
+++ b/kumquatspur/platform/documents.py
@@ -37,6 +37,9 @@
 # The year 2100.
 MAX_BORN_MS = 4_102_444_800_000
 MAX_PORT = 65535
+# From here on, and up to there, IPv4 addresses are those of machines.
+_FIRST_MACHINE = int(ipaddress.IPv4Address("1.0.0.0"))
+_FIRST_MULTICAST = int(ipaddress.IPv4Address("224.0.0.0"))
 
 # Identifiers stand in headers of requests.
 _SEARCHER_ID_PATTERN = re.compile(r"[!-~]{1,200}")
@@ -76,7 +79,7 @@
             f"{value[:40]!r} has no port from 1 to {MAX_PORT} at its end"
         )
     address = ipaddress.IPv4Address(host)
-    if address.is_unspecified or address.is_multicast or address.is_reserved:
+    if not _FIRST_MACHINE <= int(address) < _FIRST_MULTICAST:
         raise ValueError(f"{host} is not the address of a machine")
     return Address(str(address), int(port))
 
