--- a/kumquatspur/wire/containment_test.py
+++ b/kumquatspur/wire/containment_test.py
@@ -146,7 +146,7 @@
 
         def sleep(seconds):
             delays.append(seconds)
-            self.state.ended = len(delays) == 5
+            self.state.ended = len(delays) == 2000
 
         watch = StoreWatch(self.state, store, mirror, follow)
         with (
@@ -154,8 +154,9 @@
             self.assertLogs("kumquatspur.wire.containment"),
         ):
             watch.run()
-        self.assertEqual(follow.call_count, 5)
-        self.assertEqual(delays, [2.0, 4.0, 8.0, 8.0, 8.0])
+        self.assertEqual(follow.call_count, 2000)
+        self.assertEqual(delays[:5], [2.0, 4.0, 8.0, 8.0, 8.0])
+        self.assertEqual(set(delays[5:]), {8.0})
 
     def test_message_of_a_peer_with_an_odd_length_is_not_read(self):
         """Guards against a peer whose message fills the memory."""
--- a/kumquatspur/wire/store_watch.py
+++ b/kumquatspur/wire/store_watch.py
@@ -23,6 +23,7 @@
 RETRY_DELAY_RANGE_S = (0.2, 0.5)
 # After unexpected errors, the whole store is read again: with growing delays,
 # as all hosts may do so at the same time.
+MIN_ERROR_DELAY_S = 2.0
 MAX_ERROR_DELAY_S = 8.0
 # Delay after changes, so that a burst of changes is fetched in few calls.
 BATCH_DELAY_S = 0.3
@@ -62,7 +63,7 @@
         """Watches the store; does not return."""
         if self.state.settings.waits_for_peers():
             self._wait_for_first_view()
-        failures = 0
+        delay_s = MIN_ERROR_DELAY_S
         while not self.state.ended:
             following = Containment(self.state, "follow_watcher")
             watching = Containment(self.state, "watch_store")
@@ -75,11 +76,11 @@
                 with watching:
                     self._step_or_record_error()
             if following.failed or watching.failed:
-                failures += 1
                 self._history_lost = True
-                eventlet.sleep(min(2.0**failures, MAX_ERROR_DELAY_S))
+                eventlet.sleep(delay_s)
+                delay_s = min(2.0 * delay_s, MAX_ERROR_DELAY_S)
             else:
-                failures = 0
+                delay_s = MIN_ERROR_DELAY_S
 
     def _step_or_record_error(self) -> None:
         try:
