--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,11 +27,11 @@
     "quota_overrun": OVERRUN,
     "quota_slack": SLACK,
 }
-RATE_PER_S = 40
+RATE_PER_S = 50
 BURST = 20
 KEY = "key-of-north"
 ALLOWED = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERRUN) + SLACK
-REQUESTS_PER_S_AND_HOST = 25
+REQUESTS_PER_S_AND_HOST = 32
 WARM_UP_S = 12.0
 # Zone cuts of the deployments last up to 6.5 s.
 CUT_S = 6.5
@@ -107,6 +107,7 @@
             500,
             lines=(f"Authorization: Bearer {KEY}",),
         )
+        record.write(f"{request_id} sent to {host.name}")
         reply = send(host.ports[0], data, 1.0)
         status = reply[0] if reply else "none"
         counts[host.zone, status] += 1
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -38,11 +38,14 @@
 def case(record, folder, hosts, disrupted) -> bool:
     """Returns whether a quarter of the requests is served again."""
     store = StandInStore()
+    searchers = []
     for zone in ZONES:
         for number in range(2):
-            PlatformSearcher(
+            searcher = PlatformSearcher(
                 f"i-{zone}-{number}", "single", zone, (), 0.002
-            ).register(store, slots=16)
+            )
+            searcher.register(store, slots=16)
+            searchers.append(searcher)
     config = make_config(1, [forwarded_route("one", "/one/", "single")])
     config["tenants"] = [
         {
@@ -79,6 +82,7 @@
             1000,
             lines=(f"Authorization: Bearer {KEY}",),
         )
+        record.write(f"{request_id} sent to {host.name}")
         reply = send(host.ports[0], data, 1.0)
         status = reply[0] if reply else "none"
         found[status] += 1
@@ -110,6 +114,9 @@
     eventlet.sleep(AFTER_S)
     running[0] = False
     eventlet.sleep(1.0)
+    for searcher in searchers:
+        for request_id, runs in searcher.runs.items():
+            record.write(f"{request_id} ran {runs}x at {searcher.searcher_id}")
     shares = {}
     for name in ("before", "after"):
         found = counts[name]
