--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,6 @@
 
 from review import harness_2
 from review.harness_2 import Host, request_bytes, run_case, send, wait_ready
-from standins.platform_deployment import LOOPBACK
 from standins.platform_searcher import (
     PlatformSearcher,
     forwarded_route,
@@ -162,5 +161,4 @@
     return most <= ALLOWED
 
 
-assert LOOPBACK == "127.0.0.1"
 run_case(pathlib.Path(__file__).parent, case)
